--- /dev/null
+++ b/brassflow/__main__.py
@@ -0,0 +1,164 @@
+"""`python -m brassflow`: one real node. Configuration, signals, start and stop."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import logging
+import os
+import signal
+import sys
+from dataclasses import dataclass
+from typing import Any
+
+import uvloop
+
+from brassflow import interface as io
+from brassflow.checks import check_settings
+from brassflow.net.client import Listener
+from brassflow.net.discovery import Clock, Discovery, ListError, Members, parse_address, read_members
+from brassflow.net.host import Host
+from brassflow.net.upstream import Address, Pool
+from brassflow.settings import SettingsError, module_settings
+
+log = logging.getLogger(__name__)
+
+# Parts of the descriptors; the rest is for discovery, the listening socket and the interpreter.
+CLIENT_PART, SERVER_PART = 0.5, 0.4
+LINGER_S = 0.5  # after SIGTERM new connections still come for this long
+STOP_S = 3.4  # after SIGTERM all is answered by then: SIGKILL follows
+
+
+class ConfigError(Exception):
+    """A configuration on which no node can run."""
+
+
+@dataclass(frozen=True)
+class Config:
+    """What the platform tells a node."""
+
+    listen: Address
+    discovery: Address
+    settings: io.Settings
+    idle_ms: float
+    dial_ms: float
+    sockets: int
+    seed: int
+    known: Members | None
+
+
+def _address(raw: dict[str, Any], key: str, variable: str) -> Address:
+    text = os.environ.get(variable) or raw.get(key)
+    if not isinstance(text, str):
+        raise ConfigError(f"{key} is missing")
+    try:
+        return parse_address(text)
+    except ValueError as error:
+        raise ConfigError(f"{key}: {error}") from None
+
+
+def read_config(clock: Clock) -> Config:
+    """The configuration, from the file and the variables; ConfigError in plain words."""
+    path = os.environ.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = json.load(file)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{path}: an object is needed")
+    listen = _address(raw, "listen", "PROXY_LISTEN")
+    discovery = _address(raw, "discovery", "PROXY_DISCOVERY")
+    try:
+        settings = module_settings(raw.get("settings"))
+        check_settings(settings)
+        limits = raw["settings"]["Limits"]
+        idle, dial = float(limits.get("ConnIdleMs", 60000)), float(limits.get("DialTimeoutMs", 250))
+        sockets = int((raw.get("limits") or {}).get("sockets", 1024))
+        seed = int(str(raw.get("seed", "0")), 16)
+    except (SettingsError, ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    return Config(listen, discovery, settings, idle, dial, sockets, seed, _known(raw, clock))
+
+
+def _known(raw: dict[str, Any], clock: Clock) -> Members | None:
+    """The remembered list. A bad one is no reason not to start: discovery will tell."""
+    if not raw.get("known"):
+        return None
+    try:
+        return read_members(raw["known"], clock)
+    except ListError as error:
+        log.warning("known: %s", error)
+        return None
+
+
+class Node:
+    """The parts of a node, put together."""
+
+    def __init__(self, config: Config, clock: Clock) -> None:
+        loop = asyncio.get_running_loop()
+        most_servers = max(8, int(SERVER_PART * config.sockets))
+        self.config = config
+        self.pool = Pool(loop, config.dial_ms / 1000, config.idle_ms / 1000, most_servers)
+        self.host = Host(config.settings, config.seed, clock, self.pool, lambda on: self.discovery.watch(on))
+        asked = config.settings.list_mode is io.ListMode.ASK
+        self.discovery = Discovery(
+            config.discovery, clock, self.host.members, self.host.list_failed, asked=asked
+        )
+        self.listener = Listener(self.host, max(8, int(CLIENT_PART * config.sockets)))
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until told to stop, and then answer what was taken."""
+        if self.config.known is not None:
+            self.host.members(self.config.known, remembered=True)
+        self.discovery.watch()
+        await self.listener.start(*self.config.listen)
+        log.info("listening on %s:%d", *self.config.listen)
+        gc.freeze()  # what is there now stays: collections need not look at it again
+        await stop.wait()
+        await self._drain()
+
+    async def _drain(self) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + STOP_S
+        self.listener.draining = True
+        await asyncio.sleep(LINGER_S)
+        self.listener.stop_accepting()
+        while self.listener.busy() and loop.time() < until:
+            await asyncio.sleep(0.02)
+        self.host.fail_all()
+        await asyncio.sleep(0.05)  # the last answers leave
+        self.listener.close()
+        self.discovery.stop()
+        self.pool.close()
+
+
+async def serve() -> None:
+    """One node, from its configuration to SIGTERM."""
+    clock = Clock()
+    config = read_config(clock)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    await Node(config, clock).run(stop)
+
+
+def main() -> int:
+    """Run a node; 0 after SIGTERM, 2 on a configuration that it cannot run on."""
+    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(message)s")
+    try:
+        uvloop.run(serve())
+    except ConfigError as error:
+        print(f"configuration: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"cannot start: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/brassflow/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real node's sockets: clients, servers, discovery, and the host of the decision module."""
--- /dev/null
+++ b/brassflow/net/client.py
@@ -0,0 +1,320 @@
+"""Clients: requests in, one final answer out for each, in order on each connection."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Protocol, cast
+from urllib.parse import parse_qs
+
+import httptools
+
+from brassflow.interface import ClassSettings, Repeat
+from brassflow.net.http1 import BODY_LIMIT, HEAD_LIMIT
+
+MOST_PIPELINED = 16
+MOST_UNSENT = 256 * 1024  # bytes of answers that a client may leave unread
+_ONCE = (b"x-call-id", b"x-call-class", b"x-budget", b"idempotency-key", b"host")
+
+
+@dataclass(slots=True)
+class Incoming:
+    """One request as a client sent it."""
+
+    method: bytes = b""
+    target: bytes = b""
+    headers: dict[bytes, bytes] = field(default_factory=dict)
+    body: bytes = b""
+    keep_alive: bool = True
+    came_at: float = 0.0  # monotonic, in seconds
+
+
+class BadRequest(Exception):
+    """A request that cannot be taken."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Asked:
+    """What the headers of a request say."""
+
+    kind: ClassSettings
+    budget_ms: float
+    tenant: str | None
+    key: int | None
+    cost_ms: float | None
+    is_retry: bool
+
+
+def _number(text: bytes) -> float:
+    """A plain decimal number; float() alone would take 'nan', '1e9' or '1_0'."""
+    if not text or not text.replace(b".", b"", 1).isdigit():
+        raise ValueError(text)
+    return float(text)
+
+
+def read_budget(text: bytes) -> float:
+    """`X-Budget` in ms: a number and a unit."""
+    scale = {b"m": 1.0, b"u": 0.001}.get(text[-1:])
+    if scale is None:
+        raise ValueError(text)
+    budget = _number(text[:-1]) * scale
+    if not 0 < budget < 1e9:
+        raise ValueError(text)
+    return budget
+
+
+def _sid(query: bytes) -> int | None:
+    """The subject of a request, as a number below 2^53."""
+    if b"sid=" not in query:
+        return None
+    values = parse_qs(query.decode("latin-1")).get("sid")
+    try:
+        return int(values[0], 16) & (2**53 - 1) if values else None
+    except ValueError:
+        return None
+
+
+def read_request(request: Incoming, classes: dict[str, ClassSettings]) -> Asked:
+    """Check a request against what is agreed with clients; BadRequest where it is not kept."""
+    headers = request.headers
+    path, _, query = request.target.partition(b"?")
+    name = headers.get(b"x-call-class", b"").decode("latin-1")
+    kind = classes.get(path.lstrip(b"/").partition(b"/")[0].decode("latin-1"))
+    if kind is None:
+        raise BadRequest(404, "unknown class")
+    if name != kind.name:
+        raise BadRequest(400, "X-Call-Class and the path do not agree")
+    if not headers.get(b"x-call-id"):
+        raise BadRequest(400, "X-Call-Id is missing")
+    if request.method != (b"GET" if kind.repeat is Repeat.SAFE else b"POST"):
+        raise BadRequest(400, "the method does not fit the class")
+    if (kind.repeat is Repeat.KEYED) != (b"idempotency-key" in headers):
+        raise BadRequest(400, "Idempotency-Key does not fit the class")
+    try:
+        budget = read_budget(headers.get(b"x-budget", b""))
+        cost = headers.get(b"x-call-cost")
+        cost_ms = _number(cost) / 1000 if cost else None
+    except ValueError:
+        raise BadRequest(400, "X-Budget or X-Call-Cost is no such number") from None
+    tenant = headers.get(b"x-caller", b"").decode("latin-1") or None
+    return Asked(kind, budget, tenant, _sid(query), cost_ms, headers.get(b"x-again") == b"1")
+
+
+class Taker(Protocol):
+    """What takes requests over; it owes each `Exchange` one answer."""
+
+    classes: dict[str, ClassSettings]
+
+    def take(self, exchange: Exchange) -> None: ...
+    def client_gone(self, exchange: Exchange) -> None: ...
+    def ready(self) -> bool: ...
+
+
+class Exchange:
+    """One request and the one answer that it gets."""
+
+    __slots__ = ("asked", "connection", "ref", "request")
+
+    def __init__(self, connection: ClientConnection, request: Incoming, asked: Asked) -> None:
+        self.connection, self.request, self.asked = connection, request, asked
+        self.ref = -1  # its number at the host
+
+    def answer(self, status: int, body: bytes = b"", headers: tuple[tuple[bytes, bytes], ...] = ()) -> None:
+        """Write the answer. Nothing where the client has gone."""
+        self.connection.answer(self, status, body, headers)
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection from a client."""
+
+    def __init__(self, listener: Listener) -> None:
+        self.listener = listener
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.queue: deque[Incoming] = deque()
+        self.open: Exchange | None = None
+        self.broken: BadRequest | None = None  # answered behind what came before it; then the end
+        self.incoming = Incoming()
+        self.body = bytearray()
+        self.head_bytes = 0
+        self.in_head = True
+        self.idle_since = time.monotonic()
+        self.failure: BadRequest | None = None  # raised inside a callback of the parser
+
+    # -------------------------------------------------------------- connection
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=MOST_UNSENT)
+        self.listener.made(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.queue.clear()
+        self.listener.lost(self)
+        exchange, self.open = self.open, None
+        if exchange is not None:
+            self.listener.taker.client_gone(exchange)
+
+    def pause_writing(self) -> None:
+        """A client that sends and does not read must not fill the memory."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
+    def idle(self) -> bool:
+        return self.open is None and not self.queue
+
+    # ----------------------------------------------------------------- requests
+
+    def data_received(self, data: bytes) -> None:
+        if self.broken is not None:
+            return
+        if self.in_head:
+            self.head_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.broken = self.failure or BadRequest(400, str(error))
+        if self.broken is None and self.in_head and self.head_bytes > HEAD_LIMIT:
+            self.broken = BadRequest(431, "head too large")
+        self._next()
+
+    def on_message_begin(self) -> None:
+        self.incoming, self.body, self.in_head = Incoming(), bytearray(), True
+
+    def on_url(self, url: bytes) -> None:
+        self.incoming.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        name = name.lower()
+        if name in _ONCE and name in self.incoming.headers:
+            self._fail(400, f"{name.decode('latin-1')} is given twice")
+        self.incoming.headers[name] = value
+
+    def on_headers_complete(self) -> None:
+        self.in_head, self.head_bytes = False, 0
+        self.incoming.method = self.parser.get_method()
+        length = self.incoming.headers.get(b"content-length", b"0")
+        if length.isdigit() and int(length) > BODY_LIMIT:
+            self._fail(413, "body too large")
+
+    def on_body(self, data: bytes) -> None:
+        self.body += data
+        if len(self.body) > BODY_LIMIT:
+            self._fail(413, "body too large")
+
+    def on_message_complete(self) -> None:
+        self.incoming.body = bytes(self.body)
+        self.incoming.keep_alive = self.parser.should_keep_alive()
+        self.incoming.came_at = time.monotonic()
+        self.in_head, self.head_bytes = True, 0
+        if len(self.queue) >= MOST_PIPELINED:
+            self._fail(400, "too many requests at once")
+        self.queue.append(self.incoming)
+
+    def _fail(self, status: int, why: str) -> None:
+        self.failure = BadRequest(status, why)
+        raise self.failure
+
+    def _next(self) -> None:
+        """Begin the next request, or end a connection that is no longer understood."""
+        while self.open is None and self.queue and self.transport is not None:
+            self._begin(self.queue.popleft())
+        if self.open is None and self.broken is not None:
+            self._write(self.broken.status, str(self.broken).encode("latin-1", "replace"), (), close=True)
+
+    def _begin(self, request: Incoming) -> None:
+        if request.target.partition(b"?")[0] == b"/_health":
+            status = 200 if self.listener.taker.ready() and not self.listener.draining else 503
+            self._write(status, b"", (), close=not request.keep_alive)
+            return
+        try:
+            asked = read_request(request, self.listener.taker.classes)
+        except BadRequest as error:
+            self._write(error.status, str(error).encode(), (), close=not request.keep_alive)
+            return
+        self.open = Exchange(self, request, asked)
+        self.listener.taker.take(self.open)
+
+    def answer(
+        self, exchange: Exchange, status: int, body: bytes, headers: tuple[tuple[bytes, bytes], ...]
+    ) -> None:
+        if self.open is not exchange:
+            return
+        self.open = None
+        self._write(status, body, headers, close=not exchange.request.keep_alive)
+        if self.queue or self.broken is not None:
+            asyncio.get_running_loop().call_soon(self._next)
+
+    def _write(
+        self, status: int, body: bytes, headers: tuple[tuple[bytes, bytes], ...], *, close: bool
+    ) -> None:
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        self.idle_since = time.monotonic()
+        close = close or (self.listener.draining and not self.queue)
+        head = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\nContent-Length: {len(body)}\r\n".encode()]
+        head.extend(b"%s: %s\r\n" % pair for pair in headers)
+        head.append(b"Connection: close\r\n\r\n" if close else b"\r\n")
+        head.append(body)
+        transport.write(b"".join(head))
+        if close:
+            self.queue.clear()
+            transport.close()
+
+
+class Listener:
+    """The listening socket and the connections that came in by it."""
+
+    def __init__(self, taker: Taker, most: int) -> None:
+        self.taker, self.most = taker, most
+        self.connections: set[ClientConnection] = set()
+        self.draining = False
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: ClientConnection(self), host, port, backlog=1024)
+
+    def made(self, connection: ClientConnection) -> None:
+        """Keep connections to their number, so that descriptors never run out and accepting goes on."""
+        self.connections.add(connection)
+        if len(self.connections) > self.most:
+            idle = [c for c in self.connections if c.idle() and c is not connection]
+            (min(idle, key=lambda c: c.idle_since) if idle else connection).close()
+
+    def lost(self, connection: ClientConnection) -> None:
+        self.connections.discard(connection)
+
+    def busy(self) -> bool:
+        return any(not c.idle() for c in self.connections)
+
+    def stop_accepting(self) -> None:
+        """No new connection; those between requests close, the others with their answer."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            if connection.idle():
+                connection.close()
+
+    def close(self) -> None:
+        self.stop_accepting()
+        for connection in list(self.connections):
+            connection.close()
+
+
+def retry_after(ms: float) -> tuple[tuple[bytes, bytes], ...]:
+    """The header that tells a client when to come back."""
+    return ((b"Retry-After", f"{ms / 1000:.3f}".encode()),) if ms > 0 else ()
--- /dev/null
+++ b/brassflow/net/discovery.py
@@ -0,0 +1,209 @@
+"""Discovery: the list of servers, watched. Failures back off and never lose the last good list."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import math
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from brassflow import interface as io
+from brassflow.net.http1 import BadMessage, ResponseParser
+from brassflow.net.upstream import Address
+
+log = logging.getLogger(__name__)
+
+HOLD_MS = 20000
+LIST_LIMIT = 4 * 1024 * 1024
+ANSWER_S = 2.0  # an answer that may not wait, or has waited its time, comes within this
+PACE_S = 0.1  # between calls that bring nothing new; the next must come within 200 ms
+BACKOFF_S, BACKOFF_MOST_S = 0.1, 2.0
+
+_STATES = {"active": io.Lifecycle.READY, "leaving": io.Lifecycle.DRAINING, "left": io.Lifecycle.GONE}
+
+
+class ListError(Exception):
+    """An answer of discovery, or a remembered list, that cannot be used."""
+
+
+def parse_address(text: str) -> Address:
+    """`host:port`; ValueError if it is not that."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is no address:port")
+    return host, int(port)
+
+
+@dataclass(frozen=True, slots=True)
+class Members:
+    """One answer: entries, and where their servers listen as seen from this node."""
+
+    version: int
+    full: bool
+    entries: tuple[io.ServerEntry, ...]
+    addresses: dict[str, Address]
+
+
+class Clock:
+    """One monotonic clock in ms. The offset to Unix time is fixed: a start time must not seem to move."""
+
+    def __init__(self) -> None:
+        self._unix_offset = time.time() * 1000 - self.now()
+
+    def now(self) -> float:
+        return time.monotonic() * 1000
+
+    def from_unix(self, unix_ms: float) -> float:
+        return unix_ms - self._unix_offset
+
+
+def _entry(line: dict[str, Any], clock: Clock) -> tuple[io.ServerEntry, Address]:
+    boot, weight = float(line.get("boot_ms") or 0), float(line.get("capacity_hint", 1.0))
+    uid = line["uid"]
+    if not isinstance(uid, str) or not uid or not math.isfinite(boot) or not math.isfinite(weight):
+        raise ValueError("uid, boot_ms or capacity_hint")
+    entry = io.ServerEntry(
+        server=uid,
+        zone=str(line.get("az") or ""),
+        cell=int(line.get("pod_group") or 0),
+        lifecycle=_STATES[line["state"]],
+        weight=max(0.0, weight),
+        started_at=clock.from_unix(boot) if boot > 0 else None,
+    )
+    return entry, parse_address(line["endpoint"])
+
+
+def read_members(value: object, clock: Clock) -> Members:
+    """Discovery's form of a list. A line that can't be read voids it: what it hid might be a drain."""
+    try:
+        if not isinstance(value, dict):
+            raise ValueError("not an object")
+        pairs = [_entry(line, clock) for line in value["targets"]]
+        version, full = int(value["rev"]), bool(value["all"])
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ListError(f"list of servers: {type(error).__name__}: {error}") from None
+    addresses = {entry.server: address for entry, address in pairs}
+    return Members(version, full, tuple(entry for entry, _ in pairs), addresses)
+
+
+class _Link:
+    """One kept connection to discovery."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.reader: asyncio.StreamReader | None = None
+        self.writer: asyncio.StreamWriter | None = None
+
+    async def get(self, target: str, timeout_s: float) -> object:
+        """The JSON of one answer; raises ListError or OSError, and has then closed the connection."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._get(target)
+        except TimeoutError:
+            self.close()
+            raise ListError("no answer in time") from None
+        except (OSError, ListError):
+            self.close()
+            raise
+
+    async def _get(self, target: str) -> object:
+        if self.reader is None or self.writer is None:
+            self.reader, self.writer = await asyncio.open_connection(*self.address)
+        host = f"{self.address[0]}:{self.address[1]}"
+        self.writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+        parser, response = ResponseParser(LIST_LIMIT), None
+        while response is None:
+            data = await self.reader.read(64 * 1024)
+            if not data:
+                raise ListError("the connection ended")
+            try:
+                response = parser.feed(data)
+            except BadMessage as error:
+                raise ListError(str(error)) from None
+        if not response.keep_alive:
+            self.close()
+        if response.status != 200:
+            raise ListError(f"status {response.status}")
+        try:
+            value: object = json.loads(response.body)
+        except ValueError:
+            raise ListError("not JSON") from None
+        return value
+
+    def close(self) -> None:
+        if self.writer is not None:
+            self.writer.close()
+        self.reader = self.writer = None
+
+
+class Discovery:
+    """Follows the list. `told` gets each list; `failed` hears of a call that did not succeed."""
+
+    def __init__(
+        self,
+        address: Address,
+        clock: Clock,
+        told: Callable[[Members], None],
+        failed: Callable[[], None],
+        *,
+        asked: bool,
+    ) -> None:
+        self.link, self.clock, self.told, self.failed, self.asked = _Link(address), clock, told, failed, asked
+        self.version: int | None = None  # None: the whole list is fetched first
+        self.task: asyncio.Task[None] | None = None
+
+    def watch(self, on: bool = True) -> None:
+        """Begin to watch, or end it. Where discovery is asked, a failure ends it until it is begun anew."""
+        if on and (self.task is None or self.task.done()):
+            self.task = asyncio.get_running_loop().create_task(self._follow())
+        elif not on:
+            self.stop()
+
+    def fetch(self) -> None:
+        """Have the whole list once more, and go on from there."""
+        self.stop()
+        self.version = None
+        self.watch()
+
+    def stop(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+            self.task = None
+        self.link.close()
+
+    async def _follow(self) -> None:
+        failures = 0
+        while True:
+            begun = time.monotonic()
+            try:
+                changed = await self._call()
+            except (ListError, OSError) as error:
+                failures += 1
+                if failures == 1:
+                    log.warning("discovery: %s", error)
+                if self.asked:
+                    self.failed()
+                    return
+                await asyncio.sleep(min(BACKOFF_MOST_S, BACKOFF_S * 2.0 ** min(failures, 6)))
+                continue
+            if failures:
+                log.info("discovery is back")
+            failures = 0
+            if not changed:  # an agent on this machine answers at once: it is asked at an even pace
+                await asyncio.sleep(max(0.0, PACE_S - (time.monotonic() - begun)))
+
+    async def _call(self) -> bool:
+        target, timeout = "/catalog/members", ANSWER_S
+        if self.version is not None:
+            target += f"?from={self.version}&hold_ms={HOLD_MS}"
+            timeout += HOLD_MS / 1000
+        members = read_members(await self.link.get(target, timeout), self.clock)
+        changed = members.full or bool(members.entries)
+        self.version = members.version
+        if changed:
+            self.told(members)
+        return changed
--- /dev/null
+++ b/brassflow/net/host.py
@@ -0,0 +1,325 @@
+"""The host of the decision module: what happens on sockets becomes its events, its actions are carried out.
+
+No decision is made here: no retry, no choice of a server, no shedding.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from brassflow import interface as io
+from brassflow.decide import Balancer
+from brassflow.net.client import Exchange, retry_after
+from brassflow.net.discovery import Clock, Members
+from brassflow.net.http1 import Response, read_load
+from brassflow.net.upstream import Address, Call, Pool
+from brassflow.settings import load_report
+
+log = logging.getLogger(__name__)
+
+PROBE_TIMEOUT_MS = 300.0
+PROBE_PAYLOAD = b"GET /_load HTTP/1.1\r\nHost: api.internal\r\n\r\n"
+WAY_MS = 2.0  # what a request and its answer may spend on the way: the client counts from its own clock
+_PASSED_ON = (b"host", b"x-call-id", b"x-call-class", b"idempotency-key", b"content-type", b"x-caller")
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One send that is out."""
+
+    number: int
+    server: str
+    call: Call
+    sent_at: float
+    timer: asyncio.TimerHandle | None = None
+
+
+@dataclass(slots=True)
+class Open:
+    """One request that is owed an answer."""
+
+    exchange: Exchange
+    expires_at: float
+    guard: asyncio.TimerHandle | None = None
+    sent: int = 0
+    out: dict[int, Attempt] = field(default_factory=dict)
+
+
+class Host:
+    """One instance of the module on real sockets."""
+
+    def __init__(
+        self, settings: io.Settings, seed: int, clock: Clock, pool: Pool, watch: Callable[[bool], None]
+    ) -> None:
+        self.balancer = Balancer(settings, seed)
+        self.classes = {c.name: c for c in settings.classes}
+        self.clock, self.pool, self.watch = clock, pool, watch
+        self.loop = pool.loop
+        self.addresses: dict[str, Address] = {}
+        self.started: dict[str, float | None] = {}
+        self.open: dict[int, Open] = {}
+        self.requests = 0
+        self.events: deque[io.Event] = deque()
+        self.handling = False
+
+    # ------------------------------------------------------------- the module
+
+    def tell(self, event: io.Event) -> None:
+        """Hand an event to the module, behind those that wait, and carry out what it decides."""
+        self.events.append(event)
+        if self.handling:
+            return
+        self.handling = True
+        try:
+            while self.events:
+                self._handle(self.events.popleft())
+        finally:
+            self.handling = False
+
+    def _handle(self, event: io.Event) -> None:
+        try:
+            actions = self.balancer.handle(self.clock.now(), event)
+        except Exception:  # a fault of the module must not cost the other requests their answers
+            log.exception("the module failed on %s", type(event).__name__)
+            if isinstance(event, (io.Request, io.Outcome)):
+                self._final(event.id, 500)
+            return
+        for action in actions:
+            self._act(action)
+
+    def _act(self, action: io.Action) -> None:
+        match action:
+            case io.Send():
+                self._send(action)
+            case io.Probe(server=server):
+                self._probe(server)
+            case io.SetTimer(delay_ms=delay, token=token):
+                self.loop.call_later(delay / 1000, self.tell, io.Timer(token))
+            case io.Cancel(id=ref, attempt=number):
+                self._cancel(ref, number)
+            case io.Refuse(id=ref, retry_after_ms=wait):
+                self._final(ref, 503, headers=retry_after(wait))
+            case io.Fail(id=ref):
+                self._final(ref, 502)
+            case io.Log(text=text):
+                log.info("%s", text)
+            case io.Watch(on=on):
+                self.watch(on)
+            case io.CloseIdle(server=server):
+                if server in self.addresses:
+                    self.pool.close_idle(self.addresses[server])
+            case _:
+                log.warning("%s is not for this node", type(action).__name__)
+
+    # ---------------------------------------------------------------- clients
+
+    def ready(self) -> bool:
+        """Whether there is a server to send to."""
+        return bool(self.addresses)
+
+    def take(self, exchange: Exchange) -> None:
+        """A request has come: from here on it is owed one answer before its time is up."""
+        now, asked = self.clock.now(), exchange.asked
+        left = asked.budget_ms - (now - exchange.request.came_at * 1000) - WAY_MS
+        if left <= 0:
+            exchange.answer(504)
+            return
+        self.requests += 1
+        ref = self.requests
+        exchange.ref = ref
+        opened = self.open[ref] = Open(exchange, now + left)
+        opened.guard = self.loop.call_later(left / 1000, self._expired, ref)
+        self.tell(
+            io.Request(
+                id=ref,
+                class_name=asked.kind.name,
+                expires_ms=left,
+                tenant=asked.tenant,
+                key=asked.key,
+                cost_ms=asked.cost_ms,
+                is_retry=asked.is_retry,
+                is_write=asked.kind.repeat is not io.Repeat.SAFE,
+            )
+        )
+
+    def client_gone(self, exchange: Exchange) -> None:
+        """The client has left: nothing more is owed."""
+        if (opened := self._close(exchange.ref)) is not None:
+            self.tell(io.ClientGone(exchange.ref))
+            self._abandon(exchange.ref, opened)
+
+    def _expired(self, ref: int) -> None:
+        """The client's time is up. The module ends requests sooner: this guards against one that does not."""
+        opened = self.open.get(ref)
+        if opened is None:
+            return
+        for number in list(opened.out):
+            self._timed_out(ref, number)
+        if self._final(ref, 504):
+            self.tell(io.ClientGone(ref))
+            self._abandon(ref, opened)
+
+    def fail_all(self) -> None:
+        """Answer all that is open: the process ends."""
+        for ref in list(self.open):
+            self._expired(ref)
+
+    def _close(self, ref: int) -> Open | None:
+        opened = self.open.pop(ref, None)
+        if opened is not None and opened.guard is not None:
+            opened.guard.cancel()
+        return opened
+
+    def _final(
+        self, ref: int, status: int, body: bytes = b"", headers: tuple[tuple[bytes, bytes], ...] = ()
+    ) -> bool:
+        """Give a request its one answer; False if it has had it."""
+        opened = self._close(ref)
+        if opened is None:
+            return False
+        opened.exchange.answer(status, body, headers)
+        self._abandon(ref, opened)
+        return True
+
+    # --------------------------------------------------------------- attempts
+
+    def _send(self, action: io.Send) -> None:
+        ref, server, now = action.id, action.server, self.clock.now()
+        opened, address = self.open.get(ref), self.addresses.get(server)
+        if opened is None:
+            self.tell(io.Outcome(ref, 0, server, io.Status.MOOT, 0.0, True))
+            return
+        number, opened.sent = opened.sent, opened.sent + 1
+        left = opened.expires_at - now
+        if action.timeout_ms:
+            left = min(left, action.timeout_ms)
+        if address is None or left <= 0:
+            self.tell(io.Outcome(ref, number, server, io.Status.MOOT, 0.0))
+            return
+        payload = request_payload(opened.exchange, left)
+        call = self.pool.call(address, payload, lambda call, status: self._ended(ref, number, call, status))
+        attempt = opened.out[number] = Attempt(number, server, call, now)
+        if action.timeout_ms:
+            attempt.timer = self.loop.call_later(left / 1000, self._timed_out, ref, number)
+
+    def _ended(self, ref: int, number: int, call: Call, status: io.Status) -> None:
+        opened = self.open.get(ref)
+        if opened is None or (attempt := _taken(opened, number)) is None:
+            return
+        response = call.response
+        load = _header_load(response)
+        if status is io.Status.OK and response is not None:
+            kind = response.headers.get(b"content-type")
+            self._final(ref, 200, response.body, ((b"Content-Type", kind),) if kind else ())
+        self._outcome(ref, attempt, status, load)
+
+    def _outcome(
+        self, ref: int, attempt: Attempt, status: io.Status, load: io.LoadReport | None = None
+    ) -> None:
+        spent, closed = self.clock.now() - attempt.sent_at, ref not in self.open
+        self.tell(io.Outcome(ref, attempt.number, attempt.server, status, spent, closed, load))
+
+    def _timed_out(self, ref: int, number: int) -> None:
+        self._stop(ref, number, io.Status.TIMEOUT)
+
+    def _cancel(self, ref: int, number: int) -> None:
+        self._stop(ref, number, io.Status.CANCELLED)
+
+    def _stop(self, ref: int, number: int, status: io.Status) -> None:
+        opened = self.open.get(ref)
+        if opened is not None and (attempt := _taken(opened, number)) is not None:
+            attempt.call.give_up()
+            self._outcome(ref, attempt, status)
+
+    def _abandon(self, ref: int, opened: Open) -> None:
+        """A request that is over has no attempt out, whoever ended it; each still gets its outcome."""
+        for number in list(opened.out):
+            if (attempt := _taken(opened, number)) is not None:
+                attempt.call.give_up()
+                self._outcome(ref, attempt, io.Status.CANCELLED)
+
+    # ----------------------------------------------------------------- probes
+
+    def _probe(self, server: str) -> None:
+        address, sent_at = self.addresses.get(server), self.clock.now()
+        if address is None:
+            self.tell(io.ProbeReply(server, io.Status.CONNECT_FAILED, 0.0))
+            return
+
+        def told(status: io.Status, load: io.LoadReport | None = None) -> None:
+            self.tell(io.ProbeReply(server, status, self.clock.now() - sent_at, load))
+
+        def done(call: Call, status: io.Status) -> None:
+            timer.cancel()
+            response = call.response
+            if response is not None and response.status == 503:
+                status = io.Status.FULL
+            told(status, _body_load(response) if status is io.Status.OK else None)
+
+        def late() -> None:
+            call.give_up()
+            told(io.Status.TIMEOUT)
+
+        timer = self.loop.call_later(PROBE_TIMEOUT_MS / 1000, late)
+        call = self.pool.call(address, PROBE_PAYLOAD, done)
+
+    # -------------------------------------------------------------- discovery
+
+    def members(self, members: Members, *, remembered: bool = False) -> None:
+        """A list, or changes of it. New addresses hold before the module hears of them."""
+        entries = {entry.server: entry for entry in members.entries}
+        gone = [uid for uid in self.addresses if members.full and uid not in entries]
+        for uid, entry in entries.items():
+            old = self.addresses.get(uid)
+            moved = old != members.addresses[uid] or self.started.get(uid) != entry.started_at
+            if old is not None and (moved or entry.lifecycle is not io.Lifecycle.READY):
+                self.pool.close_idle(old)  # of a process that has ended, or that wants nothing new
+            if entry.lifecycle is io.Lifecycle.GONE:
+                gone.append(uid)
+            self.addresses[uid], self.started[uid] = members.addresses[uid], entry.started_at
+        kind = io.ListKind.FULL if members.full else io.ListKind.CHANGES
+        if remembered:
+            kind = io.ListKind.REMEMBERED
+        self.tell(io.ServerList(kind, members.entries, members.version))
+        for uid in gone:
+            if (address := self.addresses.pop(uid, None)) is not None:
+                self.pool.close_idle(address)
+            self.started.pop(uid, None)
+
+    def list_failed(self) -> None:
+        self.tell(io.ServerList(io.ListKind.ERROR))
+
+
+def _taken(opened: Open, number: int) -> Attempt | None:
+    attempt = opened.out.pop(number, None)
+    if attempt is not None and attempt.timer is not None:
+        attempt.timer.cancel()
+    return attempt
+
+
+def _header_load(response: Response | None) -> io.LoadReport | None:
+    text = response.headers.get(b"x-load-report") if response is not None else None
+    values = read_load(text) if text else None
+    return load_report(values) if values is not None else None
+
+
+def _body_load(response: Response | None) -> io.LoadReport | None:
+    values = read_load(response.body) if response is not None and response.body else None
+    return load_report(values) if values is not None else _header_load(response)
+
+
+def request_payload(exchange: Exchange, left_ms: float) -> bytes:
+    """What a server is sent: the request as it came, with the time that this node will wait."""
+    request = exchange.request
+    lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
+    lines.extend(b"%s: %s\r\n" % (n, request.headers[n]) for n in _PASSED_ON if n in request.headers)
+    lines.append(b"X-Budget: %du\r\n" % max(1, int(left_ms * 1000)))
+    if request.body or request.method != b"GET":
+        lines.append(b"Content-Length: %d\r\n" % len(request.body))
+    lines.append(b"\r\n")
+    lines.append(request.body)
+    return b"".join(lines)
--- /dev/null
+++ b/brassflow/net/http1.py
@@ -0,0 +1,91 @@
+"""Whole HTTP/1.1 answers from bytes, within a bound. Shared by the server side and discovery."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+
+import httptools
+
+HEAD_LIMIT = 64 * 1024
+BODY_LIMIT = 64 * 1024
+
+
+class BadMessage(Exception):
+    """What came is no answer that could be used."""
+
+
+@dataclass(slots=True)
+class Response:
+    """One whole answer."""
+
+    status: int = 0
+    headers: dict[bytes, bytes] = field(default_factory=dict)
+    body: bytes = b""
+    keep_alive: bool = False
+
+
+class ResponseParser:
+    """Reads one answer. An answer whose end only a close would show is never whole: it may be cut short."""
+
+    def __init__(self, body_limit: int = BODY_LIMIT) -> None:
+        self._limit = body_limit
+        self._parser = httptools.HttpResponseParser(self)
+        self._current = Response()
+        self._body = bytearray()
+        self._head_bytes = 0
+        self._in_head = True
+        self._whole: Response | None = None
+
+    def feed(self, data: bytes) -> Response | None:
+        """The answer once it is whole; BadMessage if it can never be."""
+        if self._in_head:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if self._whole is None:
+                raise BadMessage(str(error)) from None
+            self._whole.keep_alive = False  # noise behind a whole answer: the connection is of no further use
+        if self._whole is None and self._in_head and self._head_bytes > HEAD_LIMIT:
+            raise BadMessage("head too large")
+        return self._whole
+
+    def on_message_begin(self) -> None:
+        if self._whole is not None:
+            self._whole.keep_alive = False  # more than was asked for
+        self._current = Response()
+        self._in_head = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._current.headers[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
+        self._current.status = self._parser.get_status_code()
+        self._in_head = False
+        length = self._current.headers.get(b"content-length", b"0")
+        if length.isdigit() and int(length) > self._limit:
+            raise BadMessage("body too large")
+
+    def on_body(self, data: bytes) -> None:
+        self._body += data
+        if len(self._body) > self._limit:
+            raise BadMessage("body too large")
+
+    def on_message_complete(self) -> None:
+        if self._whole is not None or self._current.status < 200:  # 1xx come ahead of the answer
+            return
+        self._whole = self._current
+        self._whole.body = bytes(self._body)
+        self._whole.keep_alive = self._parser.should_keep_alive()
+
+
+def read_load(text: bytes) -> dict[str, float] | None:
+    """A load report's figures; None if it can't be read."""
+    try:
+        values = json.loads(text)
+    except ValueError:
+        return None
+    if not isinstance(values, dict):
+        return None
+    return {k: float(v) for k, v in values.items() if isinstance(v, (int, float)) and v >= 0}
--- /dev/null
+++ b/brassflow/net/upstream.py
@@ -0,0 +1,249 @@
+"""Connections to servers, and one exchange at a time on each.
+
+Sockets are handled bare, since a transport hides whether the last byte of a request was written, and that
+tells "never ran" from "may have run". Nothing is ever sent twice here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+from collections.abc import Callable
+from itertools import count
+
+from brassflow.interface import Status
+from brassflow.net.http1 import BadMessage, Response, ResponseParser
+
+Address = tuple[str, int]
+IDLE_PART = 0.8  # part of the servers' idle time after which a connection is no longer used
+READ_SIZE = 64 * 1024
+
+
+def status_of(response: Response) -> Status:
+    """What an answer says of the attempt."""
+    if response.status == 200:
+        return Status.OK
+    if response.status in (503, 504) and response.headers.get(b"x-rejected", b"").strip() == b"1":
+        return Status.FULL
+    return Status.ERROR
+
+
+class Call:
+    """One exchange with a server. `done` is told once how it ended, unless it was given up."""
+
+    __slots__ = ("connection", "done", "payload", "response", "written")
+
+    def __init__(self, payload: bytes, done: Callable[[Call, Status], None]) -> None:
+        self.payload, self.done = payload, done
+        self.written = 0
+        self.connection: Connection | None = None
+        self.response: Response | None = None
+
+    def give_up(self) -> None:
+        """End it without a word to `done`. Its connection closes: late bytes must reach nobody else."""
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.call = None
+            connection.close()
+
+
+class Connection:
+    """One connection to one server."""
+
+    def __init__(self, pool: Pool, address: Address, call: Call) -> None:
+        self.pool, self.address = pool, address
+        self.call: Call | None = call
+        self.number = next(pool.numbers)
+        self.parser = ResponseParser()
+        self.idle_since = 0.0
+        self.closed = False
+        call.connection = self
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.poll = select.poll()
+        self.dial_timer: asyncio.TimerHandle | None = None
+
+    def dial(self, timeout_s: float) -> None:
+        """Connect; the exchange fails as never begun if that takes too long."""
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            self.socket.connect(self.address)
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.pool.loop.call_soon(self.end, Status.CONNECT_FAILED)
+            return
+        self.poll.register(self.socket, select.POLLIN)
+        self.dial_timer = self.pool.loop.call_later(timeout_s, self.end, Status.CONNECT_FAILED)
+        self.pool.loop.add_writer(self.socket.fileno(), self._connected)
+
+    def _connected(self) -> None:
+        self.pool.loop.remove_writer(self.socket.fileno())
+        if self.dial_timer is not None:
+            self.dial_timer.cancel()
+            self.dial_timer = None
+        if self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.end(Status.CONNECT_FAILED)
+            return
+        self.pool.loop.add_reader(self.socket.fileno(), self._readable)
+        self._write()
+
+    def fresh(self) -> bool:
+        """Whether an idle connection still stands: one whose end waits to be read would reset the request."""
+        return not self.closed and not self.poll.poll(0)
+
+    def begin(self, call: Call) -> None:
+        """Send a request on a connection that was idle."""
+        self.call, call.connection = call, self
+        self.parser = ResponseParser()
+        self._write()
+
+    def _write(self) -> None:
+        call = self.call
+        if call is None:
+            return
+        try:
+            call.written += self.socket.send(memoryview(call.payload)[call.written :])
+        except BlockingIOError:
+            pass
+        except OSError:
+            # Before the last byte was written, and a server begins a request only at its last byte. Told
+            # later, not from within the caller's own step.
+            self.pool.loop.call_soon(self._broken, call)
+            return
+        if call.written < len(call.payload):
+            self.pool.loop.add_writer(self.socket.fileno(), self._writable)
+
+    def _writable(self) -> None:
+        self.pool.loop.remove_writer(self.socket.fileno())
+        self._write()
+
+    def _broken(self, call: Call) -> None:
+        if self.call is call:
+            self.end(Status.CONNECT_FAILED if call.written < len(call.payload) else Status.RESET)
+
+    def _readable(self) -> None:
+        try:
+            data = self.socket.recv(READ_SIZE)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        call = self.call
+        if call is None:
+            self.close()  # idle: the server closed it, or says what nobody asked for
+            return
+        if not data:
+            self._broken(call)
+            return
+        try:
+            response = self.parser.feed(data)
+        except BadMessage:
+            self.end(Status.RESET)
+            return
+        if response is not None:
+            self._answered(call, response)
+
+    def _answered(self, call: Call, response: Response) -> None:
+        call.response = response
+        if not response.keep_alive or call.written < len(call.payload):
+            self.end(status_of(response))
+            return
+        self.call = call.connection = None
+        self.pool.put_back(self)
+        call.done(call, status_of(response))
+
+    def end(self, status: Status) -> None:
+        """Close, and tell how the exchange ended."""
+        call, self.call = self.call, None
+        self.close()
+        if call is not None:
+            call.connection = None
+            call.done(call, status)
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        if self.dial_timer is not None:
+            self.dial_timer.cancel()
+        self.pool.loop.remove_reader(self.socket.fileno())
+        self.pool.loop.remove_writer(self.socket.fileno())
+        self.socket.close()
+        self.pool.forget(self)
+
+
+class Pool:
+    """All connections to servers: reused most recently used first, bounded in number and in idle time."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, dial_timeout_s: float, idle_s: float, most: int
+    ) -> None:
+        self.loop, self.dial_timeout_s, self.most = loop, dial_timeout_s, most
+        self.idle_s = IDLE_PART * idle_s
+        self.numbers = count()
+        self.all: dict[int, Connection] = {}
+        self.idle: dict[Address, list[Connection]] = {}
+        self._sweeper = loop.call_later(self._sweep_every(), self._sweep)
+
+    def call(self, address: Address, payload: bytes, done: Callable[[Call, Status], None]) -> Call:
+        """Begin an exchange. `done` is never called before this returns."""
+        call = Call(payload, done)
+        idle = self.idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.fresh():
+                connection.begin(call)
+                return call
+            connection.close()
+        if len(self.all) >= self.most:
+            self._evict()
+        try:
+            if len(self.all) >= self.most:
+                raise OSError("too many connections to servers")
+            connection = Connection(self, address, call)
+        except OSError:  # none to be had, also where descriptors ran out: never sent
+            self.loop.call_soon(done, call, Status.CONNECT_FAILED)
+            return call
+        self.all[connection.number] = connection
+        connection.dial(self.dial_timeout_s)
+        return call
+
+    def put_back(self, connection: Connection) -> None:
+        connection.idle_since = self.loop.time()
+        self.idle.setdefault(connection.address, []).append(connection)
+
+    def forget(self, connection: Connection) -> None:
+        self.all.pop(connection.number, None)
+        idle = self.idle.get(connection.address, [])
+        if connection in idle:
+            idle.remove(connection)
+
+    def close_idle(self, address: Address) -> None:
+        for connection in self.idle.pop(address, []):
+            connection.close()
+
+    def _evict(self) -> None:
+        """Close the connection that has been idle longest."""
+        oldest = [idle[0] for idle in self.idle.values() if idle]
+        if oldest:
+            min(oldest, key=lambda c: c.idle_since).close()
+
+    def _sweep_every(self) -> float:
+        return min(1.0, self.idle_s / 8)
+
+    def _sweep(self) -> None:
+        """Close what the server would soon close: a request crossing that close would end as a reset."""
+        limit = self.loop.time() - self.idle_s
+        for address, idle in list(self.idle.items()):
+            for connection in [c for c in idle if c.idle_since < limit]:
+                connection.close()
+            if not idle:
+                del self.idle[address]
+        self._sweeper = self.loop.call_later(self._sweep_every(), self._sweep)
+
+    def close(self) -> None:
+        self._sweeper.cancel()
+        for connection in list(self.all.values()):
+            connection.call = None
+            connection.close()
--- a/brassflow/wirehost.py
+++ b/brassflow/wirehost.py
@@ -15,6 +15,7 @@
 
 from brassflow import interface as io
 from brassflow.decide import Balancer
+from brassflow.settings import SettingsError, load_report, module_settings
 
 _STATUS = {
     0: io.Status.OK,
@@ -37,21 +38,6 @@
     "cordoned": io.Lifecycle.DRAINING,
     "deregistered": io.Lifecycle.GONE,
 }
-_REPEAT = {
-    "read_like": io.Repeat.SAFE,
-    "idempotency_key": io.Repeat.KEYED,
-    "non_idempotent": io.Repeat.UNSAFE,
-}
-_MODE = {"automatic": io.ListMode.PUSH, "subscribe": io.ListMode.ASK}
-_WEIGHTS = {"nominal": io.WeightSource.NOMINAL, "rough": io.WeightSource.ROUGH, "live": io.WeightSource.LIVE}
-_LOAD = {
-    "active": "inflight",
-    "waiting": "queue",
-    "cpu": "util",
-    "avg_ms": "latency_ms",
-    "rps": "qps",
-    "err_rps": "errors_per_s",
-}
 
 
 class WireError(Exception):
@@ -69,85 +55,14 @@
         raise WireError(f"unknown {what} {key!r}") from None
 
 
-def _get(obj: dict[str, Any], key: str, kind: type | tuple[type, ...], where: str = "") -> Any:
-    """A needed value of the settings; the error names its key."""
-    if key not in obj:
-        raise WireError(f"settings: {where}{key} is missing")
-    value = obj[key]
-    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
-        raise WireError(f"settings: {where}{key} has the wrong type: {value!r}")
-    return value
-
-
-_NUM = (int, float)
-
-
-def _class(obj: dict[str, Any]) -> io.ClassSettings:
-    where = "Profiles[]."
-    if not isinstance(obj, dict):
-        raise WireError("settings: Profiles[] has the wrong type")
-    return io.ClassSettings(
-        name=_get(obj, "Name", str, where),
-        aim_ms=float(_get(obj, "AimMs", _NUM, where)),
-        deadline_ms=float(_get(obj, "DeadlineMs", _NUM, where)),
-        repeat=_word(_REPEAT, _get(obj, "Repeat", str, where), "Repeat"),
-        group=io.Group(obj["Group"]) if obj.get("Group") in ("all", "zone", "cell") else io.Group.CELL,
-        key_ttl_ms=float(obj.get("KeyTtlMs") or 0.0),
-        worth=float(obj.get("Points", 1.0)),
-        late_worth=float(obj.get("LateWorth") or 0.0),
-        aim_stretch=float(obj.get("AimStretch") or 0.0),
-        stream=bool(obj.get("Stream", False)),
-    )
-
-
 def settings_from_wire(text: str) -> io.Settings:
-    """The module's settings from the wire's JSON. Unknown keys are skipped."""
+    """The module's settings from the wire's JSON."""
     try:
-        info = json.loads(text)
+        return module_settings(json.loads(text))
     except ValueError as error:
         raise WireError(f"settings are not JSON: {error}") from None
-    if not isinstance(info, dict):
-        raise WireError("settings: an object is needed")
-    rules, limits = _get(info, "Guarantees", dict), _get(info, "Limits", dict)
-    prices = info.get("Deductions") or {}
-    goal = info.get("Goal") or {}
-    must_ask = rules.get("MustAskInMs")
-    where = "Projects[]."
-    tenants = tuple(
-        io.TenantSettings(_get(t, "Name", str, where), float(_get(t, "QuotaPerS", _NUM, where)))
-        for t in info.get("Projects") or ()
-    )
-    weight = info.get("WeightSource", "none")
-    mode = _word(_MODE, _get(info, "RegistryMode", str), "RegistryMode")
-    return io.Settings(
-        classes=tuple(_class(c) for c in _get(info, "Profiles", list)),
-        tenants=tenants,
-        zone=_get(info, "Zone", str),
-        nodes=_get(info, "GroupSize", int),
-        tick_ms=float(_get(info, "ResolutionMs", _NUM)),
-        answer_slack_ms=float(_get(rules, "AnswerSlackMs", _NUM, "Guarantees.")),
-        drain_grace_ms=float(_get(rules, "DrainGraceMs", _NUM, "Guarantees.")),
-        cold_from=float(_get(rules, "ColdFrom", _NUM, "Guarantees.")),
-        cold_ms=float(_get(rules, "ColdMs", _NUM, "Guarantees.")),
-        fall_multiple=float(_get(rules, "FallMultiple", _NUM, "Guarantees.")),
-        fall_ms=float(_get(rules, "FallMs", _NUM, "Guarantees.")),
-        must_ask_ms=float(must_ask) if must_ask and mode is io.ListMode.ASK else None,
-        list_mode=mode,
-        weight_source=_WEIGHTS.get(weight, io.WeightSource.NONE),
-        probes=_get(limits, "Probes", bool, "Limits."),
-        cancelling=_get(limits, "Cancelling", bool, "Limits."),
-        parallel_tries=_get(limits, "ParallelTries", bool, "Limits."),
-        retry_after=bool(limits.get("RetryAfter", False)),
-        max_attempts=_get(limits, "MaxAttempts", int, "Limits."),
-        max_held=int(limits.get("MostHeld") or 20000),
-        max_retry_after_ms=float(limits.get("MaxRetryAfterMs") or 0.0),
-        worth_by_work=info.get("CountedBy") == "work",
-        over_share_worth=float(info.get("OverShareWorth", 1.0)),
-        goal_whole=float(goal.get("Whole", 1.0)),
-        goal_worst_class=float(goal.get("WorstClass", 0.0)),
-        probe_price=float(prices.get("Probe") or 0.0),
-        cross_zone_price=float(prices.get("CrossZone") or 0.0),
-    )
+    except SettingsError as error:
+        raise WireError(str(error)) from None
 
 
 def _opt(value: str) -> str | None:
@@ -166,9 +81,9 @@
         name, colon, value = pair.partition(":")
         if not colon:
             raise WireError(f"load report pair {pair!r}")
-        if name in _LOAD and value != "-":
-            values[_LOAD[name]] = float(value)
-    return io.LoadReport(**values)
+        if value != "-":
+            values[name] = float(value)
+    return load_report(values)
 
 
 def _entry(line: str) -> io.ServerEntry:
