--- a/brassflow/__init__.py
+++ b/cloverhold/__init__.py
@@ -1,7 +1,7 @@
-"""brassflow: the decisions of a load-balancing proxy, without any input or output of its own."""
+"""cloverhold: the decisions of a load-balancing proxy, without any input or output of its own."""
 
-from brassflow.decide import Balancer
-from brassflow.interface import (
+from cloverhold.decide import Balancer
+from cloverhold.interface import (
     Action,
     Cancel,
     ClassSettings,
--- a/brassflow/__main__.py
+++ b/cloverhold/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m brassflow`: one real node. Configuration, signals, start and stop."""
+"""`python -m cloverhold`: one real node. Configuration, signals, start and stop."""
 
 from __future__ import annotations
 
@@ -14,13 +14,13 @@
 
 import uvloop
 
-from brassflow import interface as io
-from brassflow.checks import check_settings
-from brassflow.net.client import Listener
-from brassflow.net.discovery import Clock, Discovery, ListError, Members, parse_address, read_members
-from brassflow.net.host import Host
-from brassflow.net.upstream import Address, Pool
-from brassflow.settings import SettingsError, module_settings
+from cloverhold import interface as io
+from cloverhold.checks import check_settings
+from cloverhold.net.client import Listener
+from cloverhold.net.discovery import Clock, Discovery, ListError, Members, parse_address, read_members
+from cloverhold.net.host import Host
+from cloverhold.net.upstream import Address, Pool
+from cloverhold.settings import SettingsError, module_settings
 
 log = logging.getLogger(__name__)
 
--- a/brassflow/wirehost.py
+++ b/cloverhold/benchlink.py
@@ -1,4 +1,4 @@
-"""`python -m brassflow.wirehost`: the bench's wire on standard input and output.
+"""`python -m cloverhold.benchlink`: the bench's wire on standard input and output.
 
 Turns wire lines into the module's events and its actions into wire lines, for many instances that share
 nothing but the lists read here. No decisions. A malformed line ends the process with a plain message;
@@ -13,9 +13,9 @@
 from dataclasses import dataclass, field
 from typing import Any, BinaryIO, TextIO
 
-from brassflow import interface as io
-from brassflow.decide import Balancer
-from brassflow.settings import SettingsError, load_report, module_settings
+from cloverhold import interface as io
+from cloverhold.decide import Balancer
+from cloverhold.settings import SettingsError, load_report, module_settings
 
 _STATUS = {
     0: io.Status.OK,
@@ -261,7 +261,7 @@
         link.run()
     except (WireError, ValueError, IndexError) as error:
         shown = link.line if len(link.line) <= 300 else link.line[:300] + "..."
-        print(f"wirehost: line {link.number}: {error}: {shown}", file=sys.stderr)
+        print(f"benchlink: line {link.number}: {error}: {shown}", file=sys.stderr)
         return 2
     except BrokenPipeError:
         return 1
--- a/brassflow/decide.py
+++ b/cloverhold/decide.py
@@ -1,6 +1,6 @@
-"""Every decision of a brassflow node. Settings, events and actions: brassflow/interface.py.
+"""Every decision of a cloverhold node. Settings, events and actions: cloverhold/interface.py.
 
-The ordinary path is the design's (docs/design.md): a table with a row per ready server, d random probes
+The ordinary path is the design's (README.md): a table with a row per ready server, d random probes
 per request whose replies overwrite rows, each request sent to a random lowest row, which is then raised by
 one. All else is a filter or a bound around that one pick, with the failure it guards against beside it.
 """
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 from random import Random
 
-from brassflow.checks import check_settings
-from brassflow.interface import (Action, Cancel, ClassSettings, ClientGone, Event, Fail, Group, Lifecycle,
+from cloverhold.checks import check_settings
+from cloverhold.interface import (Action, Cancel, ClassSettings, ClientGone, Event, Fail, Group, Lifecycle,
                                  ListKind, ListMode, LoadReport, Log, Outcome, Probe, ProbeReply, Refuse,
                                  Repeat, Request, Send, ServerEntry, ServerList, SetTimer, Settings, Status,
                                  Streaming, Timer, Watch, WeightSource)
--- a/brassflow/net/client.py
+++ b/cloverhold/net/client.py
@@ -12,8 +12,8 @@
 
 import httptools
 
-from brassflow.interface import ClassSettings, Repeat
-from brassflow.net.http1 import BODY_LIMIT, HEAD_LIMIT
+from cloverhold.interface import ClassSettings, Repeat
+from cloverhold.net.http1 import BODY_LIMIT, HEAD_LIMIT
 
 MOST_PIPELINED = 16
 MOST_UNSENT = 256 * 1024  # bytes of answers that a client may leave unread
--- a/brassflow/net/discovery.py
+++ b/cloverhold/net/discovery.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from brassflow import interface as io
-from brassflow.net.http1 import BadMessage, ResponseParser
-from brassflow.net.upstream import Address
+from cloverhold import interface as io
+from cloverhold.net.http1 import BadMessage, ResponseParser
+from cloverhold.net.upstream import Address
 
 log = logging.getLogger(__name__)
 
--- a/brassflow/net/host.py
+++ b/cloverhold/net/host.py
@@ -11,13 +11,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from brassflow import interface as io
-from brassflow.decide import Balancer
-from brassflow.net.client import Exchange, retry_after
-from brassflow.net.discovery import Clock, Members
-from brassflow.net.http1 import Response, read_load
-from brassflow.net.upstream import Address, Call, Pool
-from brassflow.settings import load_report
+from cloverhold import interface as io
+from cloverhold.decide import Balancer
+from cloverhold.net.client import Exchange, retry_after
+from cloverhold.net.discovery import Clock, Members
+from cloverhold.net.http1 import Response, read_load
+from cloverhold.net.upstream import Address, Call, Pool
+from cloverhold.settings import load_report
 
 log = logging.getLogger(__name__)
 
--- a/brassflow/net/upstream.py
+++ b/cloverhold/net/upstream.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 from itertools import count
 
-from brassflow.interface import Status
-from brassflow.net.http1 import BadMessage, Response, ResponseParser
+from cloverhold.interface import Status
+from cloverhold.net.http1 import BadMessage, Response, ResponseParser
 
 Address = tuple[str, int]
 IDLE_PART = 0.8  # part of the servers' idle time after which a connection is no longer used
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from brassflow.decide import WAIT_PART
-from brassflow import (
+from cloverhold.decide import WAIT_PART
+from cloverhold import (
     Action,
     Balancer,
     Cancel,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from brassflow.wirehost import Link, WireError, settings_from_wire
+from cloverhold.benchlink import Link, WireError, settings_from_wire
 
 ROOT = Path(__file__).parent.parent
 INFO: dict[str, Any] = {
@@ -181,7 +181,7 @@
 def test_malformed_line_is_named(line: str) -> None:
     text = batch(100, start(), line)
     done = subprocess.run(
-        [sys.executable, "-m", "brassflow.wirehost"],
+        [sys.executable, "-m", "cloverhold.benchlink"],
         input=text,
         text=True,
         capture_output=True,
@@ -189,7 +189,7 @@
         check=False,
     )
     assert done.returncode != 0 and "Traceback" not in done.stderr
-    assert done.stderr.startswith("wirehost: line ") and (line[:20] in done.stderr or "GO" in done.stderr)
+    assert done.stderr.startswith("benchlink: line ") and (line[:20] in done.stderr or "GO" in done.stderr)
 
 
 @pytest.mark.parametrize(
@@ -203,7 +203,7 @@
 
 def test_end_of_input_is_a_clean_exit() -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "brassflow.wirehost"],
+        [sys.executable, "-m", "cloverhold.benchlink"],
         input=batch(1),
         text=True,
         capture_output=True,
@@ -214,7 +214,7 @@
 
 
 def test_exception_in_the_module_becomes_the_fault_action(monkeypatch: pytest.MonkeyPatch) -> None:
-    from brassflow import decide
+    from cloverhold import decide
 
     def broken(*_: object) -> None:
         raise RuntimeError("two\nlines")
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -2,7 +2,7 @@
 
 from helpers import Node, make_settings, of
 
-from brassflow import (
+from cloverhold import (
     Balancer,
     ClassSettings,
     Lifecycle,
@@ -15,7 +15,7 @@
     Status,
     WeightSource,
 )
-from brassflow.decide import STALE, SUBSET_LEAST
+from cloverhold.decide import STALE, SUBSET_LEAST
 
 
 def served(node: Node, first: int, count: int, took: float, kind: str = "safe") -> None:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -2,7 +2,7 @@
 
 from helpers import Node, entries, make_settings, of
 
-from brassflow import (
+from cloverhold import (
     ClassSettings,
     ListKind,
     ListMode,
--- a/tests/test_odd_days.py
+++ b/tests/test_odd_days.py
@@ -2,7 +2,7 @@
 
 from helpers import Node, entries, make_settings
 
-from brassflow import ClassSettings, Lifecycle, ListKind, Repeat, ServerEntry, Status
+from cloverhold import ClassSettings, Lifecycle, ListKind, Repeat, ServerEntry, Status
 
 
 def test_all_servers_restart_at_once() -> None:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -2,7 +2,7 @@
 
 from helpers import Node, entries, make_settings, of
 
-from brassflow import Lifecycle, ListKind, Probe, Send, ServerEntry, Status
+from cloverhold import Lifecycle, ListKind, Probe, Send, ServerEntry, Status
 
 
 def rows(node: Node) -> dict[str, int]:
@@ -66,7 +66,7 @@
 
 
 def test_queue_length_stands_in_for_the_count() -> None:
-    from brassflow import LoadReport, ProbeReply
+    from cloverhold import LoadReport, ProbeReply
 
     node = Node(servers=2)
     node.balancer.table.stale = 0.0  # fresh reports
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -8,7 +8,7 @@
 import pytest
 from helpers import Node
 
-from brassflow import Lifecycle, ListKind, ListMode, ServerEntry, Status, Timer
+from cloverhold import Lifecycle, ListKind, ListMode, ServerEntry, Status, Timer
 
 STATUSES = (Status.OK,) * 12 + (
     Status.ERROR,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,7 +3,7 @@
 import pytest
 from helpers import Node, entries, make_settings, of
 
-from brassflow import ClassSettings, Fail, Lifecycle, ListKind, Refuse, Repeat, Send, ServerEntry, Status
+from cloverhold import ClassSettings, Fail, Lifecycle, ListKind, Refuse, Repeat, Send, ServerEntry, Status
 
 PROVEN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)
 MAYBE = (Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CANCELLED)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,7 +5,7 @@
 import pytest
 from helpers import Node, make_settings, of
 
-from brassflow import Balancer, ClassSettings, Repeat, Send, Status
+from cloverhold import Balancer, ClassSettings, Repeat, Send, Status
 
 
 @pytest.mark.parametrize(
