--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -17,7 +17,8 @@
 from cloverhold import interface as io
 from cloverhold.checks import check_settings
 from cloverhold.net.client import Listener
-from cloverhold.net.discovery import Clock, Discovery, ListError, Members, parse_address, read_members
+from cloverhold.net.clock import Clock
+from cloverhold.net.discovery import Discovery, ListError, Members, parse_address, read_members
 from cloverhold.net.host import Host
 from cloverhold.net.upstream import Address, Pool
 from cloverhold.settings import SettingsError, module_settings
@@ -27,7 +28,7 @@
 # Parts of the descriptors; the rest is for discovery, the listening socket and the interpreter.
 CLIENT_PART, SERVER_PART = 0.5, 0.4
 LINGER_S = 0.5  # after SIGTERM new connections still come for this long
-STOP_S = 3.4  # after SIGTERM all is answered by then: SIGKILL follows
+DEADLINE_MOST_S, STOP_S = 3.0, 0.4  # SIGKILL comes 0.7 s after the longest deadline, of 3 s at most
 
 
 class ConfigError(Exception):
@@ -123,7 +124,8 @@
 
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
-        until = loop.time() + STOP_S
+        longest = max(c.deadline_ms for c in self.config.settings.classes) / 1000
+        until = loop.time() + min(longest, DEADLINE_MOST_S) + STOP_S
         self.listener.draining = True
         await asyncio.sleep(LINGER_S)
         self.listener.stop_accepting()
@@ -131,6 +133,10 @@
             await asyncio.sleep(0.02)
         self.host.fail_all()
         await asyncio.sleep(0.05)  # the last answers leave
+        self.close()
+
+    def close(self) -> None:
+        """Close every socket and end every task."""
         self.listener.close()
         self.discovery.stop()
         self.pool.close()
--- a/cloverhold/net/client.py
+++ b/cloverhold/net/client.py
@@ -13,7 +13,7 @@
 import httptools
 
 from cloverhold.interface import ClassSettings, Repeat
-from cloverhold.net.http1 import BODY_LIMIT, HEAD_LIMIT
+from cloverhold.net.http1 import BODY_LIMIT, HEAD_LIMIT, Headers
 
 MOST_PIPELINED = 16
 MOST_UNSENT = 256 * 1024  # bytes of answers that a client may leave unread
@@ -26,7 +26,8 @@
 
     method: bytes = b""
     target: bytes = b""
-    headers: dict[bytes, bytes] = field(default_factory=dict)
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    fields: dict[bytes, bytes] = field(default_factory=dict)  # the same by lower-case name, the last value
     body: bytes = b""
     keep_alive: bool = True
     came_at: float = 0.0  # monotonic, in seconds
@@ -83,7 +84,7 @@
 
 def read_request(request: Incoming, classes: dict[str, ClassSettings]) -> Asked:
     """Check a request against what is agreed with clients; BadRequest where it is not kept."""
-    headers = request.headers
+    headers = request.fields
     path, _, query = request.target.partition(b"?")
     name = headers.get(b"x-call-class", b"").decode("latin-1")
     kind = classes.get(path.lstrip(b"/").partition(b"/")[0].decode("latin-1"))
@@ -95,8 +96,8 @@
         raise BadRequest(400, "X-Call-Id is missing")
     if request.method != (b"GET" if kind.repeat is Repeat.SAFE else b"POST"):
         raise BadRequest(400, "the method does not fit the class")
-    if (kind.repeat is Repeat.KEYED) != (b"idempotency-key" in headers):
-        raise BadRequest(400, "Idempotency-Key does not fit the class")
+    if kind.repeat is Repeat.KEYED and not headers.get(b"idempotency-key"):
+        raise BadRequest(400, "Idempotency-Key is missing")
     try:
         budget = read_budget(headers.get(b"x-budget", b""))
         cost = headers.get(b"x-call-cost")
@@ -126,7 +127,7 @@
         self.connection, self.request, self.asked = connection, request, asked
         self.ref = -1  # its number at the host
 
-    def answer(self, status: int, body: bytes = b"", headers: tuple[tuple[bytes, bytes], ...] = ()) -> None:
+    def answer(self, status: int, body: bytes = b"", headers: Headers = ()) -> None:
         """Write the answer. Nothing where the client has gone."""
         self.connection.answer(self, status, body, headers)
 
@@ -184,7 +185,10 @@
             self.head_bytes += len(data)
         try:
             self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+        except httptools.HttpParserUpgrade:
+            if self.queue:  # answered in plain HTTP; what follows it could be in any other protocol
+                self.queue[-1].keep_alive = False
+        except httptools.HttpParserError as error:
             self.broken = self.failure or BadRequest(400, str(error))
         if self.broken is None and self.in_head and self.head_bytes > HEAD_LIMIT:
             self.broken = BadRequest(431, "head too large")
@@ -197,15 +201,18 @@
         self.incoming.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        name = name.lower()
-        if name in _ONCE and name in self.incoming.headers:
-            self._fail(400, f"{name.decode('latin-1')} is given twice")
-        self.incoming.headers[name] = value
+        lower = name.lower()
+        if lower in _ONCE and lower in self.incoming.fields:
+            self._fail(400, f"{lower.decode('latin-1')} is given twice")
+        self.incoming.headers.append((name, value))
+        self.incoming.fields[lower] = value
 
     def on_headers_complete(self) -> None:
         self.in_head, self.head_bytes = False, 0
         self.incoming.method = self.parser.get_method()
-        length = self.incoming.headers.get(b"content-length", b"0")
+        if sum(len(n) + len(v) for n, v in self.incoming.headers) > HEAD_LIMIT:
+            self._fail(431, "head too large")
+        length = self.incoming.fields.get(b"content-length", b"")
         if length.isdigit() and int(length) > BODY_LIMIT:
             self._fail(413, "body too large")
 
@@ -248,7 +255,7 @@
         self.listener.taker.take(self.open)
 
     def answer(
-        self, exchange: Exchange, status: int, body: bytes, headers: tuple[tuple[bytes, bytes], ...]
+        self, exchange: Exchange, status: int, body: bytes, headers: Headers
     ) -> None:
         if self.open is not exchange:
             return
@@ -257,9 +264,7 @@
         if self.queue or self.broken is not None:
             asyncio.get_running_loop().call_soon(self._next)
 
-    def _write(
-        self, status: int, body: bytes, headers: tuple[tuple[bytes, bytes], ...], *, close: bool
-    ) -> None:
+    def _write(self, status: int, body: bytes, headers: Headers, *, close: bool) -> None:
         transport = self.transport
         if transport is None or transport.is_closing():
             return
@@ -288,6 +293,11 @@
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(lambda: ClientConnection(self), host, port, backlog=1024)
 
+    def port(self) -> int:
+        """Where it listens, also where any free port was asked for."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
     def made(self, connection: ClientConnection) -> None:
         """Keep connections to their number, so that descriptors never run out and accepting goes on."""
         self.connections.add(connection)
@@ -315,6 +325,6 @@
             connection.close()
 
 
-def retry_after(ms: float) -> tuple[tuple[bytes, bytes], ...]:
+def retry_after(ms: float) -> Headers:
     """The header that tells a client when to come back."""
     return ((b"Retry-After", f"{ms / 1000:.3f}".encode()),) if ms > 0 else ()
--- a/cloverhold/net/discovery.py
+++ b/cloverhold/net/discovery.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from cloverhold import interface as io
+from cloverhold.net.clock import Clock
 from cloverhold.net.http1 import BadMessage, ResponseParser
 from cloverhold.net.upstream import Address
 
@@ -48,19 +49,6 @@
     addresses: dict[str, Address]
 
 
-class Clock:
-    """One monotonic clock in ms. The offset to Unix time is fixed: a start time must not seem to move."""
-
-    def __init__(self) -> None:
-        self._unix_offset = time.time() * 1000 - self.now()
-
-    def now(self) -> float:
-        return time.monotonic() * 1000
-
-    def from_unix(self, unix_ms: float) -> float:
-        return unix_ms - self._unix_offset
-
-
 def _entry(line: dict[str, Any], clock: Clock) -> tuple[io.ServerEntry, Address]:
     boot, weight = float(line.get("boot_ms") or 0), float(line.get("capacity_hint", 1.0))
     uid = line["uid"]
@@ -84,7 +72,7 @@
             raise ValueError("not an object")
         pairs = [_entry(line, clock) for line in value["targets"]]
         version, full = int(value["rev"]), bool(value["all"])
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ListError(f"list of servers: {type(error).__name__}: {error}") from None
     addresses = {entry.server: address for entry, address in pairs}
     return Members(version, full, tuple(entry for entry, _ in pairs), addresses)
@@ -130,7 +118,7 @@
             raise ListError(f"status {response.status}")
         try:
             value: object = json.loads(response.body)
-        except ValueError:
+        except (ValueError, RecursionError):  # the latter where brackets are nested without end
             raise ListError("not JSON") from None
         return value
 
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -14,8 +14,9 @@
 from cloverhold import interface as io
 from cloverhold.decide import Balancer
 from cloverhold.net.client import Exchange, retry_after
-from cloverhold.net.discovery import Clock, Members
-from cloverhold.net.http1 import Response, read_load
+from cloverhold.net.clock import Clock
+from cloverhold.net.discovery import Members
+from cloverhold.net.http1 import Headers, Response, end_to_end, read_load
 from cloverhold.net.upstream import Address, Call, Pool
 from cloverhold.settings import load_report
 
@@ -23,8 +24,9 @@
 
 PROBE_TIMEOUT_MS = 300.0
 PROBE_PAYLOAD = b"GET /_load HTTP/1.1\r\nHost: api.internal\r\n\r\n"
-WAY_MS = 2.0  # what a request and its answer may spend on the way: the client counts from its own clock
-_PASSED_ON = (b"host", b"x-call-id", b"x-call-class", b"idempotency-key", b"content-type", b"x-caller")
+# What a request and its answer may spend on the way and in a busy loop: the client counts from its own clock.
+# With 2 ms, timers of 1 ms made answers to silent servers arrive just past the client's time.
+WAY_MS = 10.0
 
 
 @dataclass(slots=True)
@@ -85,8 +87,8 @@
             actions = self.balancer.handle(self.clock.now(), event)
         except Exception:  # a fault of the module must not cost the other requests their answers
             log.exception("the module failed on %s", type(event).__name__)
-            if isinstance(event, (io.Request, io.Outcome)):
-                self._final(event.id, 500)
+            if isinstance(event, (io.Request, io.Outcome)) and self._final(event.id, 500):
+                self.tell(io.ClientGone(event.id))
             return
         for action in actions:
             self._act(action)
@@ -175,7 +177,7 @@
         return opened
 
     def _final(
-        self, ref: int, status: int, body: bytes = b"", headers: tuple[tuple[bytes, bytes], ...] = ()
+        self, ref: int, status: int, body: bytes = b"", headers: Headers = ()
     ) -> bool:
         """Give a request its one answer; False if it has had it."""
         opened = self._close(ref)
@@ -213,8 +215,7 @@
         response = call.response
         load = _header_load(response)
         if status is io.Status.OK and response is not None:
-            kind = response.headers.get(b"content-type")
-            self._final(ref, 200, response.body, ((b"Content-Type", kind),) if kind else ())
+            self._final(ref, 200, response.body, end_to_end(response.headers))
         self._outcome(ref, attempt, status, load)
 
     def _outcome(
@@ -302,7 +303,7 @@
 
 
 def _header_load(response: Response | None) -> io.LoadReport | None:
-    text = response.headers.get(b"x-load-report") if response is not None else None
+    text = response.header(b"x-load-report") if response is not None else None
     values = read_load(text) if text else None
     return load_report(values) if values is not None else None
 
@@ -316,7 +317,7 @@
     """What a server is sent: the request as it came, with the time that this node will wait."""
     request = exchange.request
     lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
-    lines.extend(b"%s: %s\r\n" % (n, request.headers[n]) for n in _PASSED_ON if n in request.headers)
+    lines.extend(b"%s: %s\r\n" % p for p in end_to_end(request.headers) if p[0].lower() != b"x-budget")
     lines.append(b"X-Budget: %du\r\n" % max(1, int(left_ms * 1000)))
     if request.body or request.method != b"GET":
         lines.append(b"Content-Length: %d\r\n" % len(request.body))
--- a/cloverhold/net/http1.py
+++ b/cloverhold/net/http1.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import httptools
@@ -11,6 +12,34 @@
 BODY_LIMIT = 64 * 1024
 
 
+Headers = tuple[tuple[bytes, bytes], ...]
+
+# What concerns one connection only, or is written anew for the next one.
+_HOP_BY_HOP = {
+    b"connection",
+    b"content-length",
+    b"expect",
+    b"keep-alive",
+    b"proxy-authenticate",
+    b"proxy-authorization",
+    b"proxy-connection",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+}
+
+
+def header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
+    """The first value of a header, by its lower-case name; empty if there is none."""
+    return next((value for key, value in headers if key.lower() == name), b"")
+
+
+def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """The headers that are passed on."""
+    return tuple(pair for pair in headers if pair[0].lower() not in _HOP_BY_HOP)
+
+
 class BadMessage(Exception):
     """What came is no answer that could be used."""
 
@@ -20,10 +49,13 @@
     """One whole answer."""
 
     status: int = 0
-    headers: dict[bytes, bytes] = field(default_factory=dict)
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
     body: bytes = b""
     keep_alive: bool = False
 
+    def header(self, name: bytes) -> bytes:
+        return header(self.headers, name)
+
 
 class ResponseParser:
     """Reads one answer. An answer whose end only a close would show is never whole: it may be cut short."""
@@ -58,12 +90,12 @@
         self._in_head = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._current.headers[name.lower()] = value
+        self._current.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         self._current.status = self._parser.get_status_code()
         self._in_head = False
-        length = self._current.headers.get(b"content-length", b"0")
+        length = self._current.header(b"content-length")
         if length.isdigit() and int(length) > self._limit:
             raise BadMessage("body too large")
 
@@ -81,11 +113,11 @@
 
 
 def read_load(text: bytes) -> dict[str, float] | None:
-    """A load report's figures; None if it can't be read."""
+    """A load report's figures; None if it can't be read. Servers are not trusted with what they send."""
     try:
         values = json.loads(text)
-    except ValueError:
+    except (ValueError, RecursionError):  # the latter where brackets are nested without end
         return None
     if not isinstance(values, dict):
         return None
-    return {k: float(v) for k, v in values.items() if isinstance(v, (int, float)) and v >= 0}
+    return {k: float(v) for k, v in values.items() if isinstance(v, (int, float)) and 0 <= v < 1e9}
--- a/cloverhold/net/upstream.py
+++ b/cloverhold/net/upstream.py
@@ -24,7 +24,7 @@
     """What an answer says of the attempt."""
     if response.status == 200:
         return Status.OK
-    if response.status in (503, 504) and response.headers.get(b"x-rejected", b"").strip() == b"1":
+    if response.status in (503, 504) and response.header(b"x-rejected") == b"1":
         return Status.FULL
     return Status.ERROR
 
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,221 @@
+"""Servers, discovery and clients on ephemeral loopback ports, for the tests of the node."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+from cloverhold import ClassSettings, Group, Repeat, Settings
+from cloverhold.__main__ import Config, Node
+from cloverhold.net.clock import Clock
+from cloverhold.net.http1 import Response, ResponseParser
+
+WAIT_S = 20.0  # for what must come; machines are slow at times
+CLASSES = (
+    ClassSettings("consulta", 4000, 8000, Repeat.SAFE),
+    ClassSettings("alerta", 4000, 8000, Repeat.UNSAFE),
+    ClassSettings("lote", 4000, 8000, Repeat.KEYED, Group.CELL, key_ttl_ms=2500),
+)
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+Peer = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+async def until(true: Callable[[], object]) -> None:
+    """Wait for a condition; the test fails if it never holds."""
+    async with asyncio.timeout(WAIT_S):
+        while not true():
+            await asyncio.sleep(0.005)
+
+
+class Listening:
+    """Something that accepts connections and hands whole requests to `serve`."""
+
+    def __init__(self) -> None:
+        self.requests: list[tuple[str, bytes, bytes]] = []  # target, head, body
+        self.writers: list[asyncio.StreamWriter] = []
+        self.ended = 0
+        self.server: asyncio.Server | None = None
+        self.port = 0
+
+    async def start(self, port: int = 0) -> None:
+        self.server = await asyncio.start_server(self._connected, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                body = b""
+                for line in head.lower().split(b"\r\n"):
+                    if line.startswith(b"content-length:"):
+                        body = await reader.readexactly(int(line.split(b":")[1]))
+                target = head.split(b" ")[1].decode()
+                if not await self.serve(target, head, body, writer):
+                    await reader.read(1)  # nothing is said: the other side gives up at some time
+                    return
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
+            return
+        finally:
+            self.ended += 1
+            writer.close()
+
+    async def serve(self, target: str, head: bytes, body: bytes, writer: asyncio.StreamWriter) -> bool:
+        """Answer; False if there is to be no answer."""
+        raise NotImplementedError
+
+    def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+class Server(Listening):
+    """A server. `reply` gives the bytes for a request; None: it never answers."""
+
+    def __init__(self, reply: Callable[[str, bytes], bytes | None] = lambda target, body: OK) -> None:
+        super().__init__()
+        self.reply = reply
+        self.probes = 0
+        self.close_after = False
+
+    async def serve(self, target: str, head: bytes, body: bytes, writer: asyncio.StreamWriter) -> bool:
+        if target == "/_load":
+            self.probes += 1
+            report = json.dumps({"inflight": 0, "queue": 0, "qps": 1.5}).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(report), report))
+            return True
+        self.requests.append((target, head, body))
+        answer = self.reply(target, body)
+        if answer is not None:
+            writer.write(answer)
+            if self.close_after:
+                writer.close()
+        return answer is not None
+
+
+def target(uid: str, port: int, state: str = "active") -> dict[str, Any]:
+    return {
+        "uid": uid,
+        "endpoint": f"127.0.0.1:{port}",
+        "az": "a",
+        "model": "m",
+        "pod_group": 0,
+        "state": state,
+        "capacity_hint": 1.0,
+        "boot_ms": 0,
+    }
+
+
+class Catalog(Listening):
+    """Discovery: the whole list, and a watch that waits for the next version."""
+
+    def __init__(self, targets: list[dict[str, Any]]) -> None:
+        super().__init__()
+        self.rev, self.targets = 1, targets
+        self.news = asyncio.Event()
+        self.raw: bytes | None = None  # said in place of any list
+
+    def change(self, targets: list[dict[str, Any]]) -> None:
+        self.rev, self.targets = self.rev + 1, targets
+        self.news.set()
+
+    async def serve(self, target: str, head: bytes, body: bytes, writer: asyncio.StreamWriter) -> bool:
+        self.requests.append((target, head, body))
+        full = "from=" not in target
+        if not full and f"from={self.rev}&" in target:
+            self.news.clear()
+            await self.news.wait()
+        said = {"rev": self.rev, "all": full, "targets": self.targets}
+        text = self.raw if self.raw is not None else json.dumps(said).encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
+        return True
+
+
+class Running:
+    """A node in this process, with its servers and its discovery."""
+
+    def __init__(self, node: Node, catalog: Catalog) -> None:
+        self.node, self.catalog = node, catalog
+        self.port = node.listener.port()
+
+    async def connect(self) -> Peer:
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    async def ask(self, raw: bytes) -> Response:
+        """Send bytes on a connection of their own and read one answer."""
+        reader, writer = await self.connect()
+        writer.write(raw)
+        response = await read_answer(reader)
+        writer.close()
+        return response
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Response:
+    """One answer, and no byte more."""
+    parser, response = ResponseParser(), None
+    async with asyncio.timeout(WAIT_S):
+        while response is None:
+            data = await reader.read(1)
+            assert data, "the connection ended without a whole answer"
+            response = parser.feed(data)
+    return response
+
+
+def request(
+    name: str = "consulta", number: str = "1", budget: str = "8000m", body: bytes = b"", extra: str = ""
+) -> bytes:
+    method = "GET" if name == "consulta" else "POST"
+    key = f"Idempotency-Key: k{number}\r\n" if name == "lote" else ""
+    length = f"Content-Length: {len(body)}\r\n" if method == "POST" else ""
+    return (
+        f"{method} /{name}?sid=7f3a HTTP/1.1\r\nHost: api\r\nX-Call-Id: {number}\r\nX-Call-Class: {name}\r\n"
+        f"X-Budget: {budget}\r\n{key}{length}{extra}\r\n"
+    ).encode() + body
+
+
+@asynccontextmanager
+async def running(*servers: Server, sockets: int = 256, **changes: Any) -> AsyncIterator[Running]:
+    """A node before these servers, ready to serve."""
+    for server in servers:
+        await server.start()
+    catalog = Catalog([target(f"s{i}", server.port) for i, server in enumerate(servers)])
+    await catalog.start()
+    settings = Settings(**{"classes": CLASSES, "max_attempts": 4, **changes})
+    config = Config(
+        listen=("127.0.0.1", 0),
+        discovery=("127.0.0.1", catalog.port),
+        settings=settings,
+        idle_ms=60000.0,
+        dial_ms=5000.0,
+        sockets=sockets,
+        seed=1,
+        known=None,
+    )
+    node, stop = Node(config, Clock()), asyncio.Event()
+    task = asyncio.create_task(node.run(stop))
+    try:
+        await until(lambda: task.done() or node.host.ready())
+        yield Running(node, catalog)
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        node.close()
+        catalog.stop()
+        for server in servers:
+            server.stop()
+
+
+def play(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test on the loop that the node uses."""
+    import uvloop
+
+    async def bounded() -> None:
+        async with asyncio.timeout(3 * WAIT_S):
+            await test()
+
+    uvloop.run(bounded())
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,156 @@
+"""The program itself: configuration, start and stop."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.loopback import OK, WAIT_S, Server, play, read_answer, request, target, until
+
+ROOT = Path(__file__).parent.parent
+SETTINGS: dict[str, Any] = {
+    "Zone": "a",
+    "GroupSize": 1,
+    "ResolutionMs": 5.0,
+    "RegistryMode": "automatic",
+    "Limits": {"Probes": True, "Cancelling": True, "ParallelTries": False, "MaxAttempts": 4},
+    "Guarantees": {
+        "AnswerSlackMs": 20.0,
+        "ColdFrom": 0.3,
+        "ColdMs": 9000.0,
+        "DrainGraceMs": 500.0,
+        "FallMs": 1500.0,
+        "FallMultiple": 2.5,
+    },
+    "Profiles": [{"Name": "consulta", "AimMs": 4000.0, "DeadlineMs": 8000.0, "Repeat": "read_like"}],
+}
+
+
+def config(**changes: Any) -> dict[str, Any]:
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:1",
+        "discovery": "127.0.0.1:2",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "settings": SETTINGS,
+        **changes,
+    }
+
+
+def environment(path: Path) -> dict[str, str]:
+    kept = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
+    return {**kept, "PROXY_CONFIG": str(path)}
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("{", "config.json"),
+        ("[]", "an object is needed"),
+        (json.dumps(config(listen="nowhere")), "listen"),
+        (json.dumps(config(discovery=None)), "discovery"),
+        (json.dumps(config(settings={})), "Guarantees"),
+        (json.dumps(config(settings={**SETTINGS, "Profiles": []})), "class"),
+        (json.dumps(config(settings={**SETTINGS, "Limits": 3})), "Limits"),
+        (json.dumps(config(seed="xyz")), "config.json"),
+        (json.dumps(config(limits={"sockets": "many"})), "config.json"),
+        (None, "config.json"),
+    ],
+)
+def test_a_bad_configuration_is_one_plain_line(tmp_path: Path, text: str | None, said: str) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    done = subprocess.run(
+        [sys.executable, "-m", "cloverhold"],
+        cwd=ROOT,
+        env=environment(path),
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert done.returncode == 2
+    assert done.stderr.count("\n") == 1 and said in done.stderr and "Traceback" not in done.stderr
+
+
+async def start(path: Path, server: Server) -> tuple[asyncio.subprocess.Process, int]:
+    """A node that knows its server from its remembered list alone: nobody answers for discovery."""
+    with socket.socket() as free, socket.socket() as nobody:
+        free.bind(("127.0.0.1", 0))
+        nobody.bind(("127.0.0.1", 0))
+        port, silent = free.getsockname()[1], nobody.getsockname()[1]
+    known = {"rev": 1, "all": True, "targets": [target("s0", server.port)]}
+    listen, discovery = f"127.0.0.1:{port}", f"127.0.0.1:{silent}"
+    path.write_text(json.dumps(config(listen=listen, discovery=discovery, known=known)))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "cloverhold", cwd=ROOT, env=environment(path), stderr=asyncio.subprocess.PIPE
+    )
+    assert process.stderr is not None
+    async with asyncio.timeout(WAIT_S):
+        while b"listening" not in (line := await process.stderr.readline()):
+            assert line, "the node has ended"
+    return process, port
+
+
+def test_a_node_told_to_stop_answers_what_it_took(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = Server(lambda target, body: None)
+        await server.start()
+        process, port = await start(tmp_path / "config.json", server)
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            idle, idle_writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(request(number="1"))
+            await until(lambda: server.requests)
+            process.send_signal(signal.SIGTERM)
+            late, late_writer = await asyncio.open_connection("127.0.0.1", port)  # still taken
+            late_writer.write(request(number="2"))
+            await until(lambda: len(server.requests) == 2)
+            for peer in server.writers[:]:
+                if not peer.is_closing():
+                    peer.write(OK)
+            assert [(await read_answer(r)).status for r in (reader, late)] == [200, 200]
+            for left in (reader, late, idle):
+                assert await asyncio.wait_for(left.read(), WAIT_S) == b""
+            assert await asyncio.wait_for(process.wait(), WAIT_S) == 0
+            for open_writer in (writer, idle_writer, late_writer):
+                open_writer.close()
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            server.stop()
+
+    play(test)
+
+
+def test_a_node_told_to_stop_does_not_wait_for_a_silent_server(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = Server(lambda target, body: None)
+        await server.start()
+        process, port = await start(tmp_path / "config.json", server)
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(request(number="1", budget="60000m"))
+            await until(lambda: server.requests)
+            process.send_signal(signal.SIGTERM)
+            assert (await read_answer(reader)).status in (502, 503, 504)
+            assert await asyncio.wait_for(process.wait(), WAIT_S) == 0
+            writer.close()
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            server.stop()
+
+    play(test)
