--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,7 +10,7 @@
 import pytest
 
 from cloverhold import Event, Outcome, Request, Timer
-from tests.loopback import (
+from loopback import (
     WAIT_S,
     Catalog,
     Server,
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from tests.loopback import OK, WAIT_S, Server, play, read_answer, request, target, until
+from loopback import OK, WAIT_S, Server, play, read_answer, request, target, until
 
 ROOT = Path(__file__).parent.parent
 SETTINGS: dict[str, Any] = {
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -9,7 +9,7 @@
 
 from cloverhold import Status
 from cloverhold.net.upstream import Call, Pool
-from tests.loopback import OK, WAIT_S, Server, play, until
+from loopback import OK, WAIT_S, Server, play, until
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 GET = b"GET /consulta HTTP/1.1\r\nHost: api\r\n\r\n"
