Ask discovery again within 200 ms of a first failure

Cause, by reading: the first wait after a broken watch was 0.2 s and the dial on top, so the watch counted as a new one. Now 0.1 s, doubling from there.

--- a/cloverhold/net/client.py
+++ b/cloverhold/net/client.py
@@ -254,9 +254,7 @@
         self.open = Exchange(self, request, asked)
         self.listener.taker.take(self.open)
 
-    def answer(
-        self, exchange: Exchange, status: int, body: bytes, headers: Headers
-    ) -> None:
+    def answer(self, exchange: Exchange, status: int, body: bytes, headers: Headers) -> None:
         if self.open is not exchange:
             return
         self.open = None
--- a/cloverhold/net/discovery.py
+++ b/cloverhold/net/discovery.py
@@ -176,7 +176,7 @@
                 if self.asked:
                     self.failed()
                     return
-                await asyncio.sleep(min(BACKOFF_MOST_S, BACKOFF_S * 2.0 ** min(failures, 6)))
+                await asyncio.sleep(min(BACKOFF_MOST_S, BACKOFF_S * 2.0 ** min(failures - 1, 6)))
                 continue
             if failures:
                 log.info("discovery is back")
