Report a watch that ends by a fault; share the start of a node among tests

Cause, by reading: the watch's task is kept, so a fault in it would have been silent and the list frozen.

--- a/cloverhold/net/discovery.py
+++ b/cloverhold/net/discovery.py
@@ -128,6 +128,12 @@
         self.reader = self.writer = None
 
 
+def _report(task: asyncio.Task[None]) -> None:
+    """A watch that ended by a fault of the node would else stay unseen: the task is kept, and so silent."""
+    if not task.cancelled() and (error := task.exception()) is not None:
+        log.error("the watch has ended", exc_info=error)
+
+
 class Discovery:
     """Follows the list. `told` gets each list; `failed` hears of a call that did not succeed."""
 
@@ -148,6 +154,7 @@
         """Begin to watch, or end it. Where discovery is asked, a failure ends it until it is begun anew."""
         if on and (self.task is None or self.task.done()):
             self.task = asyncio.get_running_loop().create_task(self._follow())
+            self.task.add_done_callback(_report)
         elif not on:
             self.stop()
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -9,6 +9,8 @@
 import socket
 import subprocess
 import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
@@ -83,31 +85,38 @@
     assert done.stderr.count("\n") == 1 and said in done.stderr and "Traceback" not in done.stderr
 
 
-async def start(path: Path, server: Server) -> tuple[asyncio.subprocess.Process, int]:
-    """A node that knows its server from its remembered list alone: nobody answers for discovery."""
+@asynccontextmanager
+async def started(tmp_path: Path) -> AsyncIterator[tuple[asyncio.subprocess.Process, int, Server]]:
+    """A node that knows its one server, a silent one, from its remembered list: discovery is down."""
+    server = Server(lambda target, body: None)
+    await server.start()
     with socket.socket() as free, socket.socket() as nobody:
         free.bind(("127.0.0.1", 0))
         nobody.bind(("127.0.0.1", 0))
-        port, silent = free.getsockname()[1], nobody.getsockname()[1]
+        port, down = free.getsockname()[1], nobody.getsockname()[1]
     known = {"rev": 1, "all": True, "targets": [target("s0", server.port)]}
-    listen, discovery = f"127.0.0.1:{port}", f"127.0.0.1:{silent}"
+    path = tmp_path / "config.json"
+    listen, discovery = f"127.0.0.1:{port}", f"127.0.0.1:{down}"
     path.write_text(json.dumps(config(listen=listen, discovery=discovery, known=known)))
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "cloverhold", cwd=ROOT, env=environment(path), stderr=asyncio.subprocess.PIPE
     )
-    assert process.stderr is not None
-    async with asyncio.timeout(WAIT_S):
-        while b"listening" not in (line := await process.stderr.readline()):
-            assert line, "the node has ended"
-    return process, port
+    try:
+        assert process.stderr is not None
+        async with asyncio.timeout(WAIT_S):
+            while b"listening" not in (line := await process.stderr.readline()):
+                assert line, "the node has ended"
+        yield process, port, server
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        server.stop()
 
 
 def test_a_node_told_to_stop_answers_what_it_took(tmp_path: Path) -> None:
     async def test() -> None:
-        server = Server(lambda target, body: None)
-        await server.start()
-        process, port = await start(tmp_path / "config.json", server)
-        try:
+        async with started(tmp_path) as (process, port, server):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             idle, idle_writer = await asyncio.open_connection("127.0.0.1", port)
             writer.write(request(number="1"))
@@ -125,21 +134,13 @@
             assert await asyncio.wait_for(process.wait(), WAIT_S) == 0
             for open_writer in (writer, idle_writer, late_writer):
                 open_writer.close()
-        finally:
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
-            server.stop()
 
     play(test)
 
 
 def test_a_node_told_to_stop_does_not_wait_for_a_silent_server(tmp_path: Path) -> None:
     async def test() -> None:
-        server = Server(lambda target, body: None)
-        await server.start()
-        process, port = await start(tmp_path / "config.json", server)
-        try:
+        async with started(tmp_path) as (process, port, server):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             writer.write(request(number="1", budget="60000m"))
             await until(lambda: server.requests)
@@ -147,10 +148,5 @@
             assert (await read_answer(reader)).status in (502, 503, 504)
             assert await asyncio.wait_for(process.wait(), WAIT_S) == 0
             writer.close()
-        finally:
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
-            server.stop()
 
     play(test)
