Test that running out of descriptors does not end accepting

Probed with 40 descriptors and 80 clients: the surplus is reset, the loop goes on accepting once some close. No change to the node was needed.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -16,7 +16,7 @@
 
 import pytest
 
-from loopback import OK, WAIT_S, Server, play, read_answer, request, target, until
+from loopback import OK, WAIT_S, Peer, Server, play, read_answer, request, target, until
 
 ROOT = Path(__file__).parent.parent
 SETTINGS: dict[str, Any] = {
@@ -86,7 +86,9 @@
 
 
 @asynccontextmanager
-async def started(tmp_path: Path) -> AsyncIterator[tuple[asyncio.subprocess.Process, int, Server]]:
+async def started(
+    tmp_path: Path, most_files: int = 1024
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, int, Server]]:
     """A node that knows its one server, a silent one, from its remembered list: discovery is down."""
     server = Server(lambda target, body: None)
     await server.start()
@@ -99,7 +101,10 @@
     listen, discovery = f"127.0.0.1:{port}", f"127.0.0.1:{down}"
     path.write_text(json.dumps(config(listen=listen, discovery=discovery, known=known)))
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "cloverhold", cwd=ROOT, env=environment(path), stderr=asyncio.subprocess.PIPE
+        *("/bin/sh", "-c", f"ulimit -n {most_files}; exec {sys.executable} -m cloverhold"),
+        cwd=ROOT,
+        env=environment(path),
+        stderr=asyncio.subprocess.PIPE,
     )
     try:
         assert process.stderr is not None
@@ -150,3 +155,36 @@
             writer.close()
 
     play(test)
+
+
+async def health(port: int) -> Peer:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+    return reader, writer
+
+
+async def said(peer: Peer) -> bytes:
+    """The status line's start; nothing where the connection was ended instead."""
+    try:
+        return await asyncio.wait_for(peer[0].read(12), WAIT_S)
+    except ConnectionError:
+        return b""
+
+
+def test_running_out_of_descriptors_does_not_end_accepting(tmp_path: Path) -> None:
+    """Fewer than the configuration promises, so that the bound on connections does not help."""
+
+    async def test() -> None:
+        async with started(tmp_path, most_files=40) as (process, port, _):
+            async with asyncio.timeout(WAIT_S):
+                peers = [await health(port) for _ in range(80)]
+            answers = [await said(peer) for peer in peers]
+            assert answers[0] == b"HTTP/1.1 200" and b"" in answers  # not all could be taken
+            for _, writer in peers:
+                writer.close()
+            async with asyncio.timeout(WAIT_S):
+                while await said(await health(port)) != b"HTTP/1.1 200":
+                    await asyncio.sleep(0.05)
+            assert process.returncode is None
+
+    play(test)
