Simplify what a second reading of the node found; behaviour as before

- host: ending an attempt stood three times (time-out, cancel, end of the request); now one _stop. _expired abandoned what _final had abandoned.
- host: load reports are read by one function, from body or header.
- client: a failure inside a parser's callback is kept once, in broken.

--- a/cloverhold/net/client.py
+++ b/cloverhold/net/client.py
@@ -147,7 +147,6 @@
         self.head_bytes = 0
         self.in_head = True
         self.idle_since = time.monotonic()
-        self.failure: BadRequest | None = None  # raised inside a callback of the parser
 
     # -------------------------------------------------------------- connection
 
@@ -189,7 +188,7 @@
             if self.queue:  # answered in plain HTTP; what follows it could be in any other protocol
                 self.queue[-1].keep_alive = False
         except httptools.HttpParserError as error:
-            self.broken = self.failure or BadRequest(400, str(error))
+            self.broken = self.broken or BadRequest(400, str(error))
         if self.broken is None and self.in_head and self.head_bytes > HEAD_LIMIT:
             self.broken = BadRequest(431, "head too large")
         self._next()
@@ -231,8 +230,9 @@
         self.queue.append(self.incoming)
 
     def _fail(self, status: int, why: str) -> None:
-        self.failure = BadRequest(status, why)
-        raise self.failure
+        """Break off from inside a callback; the parser wraps what is raised in an error of its own."""
+        self.broken = BadRequest(status, why)
+        raise self.broken
 
     def _next(self) -> None:
         """Begin the next request, or end a connection that is no longer understood."""
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -16,7 +16,7 @@
 from cloverhold.net.client import Exchange, retry_after
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import Members
-from cloverhold.net.http1 import Headers, Response, end_to_end, read_load
+from cloverhold.net.http1 import Headers, end_to_end, read_load
 from cloverhold.net.upstream import Address, Call, Pool
 from cloverhold.settings import load_report
 
@@ -46,7 +46,7 @@
 
     exchange: Exchange
     expires_at: float
-    guard: asyncio.TimerHandle | None = None
+    guard: asyncio.TimerHandle
     sent: int = 0
     out: dict[int, Attempt] = field(default_factory=dict)
 
@@ -102,7 +102,8 @@
             case io.SetTimer(delay_ms=delay, token=token):
                 self.loop.call_later(delay / 1000, self.tell, io.Timer(token))
             case io.Cancel(id=ref, attempt=number):
-                self._cancel(ref, number)
+                if (opened := self.open.get(ref)) is not None:
+                    self._stop(ref, opened, number, io.Status.CANCELLED)
             case io.Refuse(id=ref, retry_after_ms=wait):
                 self._final(ref, 503, headers=retry_after(wait))
             case io.Fail(id=ref):
@@ -133,8 +134,8 @@
         self.requests += 1
         ref = self.requests
         exchange.ref = ref
-        opened = self.open[ref] = Open(exchange, now + left)
-        opened.guard = self.loop.call_later(left / 1000, self._expired, ref)
+        guard = self.loop.call_later(left / 1000, self._expired, ref)
+        self.open[ref] = Open(exchange, now + left, guard)
         self.tell(
             io.Request(
                 id=ref,
@@ -160,10 +161,9 @@
         if opened is None:
             return
         for number in list(opened.out):
-            self._timed_out(ref, number)
+            self._stop(ref, opened, number, io.Status.TIMEOUT)
         if self._final(ref, 504):
             self.tell(io.ClientGone(ref))
-            self._abandon(ref, opened)
 
     def fail_all(self) -> None:
         """Answer all that is open: the process ends."""
@@ -172,13 +172,11 @@
 
     def _close(self, ref: int) -> Open | None:
         opened = self.open.pop(ref, None)
-        if opened is not None and opened.guard is not None:
+        if opened is not None:
             opened.guard.cancel()
         return opened
 
-    def _final(
-        self, ref: int, status: int, body: bytes = b"", headers: Headers = ()
-    ) -> bool:
+    def _final(self, ref: int, status: int, body: bytes = b"", headers: Headers = ()) -> bool:
         """Give a request its one answer; False if it has had it."""
         opened = self._close(ref)
         if opened is None:
@@ -206,14 +204,16 @@
         call = self.pool.call(address, payload, lambda call, status: self._ended(ref, number, call, status))
         attempt = opened.out[number] = Attempt(number, server, call, now)
         if action.timeout_ms:
-            attempt.timer = self.loop.call_later(left / 1000, self._timed_out, ref, number)
+            attempt.timer = self.loop.call_later(
+                left / 1000, self._stop, ref, opened, number, io.Status.TIMEOUT
+            )
 
     def _ended(self, ref: int, number: int, call: Call, status: io.Status) -> None:
         opened = self.open.get(ref)
         if opened is None or (attempt := _taken(opened, number)) is None:
             return
         response = call.response
-        load = _header_load(response)
+        load = _load(response.header(b"x-load-report")) if response is not None else None
         if status is io.Status.OK and response is not None:
             self._final(ref, 200, response.body, end_to_end(response.headers))
         self._outcome(ref, attempt, status, load)
@@ -224,24 +224,16 @@
         spent, closed = self.clock.now() - attempt.sent_at, ref not in self.open
         self.tell(io.Outcome(ref, attempt.number, attempt.server, status, spent, closed, load))
 
-    def _timed_out(self, ref: int, number: int) -> None:
-        self._stop(ref, number, io.Status.TIMEOUT)
-
-    def _cancel(self, ref: int, number: int) -> None:
-        self._stop(ref, number, io.Status.CANCELLED)
-
-    def _stop(self, ref: int, number: int, status: io.Status) -> None:
-        opened = self.open.get(ref)
-        if opened is not None and (attempt := _taken(opened, number)) is not None:
+    def _stop(self, ref: int, opened: Open, number: int, status: io.Status) -> None:
+        """Wait no longer for an attempt, if it is still out."""
+        if (attempt := _taken(opened, number)) is not None:
             attempt.call.give_up()
             self._outcome(ref, attempt, status)
 
     def _abandon(self, ref: int, opened: Open) -> None:
         """A request that is over has no attempt out, whoever ended it; each still gets its outcome."""
         for number in list(opened.out):
-            if (attempt := _taken(opened, number)) is not None:
-                attempt.call.give_up()
-                self._outcome(ref, attempt, io.Status.CANCELLED)
+            self._stop(ref, opened, number, io.Status.CANCELLED)
 
     # ----------------------------------------------------------------- probes
 
@@ -259,7 +251,10 @@
             response = call.response
             if response is not None and response.status == 503:
                 status = io.Status.FULL
-            told(status, _body_load(response) if status is io.Status.OK else None)
+            load = None
+            if status is io.Status.OK and response is not None:
+                load = _load(response.body) or _load(response.header(b"x-load-report"))
+            told(status, load)
 
         def late() -> None:
             call.give_up()
@@ -302,17 +297,11 @@
     return attempt
 
 
-def _header_load(response: Response | None) -> io.LoadReport | None:
-    text = response.header(b"x-load-report") if response is not None else None
+def _load(text: bytes) -> io.LoadReport | None:
     values = read_load(text) if text else None
     return load_report(values) if values is not None else None
 
 
-def _body_load(response: Response | None) -> io.LoadReport | None:
-    values = read_load(response.body) if response is not None and response.body else None
-    return load_report(values) if values is not None else _header_load(response)
-
-
 def request_payload(exchange: Exchange, left_ms: float) -> bytes:
     """What a server is sent: the request as it came, with the time that this node will wait."""
     request = exchange.request
--- a/cloverhold/net/http1.py
+++ b/cloverhold/net/http1.py
@@ -11,7 +11,6 @@
 HEAD_LIMIT = 64 * 1024
 BODY_LIMIT = 64 * 1024
 
-
 Headers = tuple[tuple[bytes, bytes], ...]
 
 # What concerns one connection only, or is written anew for the next one.
@@ -30,11 +29,6 @@
 }
 
 
-def header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
-    """The first value of a header, by its lower-case name; empty if there is none."""
-    return next((value for key, value in headers if key.lower() == name), b"")
-
-
 def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """The headers that are passed on."""
     return tuple(pair for pair in headers if pair[0].lower() not in _HOP_BY_HOP)
@@ -54,7 +48,8 @@
     keep_alive: bool = False
 
     def header(self, name: bytes) -> bytes:
-        return header(self.headers, name)
+        """The first value of a header, by its lower-case name; empty if there is none."""
+        return next((value for key, value in self.headers if key.lower() == name), b"")
 
 
 class ResponseParser:
--- a/cloverhold/settings.py
+++ b/cloverhold/settings.py
@@ -22,6 +22,7 @@
     "rps": "qps",
     "err_rps": "errors_per_s",
 }
+_LOAD_NAMES = _LOAD | {name: name for name in _LOAD.values()}
 
 
 class SettingsError(Exception):
@@ -108,9 +109,6 @@
     )
 
 
-_LOAD_NAMES = _LOAD | {name: name for name in _LOAD.values()}
-
-
 def load_report(values: dict[str, float]) -> io.LoadReport:
     """A load report by the names of the settings or of the module. Unknown names are skipped."""
     return io.LoadReport(**{_LOAD_NAMES[n]: value for n, value in values.items() if n in _LOAD_NAMES})
