Follow discovery to a new address on SIGHUP

Lines: serve() in __main__.py had handlers for SIGTERM and SIGINT only; Discovery kept one link for life. Now the file is read again, its address wins over PROXY_DISCOVERY, the old watch is cancelled and the last list kept. Discovery.fetch, never called, goes.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -49,8 +49,9 @@
     known: Members | None
 
 
-def _address(raw: dict[str, Any], key: str, variable: str) -> Address:
-    text = os.environ.get(variable) or raw.get(key)
+def _address(raw: dict[str, Any], key: str, variable: str, *, file_wins: bool = False) -> Address:
+    told = [os.environ.get(variable), raw.get(key)]
+    text = next((t for t in (reversed(told) if file_wins else told) if t), None)
     if not isinstance(text, str):
         raise ConfigError(f"{key} is missing")
     try:
@@ -59,8 +60,11 @@
         raise ConfigError(f"{key}: {error}") from None
 
 
-def read_config(clock: Clock) -> Config:
-    """The configuration, from the file and the variables; ConfigError in plain words."""
+def read_config(clock: Clock, *, again: bool = False) -> Config:
+    """The configuration, from the file and the variables; ConfigError in plain words.
+
+    Read again, the file's address of discovery wins: the variable is as old as the process.
+    """
     path = os.environ.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG is not set")
@@ -72,7 +76,7 @@
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: an object is needed")
     listen = _address(raw, "listen", "PROXY_LISTEN")
-    discovery = _address(raw, "discovery", "PROXY_DISCOVERY")
+    discovery = _address(raw, "discovery", "PROXY_DISCOVERY", file_wins=again)
     try:
         settings = module_settings(raw.get("settings"))
         check_settings(settings)
@@ -102,7 +106,7 @@
     def __init__(self, config: Config, clock: Clock) -> None:
         loop = asyncio.get_running_loop()
         most_servers = max(8, int(SERVER_PART * config.sockets))
-        self.config = config
+        self.config, self.clock = config, clock
         self.pool = Pool(loop, config.dial_ms / 1000, config.idle_ms / 1000, most_servers)
         self.host = Host(config.settings, config.seed, clock, self.pool, lambda on: self.discovery.watch(on))
         asked = config.settings.list_mode is io.ListMode.ASK
@@ -122,6 +126,24 @@
         await stop.wait()
         await self._drain()
 
+    def reload(self) -> None:
+        """Read the configuration again, also in an outage or while draining; a bad one changes nothing.
+
+        Only the address of discovery can change under load: the rest shapes what holds open requests.
+        """
+        try:
+            config = read_config(self.clock, again=True)
+        except ConfigError as error:
+            log.error("configuration: %s; the old one stays", error)
+            return
+        if (config.listen, config.settings, config.sockets) != (
+            self.config.listen,
+            self.config.settings,
+            self.config.sockets,
+        ):
+            log.warning("configuration: of what changed, only discovery takes effect before a restart")
+        self.discovery.follow(config.discovery)
+
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
         longest = max(c.deadline_ms for c in self.config.settings.classes) / 1000
@@ -145,11 +167,12 @@
 async def serve() -> None:
     """One node, from its configuration to SIGTERM."""
     clock = Clock()
-    config = read_config(clock)
-    stop = asyncio.Event()
+    node, stop = Node(read_config(clock), clock), asyncio.Event()
+    loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    await Node(config, clock).run(stop)
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, node.reload)  # its default would end the process
+    await node.run(stop)
 
 
 def main() -> int:
--- a/cloverhold/net/discovery.py
+++ b/cloverhold/net/discovery.py
@@ -158,10 +158,14 @@
         elif not on:
             self.stop()
 
-    def fetch(self) -> None:
-        """Have the whole list once more, and go on from there."""
-        self.stop()
-        self.version = None
+    def follow(self, address: Address) -> None:
+        """Watch discovery at another address. The last list stays until that one tells the whole of its own:
+        its versions need not be those of the old one.
+        """
+        if address != self.link.address:
+            log.info("discovery is now at %s:%d", *address)
+            self.stop()
+            self.link, self.version = _Link(address), None
         self.watch()
 
     def stop(self) -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -16,7 +16,7 @@
 
 import pytest
 
-from loopback import OK, WAIT_S, Peer, Server, play, read_answer, request, target, until
+from loopback import OK, WAIT_S, Catalog, Peer, Server, play, read_answer, request, target, until
 
 ROOT = Path(__file__).parent.parent
 SETTINGS: dict[str, Any] = {
@@ -49,8 +49,10 @@
     }
 
 
-def environment(path: Path) -> dict[str, str]:
+def environment(path: Path, discovery: int | None = None) -> dict[str, str]:
     kept = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
+    if discovery is not None:
+        kept["PROXY_DISCOVERY"] = f"127.0.0.1:{discovery}"
     return {**kept, "PROXY_CONFIG": str(path)}
 
 
@@ -87,7 +89,7 @@
 
 @asynccontextmanager
 async def started(
-    tmp_path: Path, most_files: int = 1024
+    tmp_path: Path, most_files: int = 1024, discovery: int | None = None
 ) -> AsyncIterator[tuple[asyncio.subprocess.Process, int, Server]]:
     """A node that knows its one server, a silent one, from its remembered list: discovery is down."""
     server = Server(lambda target, body: None)
@@ -98,12 +100,12 @@
         port, down = free.getsockname()[1], nobody.getsockname()[1]
     known = {"rev": 1, "all": True, "targets": [target("s0", server.port)]}
     path = tmp_path / "config.json"
-    listen, discovery = f"127.0.0.1:{port}", f"127.0.0.1:{down}"
-    path.write_text(json.dumps(config(listen=listen, discovery=discovery, known=known)))
+    nowhere = f"127.0.0.1:{down}"
+    path.write_text(json.dumps(config(listen=f"127.0.0.1:{port}", discovery=nowhere, known=known)))
     process = await asyncio.create_subprocess_exec(
         *("/bin/sh", "-c", f"ulimit -n {most_files}; exec {sys.executable} -m cloverhold"),
         cwd=ROOT,
-        env=environment(path),
+        env=environment(path, discovery),
         stderr=asyncio.subprocess.PIPE,
     )
     try:
@@ -157,6 +159,51 @@
     play(test)
 
 
+def test_a_node_told_to_reload_follows_the_new_discovery(tmp_path: Path) -> None:
+    """SIGHUP with a bad file, with a good one, and while draining. By default it would end the process."""
+
+    async def test() -> None:
+        path, fresh = tmp_path / "config.json", Server()
+        catalogs = [Catalog([]) for _ in range(3)]
+        for listening in (fresh, *catalogs):
+            await listening.start()
+        old, new, last = catalogs
+        new.targets = [target("s1", fresh.port)]
+        async with started(tmp_path, discovery=old.port) as (process, port, server):
+            old.change([target("s0", server.port)])
+            await until(lambda: old.requests)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(request(number="1"))
+            await until(lambda: server.requests)
+
+            def reload(text: str) -> None:
+                path.write_text(text)
+                process.send_signal(signal.SIGHUP)
+
+            whole = {**json.loads(path.read_text()), "known": None}
+            reload("{")
+            reload(json.dumps({**whole, "discovery": f"127.0.0.1:{new.port}"}))
+            await until(lambda: len(new.requests) >= 2)  # its list, and then the watch
+            old.news.set()
+            await until(lambda: old.ended)  # what it says now finds a closed connection
+            assert "from=" not in new.requests[0][0]
+            second, second_writer = await asyncio.open_connection("127.0.0.1", port)
+            second_writer.write(request(number="2"))
+            assert (await read_answer(second)).status == 200 and len(fresh.requests) == 1
+            server.writers[0].write(OK)
+            assert (await read_answer(reader)).status == 200  # open all the while
+            process.send_signal(signal.SIGTERM)
+            reload(json.dumps({**whole, "discovery": f"127.0.0.1:{last.port}"}))
+            await until(lambda: last.requests)
+            assert await asyncio.wait_for(process.wait(), WAIT_S) == 0
+            for open_writer in (writer, second_writer):
+                open_writer.close()
+        for listening in (fresh, *catalogs):
+            listening.stop()
+
+    play(test)
+
+
 async def health(port: int) -> Peer:
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
