Bound what clients may hold: a deadline for each request, silent connections first to go

Seen in reading and over loopback: a client that never sends a whole request held its connection for good, also behind an open request; over the bound the longest idle connection went, a usual client's, and all were scanned; a request under an open X-Call-Id was sent on; a coding other than chunked passed on undone, a GET with a body and a trailer X-Call-Id were taken; trailers were unbounded in memory. Checked and ruled out: the parser already refuses Content-Length with Transfer-Encoding, repeated, signed and empty lengths, obs-fold and bare CR or LF (probed, now in the tests); the listener takes one connection a turn and closes it within the next, so a burst of 300 never held more than two above the bound.

--- a/cloverhold/net/client.py
+++ b/cloverhold/net/client.py
@@ -17,7 +17,14 @@
 
 MOST_PIPELINED = 16
 MOST_UNSENT = 256 * 1024  # bytes of answers that a client may leave unread
-_ONCE = (b"x-call-id", b"x-call-class", b"x-budget", b"idempotency-key", b"host")
+MESSAGE_LIMIT = HEAD_LIMIT + 4 * BODY_LIMIT  # all of a request, with the framing of its chunks and trailers
+# A request is whole this long after its first byte, the first one after the connection came: a client that
+# says nothing, or never ends, holds a descriptor.
+PATIENCE_S = 2.5
+IDLE_S = 10.0  # a connection between requests is kept for this long
+LINGER_S = 0.5  # an answer that its client does not read, on a connection that closes, is kept for this long
+SWEEP_S = 0.2
+_ONCE = (b"x-call-id", b"x-call-class", b"x-budget", b"idempotency-key", b"host", b"transfer-encoding")
 
 
 @dataclass(slots=True)
@@ -86,6 +93,9 @@
     """Check a request against what is agreed with clients; BadRequest where it is not kept."""
     headers = request.fields
     path, _, query = request.target.partition(b"?")
+    coding = headers.get(b"transfer-encoding", b"chunked")
+    if coding.lower() != b"chunked":  # nobody here undoes others: the body would pass on as coded
+        raise BadRequest(501, "Transfer-Encoding other than chunked")
     name = headers.get(b"x-call-class", b"").decode("latin-1")
     kind = classes.get(path.lstrip(b"/").partition(b"/")[0].decode("latin-1"))
     if kind is None:
@@ -96,6 +106,8 @@
         raise BadRequest(400, "X-Call-Id is missing")
     if request.method != (b"GET" if kind.repeat is Repeat.SAFE else b"POST"):
         raise BadRequest(400, "the method does not fit the class")
+    if request.body and kind.repeat is Repeat.SAFE:
+        raise BadRequest(400, "a body does not fit the class")
     if kind.repeat is Repeat.KEYED and not headers.get(b"idempotency-key"):
         raise BadRequest(400, "Idempotency-Key is missing")
     try:
@@ -144,9 +156,12 @@
         self.broken: BadRequest | None = None  # answered behind what came before it; then the end
         self.incoming = Incoming()
         self.body = bytearray()
-        self.head_bytes = 0
+        self.message_bytes = 0
         self.in_head = True
-        self.idle_since = time.monotonic()
+        # When the request that is awaited or half here began to be; None where the last one came whole.
+        self.begun: float | None = time.monotonic()
+        self.rested = 0.0  # when it last had nothing open
+        self.closing: float | None = None
 
     # -------------------------------------------------------------- connection
 
@@ -169,19 +184,43 @@
             self.transport.abort()
 
     def close(self) -> None:
-        if self.transport is not None:
+        if self.transport is not None and self.closing is None:
+            self.closing = time.monotonic()
             self.transport.close()
 
     def idle(self) -> bool:
         return self.open is None and not self.queue
 
+    def sweep(self, now: float) -> None:
+        """End what a client has left unfinished for too long."""
+        if self.closing is not None:
+            if now - self.closing > LINGER_S and self.transport is not None:
+                self.transport.abort()
+        elif self.begun is not None:
+            if now - self.begun > PATIENCE_S:
+                self._overdue()
+        elif self.idle() and now - self.rested > IDLE_S:
+            self.close()
+
+    def _overdue(self) -> None:
+        """End a connection whose request does not become whole, or can't be read, whatever is open before it:
+        that one fails with it.
+        """
+        exchange, self.open = self.open, None
+        if exchange is not None:
+            self.listener.taker.client_gone(exchange)
+        if exchange is None and self.message_bytes == 0:
+            self.close()  # said nothing: a request that crosses this is sent once more
+            return
+        error = self.broken or BadRequest(408, "not whole in time")
+        self._write(error.status, str(error).encode("latin-1", "replace"), (), close=True)
+
     # ----------------------------------------------------------------- requests
 
     def data_received(self, data: bytes) -> None:
-        if self.broken is not None:
+        if self.broken is not None or self.closing is not None:
             return
-        if self.in_head:
-            self.head_bytes += len(data)
+        self.message_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -189,17 +228,23 @@
                 self.queue[-1].keep_alive = False
         except httptools.HttpParserError as error:
             self.broken = self.broken or BadRequest(400, str(error))
-        if self.broken is None and self.in_head and self.head_bytes > HEAD_LIMIT:
-            self.broken = BadRequest(431, "head too large")
+        if self.broken is None and self.message_bytes > (HEAD_LIMIT if self.in_head else MESSAGE_LIMIT):
+            self.broken = BadRequest(431 if self.in_head else 413, "request too large")
+        if self.broken is not None and self.begun is None:
+            self.begun = time.monotonic()
         self._next()
 
     def on_message_begin(self) -> None:
         self.incoming, self.body, self.in_head = Incoming(), bytearray(), True
+        if self.begun is None:
+            self.begun = time.monotonic()
 
     def on_url(self, url: bytes) -> None:
         self.incoming.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.in_head:
+            return  # a trailer: what the head did not say must not come in behind the body
         lower = name.lower()
         if lower in _ONCE and lower in self.incoming.fields:
             self._fail(400, f"{lower.decode('latin-1')} is given twice")
@@ -207,7 +252,7 @@
         self.incoming.fields[lower] = value
 
     def on_headers_complete(self) -> None:
-        self.in_head, self.head_bytes = False, 0
+        self.in_head = False
         self.incoming.method = self.parser.get_method()
         if sum(len(n) + len(v) for n, v in self.incoming.headers) > HEAD_LIMIT:
             self._fail(431, "head too large")
@@ -224,9 +269,11 @@
         self.incoming.body = bytes(self.body)
         self.incoming.keep_alive = self.parser.should_keep_alive()
         self.incoming.came_at = time.monotonic()
-        self.in_head, self.head_bytes = True, 0
+        self.in_head, self.message_bytes = True, 0
         if len(self.queue) >= MOST_PIPELINED:
             self._fail(400, "too many requests at once")
+        self.begun = None
+        self.listener.asked(self)
         self.queue.append(self.incoming)
 
     def _fail(self, status: int, why: str) -> None:
@@ -266,7 +313,6 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return
-        self.idle_since = time.monotonic()
         close = close or (self.listener.draining and not self.queue)
         head = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\nContent-Length: {len(body)}\r\n".encode()]
         head.extend(b"%s: %s\r\n" % pair for pair in headers)
@@ -275,7 +321,10 @@
         transport.write(b"".join(head))
         if close:
             self.queue.clear()
-            transport.close()
+            self.close()
+        elif self.idle():
+            self.rested = time.monotonic()
+            self.listener.rests(self)
 
 
 class Listener:
@@ -284,26 +333,50 @@
     def __init__(self, taker: Taker, most: int) -> None:
         self.taker, self.most = taker, most
         self.connections: set[ClientConnection] = set()
+        # Those that have not asked yet, and those between requests; the longest so first.
+        self.silent: dict[ClientConnection, None] = {}
+        self.resting: dict[ClientConnection, None] = {}
         self.draining = False
         self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.TimerHandle | None = None
 
     async def start(self, host: str, port: int) -> None:
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(lambda: ClientConnection(self), host, port, backlog=1024)
+        self._sweeper = loop.call_later(SWEEP_S, self._sweep)
 
     def port(self) -> int:
         """Where it listens, also where any free port was asked for; 0 until it does."""
         return int(self._server.sockets[0].getsockname()[1]) if self._server is not None else 0
 
     def made(self, connection: ClientConnection) -> None:
-        """Keep connections to their number, so that descriptors never run out and accepting goes on."""
+        """Keep connections to their number, so that descriptors never run out and accepting goes on.
+
+        Guards against hundreds that connect and say nothing: they go before any that has ever asked.
+        """
         self.connections.add(connection)
+        self.silent[connection] = None
         if len(self.connections) > self.most:
-            idle = [c for c in self.connections if c.idle() and c is not connection]
-            (min(idle, key=lambda c: c.idle_since) if idle else connection).close()
+            spare = self.silent if len(self.silent) > 1 or not self.resting else self.resting
+            next(iter(spare)).close()
+
+    def asked(self, connection: ClientConnection) -> None:
+        self.silent.pop(connection, None)
+        self.resting.pop(connection, None)
+
+    def rests(self, connection: ClientConnection) -> None:
+        self.resting[connection] = None
 
     def lost(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
+        self.asked(connection)
+
+    def _sweep(self) -> None:
+        """One look at all connections in a while, in place of a timer for each."""
+        self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
+        now = time.monotonic()
+        for connection in list(self.connections):
+            connection.sweep(now)
 
     def busy(self) -> bool:
         return any(not c.idle() for c in self.connections)
@@ -317,6 +390,8 @@
                 connection.close()
 
     def close(self) -> None:
+        if self._sweeper is not None:
+            self._sweeper.cancel()
         self.stop_accepting()
         for connection in list(self.connections):
             connection.close()
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -64,6 +64,7 @@
         self.addresses: dict[str, Address] = {}
         self.started: dict[str, float | None] = {}
         self.open: dict[int, Open] = {}
+        self.call_ids: set[bytes] = set()  # of the open requests
         self.requests = 0
         self.events: deque[io.Event] = deque()
         self.handling = False
@@ -131,6 +132,11 @@
         if left <= 0:
             exchange.answer(504)
             return
+        call_id = exchange.request.fields[b"x-call-id"]
+        if call_id in self.call_ids:  # a second copy of what is out, or somebody else's id
+            exchange.answer(409)
+            return
+        self.call_ids.add(call_id)
         self.requests += 1
         ref = self.requests
         exchange.ref = ref
@@ -174,6 +180,7 @@
         opened = self.open.pop(ref, None)
         if opened is not None:
             opened.guard.cancel()
+            self.call_ids.discard(opened.exchange.request.fields[b"x-call-id"])
         return opened
 
     def _final(self, ref: int, status: int, body: bytes = b"", headers: Headers = ()) -> bool:
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,117 @@
+"""Clients that are silent, slow or many, over loopback: what they may hold, and what it costs the others."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from cloverhold.net import client
+from loopback import OK, WAIT_S, Peer, Running, Server, play, read_answer, request, running, until
+
+
+@pytest.mark.parametrize(
+    ("sent", "said"),
+    [
+        (b"", b""),
+        (b"GET /consulta HTTP/1.1\r\nHost: a", b"HTTP/1.1 408"),
+        (request("alerta", body=b"0123456789")[:-1], b"HTTP/1.1 408"),
+    ],
+)
+def test_a_request_that_does_not_become_whole_ends_its_connection(sent: bytes, said: bytes) -> None:
+    async def test() -> None:
+        server = Server()
+        async with running(server) as node:
+            reader, writer = await node.connect()
+            writer.write(sent)
+            whole = await asyncio.wait_for(reader.read(), WAIT_S)
+            assert whole[:12] == said
+            writer.close()
+            assert not server.requests
+            await until(lambda: not node.node.listener.connections)
+
+    play(test)
+
+
+@pytest.mark.parametrize("rest", [b"GET /consulta HTTP/1.1\r\nHost: a", b"\x00 no request\r\n\r\n"])
+def test_what_cannot_be_read_ends_a_connection_whatever_is_open_before_it(rest: bytes) -> None:
+    async def test() -> None:
+        server = Server(lambda target, body: None)
+        async with running(server) as node:
+            reader, writer = await node.connect()
+            writer.write(request() + rest)
+            whole = await asyncio.wait_for(reader.read(), WAIT_S)
+            assert whole[:10] == b"HTTP/1.1 4"  # before the 8 s of the open one are up
+            assert server.requests and not node.node.host.open
+            writer.close()
+
+    play(test)
+
+
+async def silent(node: Running, count: int) -> list[Peer]:
+    return [await node.connect() for _ in range(count)]
+
+
+def test_connections_that_never_asked_go_before_those_that_did() -> None:
+    """Guards against hundreds that connect and say nothing, which would cost the usual clients theirs."""
+
+    async def test() -> None:
+        async with running(Server(), sockets=64) as node:
+            usual = await silent(node, 20)
+            for number, (reader, writer) in enumerate(usual):
+                writer.write(request(number=str(number)))
+                assert (await read_answer(reader)).status == 200
+            most = node.node.listener.most
+            many = await silent(node, 2 * most)
+            await until(lambda: len(node.node.listener.connections) <= most)
+            kept = 0
+            for number, (reader, writer) in enumerate(usual):
+                writer.write(request(number=f"again{number}"))
+                head = await asyncio.wait_for(reader.read(12), WAIT_S)
+                kept += head == b"HTTP/1.1 200"
+            assert kept >= len(usual) - 1
+            for _, writer in usual + many:
+                writer.close()
+
+    play(test)
+
+
+def test_an_answer_that_nobody_reads_does_not_hold_a_closing_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(client, "MOST_UNSENT", 64 * 1024 * 1024)
+
+    async def test() -> None:
+        body = b"x" * 60000
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + body
+        async with running(Server(lambda target, sent: answer)) as node:
+            reader, writer = await asyncio.open_connection("127.0.0.1", node.port, limit=1024)
+            for number in range(160):  # more than the kernel takes for a client that does not read
+                writer.write(request(number=str(number)))
+                await until(lambda: not node.node.host.open)
+            writer.write(b"nonsense\r\n\r\n")
+            await until(lambda: not node.node.listener.connections)
+            assert reader is not None
+            writer.close()
+
+    play(test)
+
+
+def test_an_id_that_is_open_is_refused() -> None:
+    """Guards the one who asked first: a second request under its id would be a second copy of it."""
+
+    async def test() -> None:
+        server = Server(lambda target, body: None)
+        async with running(server) as node:
+            _, writer = await node.connect()
+            writer.write(request("alerta", "same"))
+            await until(lambda: server.requests)
+            assert (await node.ask(request("alerta", "same"))).status == 409
+            server.writers[0].write(OK)
+            await until(lambda: not node.node.host.open)
+            assert len(server.requests) == 1
+            server.reply = lambda target, body: OK
+            assert (await node.ask(request("alerta", "same"))).status == 200  # no longer open
+            writer.close()
+
+    play(test)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -42,6 +42,11 @@
     play(test)
 
 
+def chunked(coding: str = "chunked") -> bytes:
+    head = request("alerta", extra=f"Transfer-Encoding: {coding}\r\n")
+    return head.replace(b"Content-Length: 0\r\n", b"")
+
+
 @pytest.mark.parametrize(
     ("raw", "status"),
     [
@@ -63,6 +68,15 @@
         (request("alerta", body=b"x").replace(b"Content-Length: 1", b"Content-Length: 99999999"), 413),
         (request("alerta", body=b"x", extra="Transfer-Encoding: chunked\r\n"), 400),
         (request("alerta", body=b"x" * 65537), 413),
+        (chunked("gzip, chunked") + b"0\r\n\r\n", 501),
+        (request(extra="Content-Length: 1\r\n") + b"x", 400),
+        (request("alerta", extra="X: a\r\n b\r\n"), 400),
+        (request("alerta", extra="Content-Length: 0\r\n"), 400),
+        (request("alerta").replace(b"Content-Length: 0", b"Content-Length: +0"), 400),
+        (request("alerta").replace(b"\r\n", b"\n"), 400),
+        (request("alerta").replace(b"Host: api\r\n", b"Host: api\r"), 400),
+        (chunked() + b"0\r\nX: " + b"y" * 400000, 413),
+        (chunked().replace(b"X-Call-Id: 1\r\n", b"") + b"0\r\nX-Call-Id: 1\r\n\r\n", 400),
         (request(extra=f"X: {'y' * 70000}\r\n"), 431),
         (b"GET /consulta HTTP/1.1\r\nX: " + b"y" * 400000, 431),
     ],
