Let a server's losses raise its cost in the pick

Lines: Table.pick saw row and pace only. A slow average of hard failures now raises the cost, most for classes that may not be repeated.

--- a/cloverhold/decide.py
+++ b/cloverhold/decide.py
@@ -41,6 +41,8 @@
 # All are small: where peers spoil some answers of every server alike, two in a row are no sign of a bad one.
 HARD = {Status.CONNECT_FAILED: 0.4, Status.RESET: 0.25, Status.ERROR: 0.2}
 SILENCE, GOOD = 0.5, 0.75
+LOSS_STEP = 0.05  # of a slow average of failures, for servers that fail now and then
+LOSS_ONCE, LOSS_AGAIN = 8.0, 3.0  # what it adds to a server's cost: where no repeat may follow, where one may
 
 
 class Record:
@@ -48,7 +50,7 @@
 
     def __init__(self) -> None:
         self.answered_at = -math.inf
-        self.failing = 0.0  # average of failures, 0 to 1
+        self.failing, self.loss = 0.0, 0.0  # average of failures, 0 to 1; a slower one, without weights
         self.ejections, self.until = 0, -math.inf  # ejected until then
 
     def ejected(self, now: float, out: int) -> bool:
@@ -326,10 +328,18 @@
                     break
         return known, well or ready[:count]
 
+    def cost(self, server: Server, kind: ClassSettings) -> float:
+        """How much more a request costs there than at a server that never fails: a part of them is lost, and
+        a quick loss leaves a low row.
+        """
+        loss = max(server.record.loss, server.kinds[kind.name].loss)
+        return 1 + (LOSS_ONCE if kind.repeat is Repeat.UNSAFE else LOSS_AGAIN) * loss
+
     def good(self, server: Server, kind: str, now: float) -> None:
         for record in (server.record, server.kinds[kind]):
             record.answered_at = now
             record.failing *= GOOD
+            record.loss *= 1 - LOSS_STEP
             if record.ejections and record.failing < BACK_AT:
                 record.ejections = 0
                 self.log(f"server {server.entry.server} is back")
@@ -350,6 +360,7 @@
             if ended:
                 weight = SILENCE if record.answered_at < attempt.sent_at else 0.0
             record.failing += weight * (1 - record.failing)
+            record.loss += LOSS_STEP * (status in HARD) * (1 - record.loss)
             if not weight or now < record.until:
                 continue
             # What all servers share, bad networks or too much work, is no fault of this one.
@@ -570,7 +581,8 @@
                 continue
             fit.append(server)
         fit = [s for s in fit if s.entry.server not in tried] or fit  # a further attempt goes elsewhere
-        picked = self.table.pick(fit, [self.learned.pace(s, now) for s in fit], now)
+        paces = [self.learned.pace(s, now) * self.health.cost(s, request.kind) for s in fit]
+        picked = self.table.pick(fit, paces, now)
         if picked is None:
             return False
         self._send(request, picked, now)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -389,3 +389,17 @@
             assert asked.count("/alerta") <= 10 < asked.count("/consulta")
 
     play(test)
+
+
+def test_a_server_that_loses_some_answers_gets_less() -> None:
+    """Guards against one that breaks off a third and answers well between: never ejected, low row."""
+
+    async def test() -> None:
+        broken = iter(range(10**6))
+        bad = Server(lambda target, body: OK if next(broken) % 3 else b"no answer\r\n\r\n")
+        async with running(bad, Server()) as node:
+            for number in range(200):
+                assert (await node.ask(request("alerta", str(number)))).status in (200, 502)
+            assert 3 <= len(bad.requests) <= 50
+
+    play(test)
