Key connections to servers by uid and start; learn how long idle ones last

Ruled out: closes that wait unread (fresh() polls the socket). In reading: the pool was keyed by address, so the end of one uid closed the connections of another at its address, and a late answer was pooled for it. Lines: Pool.idle by address, Pool.idle_s fixed; Host.members closed by address. A probe's late reply for a process that has ended is dropped.

--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -17,7 +17,7 @@
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import Members
 from cloverhold.net.http1 import Headers, end_to_end, read_load
-from cloverhold.net.upstream import Address, Call, Pool
+from cloverhold.net.upstream import Call, Pool, Upstream
 from cloverhold.settings import load_report
 
 log = logging.getLogger(__name__)
@@ -61,8 +61,7 @@
         self.classes = {c.name: c for c in settings.classes}
         self.clock, self.pool, self.watch = clock, pool, watch
         self.loop = pool.loop
-        self.addresses: dict[str, Address] = {}
-        self.started: dict[str, float | None] = {}
+        self.upstreams: dict[str, Upstream] = {}
         self.open: dict[int, Open] = {}
         self.call_ids: set[bytes] = set()  # of the open requests
         self.requests = 0
@@ -114,8 +113,8 @@
             case io.Watch(on=on):
                 self.watch(on)
             case io.CloseIdle(server=server):
-                if server in self.addresses:
-                    self.pool.close_idle(self.addresses[server])
+                if server in self.upstreams:
+                    self.pool.close_idle(self.upstreams[server])
             case _:
                 log.warning("%s is not for this node", type(action).__name__)
 
@@ -123,7 +122,7 @@
 
     def ready(self) -> bool:
         """Whether there is a server to send to."""
-        return bool(self.addresses)
+        return bool(self.upstreams)
 
     def take(self, exchange: Exchange) -> None:
         """A request has come: from here on it is owed one answer before its time is up."""
@@ -196,7 +195,7 @@
 
     def _send(self, action: io.Send) -> None:
         ref, server, now = action.id, action.server, self.clock.now()
-        opened, address = self.open.get(ref), self.addresses.get(server)
+        opened, upstream = self.open.get(ref), self.upstreams.get(server)
         if opened is None:
             self.tell(io.Outcome(ref, 0, server, io.Status.MOOT, 0.0, True))
             return
@@ -204,11 +203,11 @@
         left = opened.expires_at - now
         if action.timeout_ms:
             left = min(left, action.timeout_ms)
-        if address is None or left <= 0:
+        if upstream is None or left <= 0:
             self.tell(io.Outcome(ref, number, server, io.Status.MOOT, 0.0))
             return
         payload = request_payload(opened.exchange, left)
-        call = self.pool.call(address, payload, lambda call, status: self._ended(ref, number, call, status))
+        call = self.pool.call(upstream, payload, lambda call, status: self._ended(ref, number, call, status))
         attempt = opened.out[number] = Attempt(number, server, call, now)
         if action.timeout_ms:
             attempt.timer = self.loop.call_later(
@@ -245,12 +244,15 @@
     # ----------------------------------------------------------------- probes
 
     def _probe(self, server: str) -> None:
-        address, sent_at = self.addresses.get(server), self.clock.now()
-        if address is None:
+        upstream, sent_at = self.upstreams.get(server), self.clock.now()
+        if upstream is None:
             self.tell(io.ProbeReply(server, io.Status.CONNECT_FAILED, 0.0))
             return
 
         def told(status: io.Status, load: io.LoadReport | None = None) -> None:
+            now = self.upstreams.get(server)
+            if now is None or now.started_at != upstream.started_at:
+                return  # of a process that has ended: its successor has a row of its own
             self.tell(io.ProbeReply(server, status, self.clock.now() - sent_at, load))
 
         def done(call: Call, status: io.Status) -> None:
@@ -268,30 +270,31 @@
             told(io.Status.TIMEOUT)
 
         timer = self.loop.call_later(PROBE_TIMEOUT_MS / 1000, late)
-        call = self.pool.call(address, PROBE_PAYLOAD, done)
+        call = self.pool.call(upstream, PROBE_PAYLOAD, done)
 
     # -------------------------------------------------------------- discovery
 
     def members(self, members: Members, *, remembered: bool = False) -> None:
         """A list, or changes of it. New addresses hold before the module hears of them."""
         entries = {entry.server: entry for entry in members.entries}
-        gone = [uid for uid in self.addresses if members.full and uid not in entries]
+        gone = [uid for uid in self.upstreams if members.full and uid not in entries]
         for uid, entry in entries.items():
-            old = self.addresses.get(uid)
-            moved = old != members.addresses[uid] or self.started.get(uid) != entry.started_at
-            if old is not None and (moved or entry.lifecycle is not io.Lifecycle.READY):
-                self.pool.close_idle(old)  # of a process that has ended, or that wants nothing new
+            old, address, started_at = self.upstreams.get(uid), members.addresses[uid], entry.started_at
+            if old is None or (old.address, old.started_at) != (address, started_at):
+                if old is not None:
+                    self.pool.retire(old)
+                self.upstreams[uid] = Upstream(address, started_at)
+            elif entry.lifecycle is not io.Lifecycle.READY:
+                self.pool.close_idle(old)  # it wants nothing new
             if entry.lifecycle is io.Lifecycle.GONE:
                 gone.append(uid)
-            self.addresses[uid], self.started[uid] = members.addresses[uid], entry.started_at
         kind = io.ListKind.FULL if members.full else io.ListKind.CHANGES
         if remembered:
             kind = io.ListKind.REMEMBERED
         self.tell(io.ServerList(kind, members.entries, members.version))
         for uid in gone:
-            if (address := self.addresses.pop(uid, None)) is not None:
-                self.pool.close_idle(address)
-            self.started.pop(uid, None)
+            if (upstream := self.upstreams.pop(uid, None)) is not None:
+                self.pool.retire(upstream)
 
     def list_failed(self) -> None:
         self.tell(io.ServerList(io.ListKind.ERROR))
--- a/cloverhold/net/upstream.py
+++ b/cloverhold/net/upstream.py
@@ -9,6 +9,7 @@
 import asyncio
 import select
 import socket
+from bisect import bisect_right
 from collections.abc import Callable
 from itertools import count
 
@@ -29,6 +30,52 @@
     return Status.ERROR
 
 
+class Upstream:
+    """One process of a server, and the connections to it that are idle.
+
+    Another uid or start is another one, also at the same address: neither may close the other's connections,
+    or be handed one of them.
+    """
+
+    __slots__ = ("address", "idle", "retired", "started_at")
+
+    def __init__(self, address: Address, started_at: float | None = None) -> None:
+        self.address, self.started_at = address, started_at
+        self.idle: list[Connection] = []
+        self.retired = False  # nothing new goes there: connections close with the answer they wait for
+
+
+class IdleLimit:
+    """How long idle connections really last, by what became of requests on them.
+
+    Guards against servers, and what stands between, that drop kept connections long before the time they
+    state: a request written to one ends as a reset, and one that may not be repeated is lost.
+    """
+
+    AGES_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+    STEP, DIED_MOST = 0.1, 0.25
+
+    def __init__(self, most_s: float) -> None:
+        self.most_s = self.limit_s = most_s
+        self.died = [0.0] * (len(self.AGES_S) + 1)  # part of the requests that died, by the age they found
+
+    def told(self, age_s: float, *, died: bool) -> None:
+        """What became of a request on a connection that was idle for this long."""
+        at = bisect_right(self.AGES_S, age_s)
+        self.died[at] += self.STEP * (died - self.died[at])
+        self._judge()
+
+    def forget(self, seconds: float) -> None:
+        """Old evidence fades, within a minute or so: a limit that no longer holds costs connections."""
+        self.died = [part * 0.98**seconds for part in self.died]
+        self._judge()
+
+    def _judge(self) -> None:
+        # One just used is as good as any: its failures have other causes.
+        aged = zip(self.AGES_S, self.died[1:], strict=True)
+        self.limit_s = min([age for age, part in aged if part > self.DIED_MOST], default=self.most_s)
+
+
 class Call:
     """One exchange with a server. `done` is told once how it ended, unless it was given up."""
 
@@ -51,12 +98,13 @@
 class Connection:
     """One connection to one server."""
 
-    def __init__(self, pool: Pool, address: Address, call: Call) -> None:
-        self.pool, self.address = pool, address
+    def __init__(self, pool: Pool, upstream: Upstream, call: Call) -> None:
+        self.pool, self.upstream = pool, upstream
         self.call: Call | None = call
         self.number = next(pool.numbers)
         self.parser = ResponseParser()
         self.idle_since = 0.0
+        self.found: float | None = None  # how long it was idle before this request; None once that has told
         self.closed = False
         call.connection = self
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -67,7 +115,7 @@
         """Connect; the exchange fails as never begun if that takes too long."""
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
-            self.socket.connect(self.address)
+            self.socket.connect(self.upstream.address)
         except BlockingIOError:
             pass
         except OSError:
@@ -96,6 +144,7 @@
         """Send a request on a connection that was idle."""
         self.call, call.connection = call, self
         self.parser = ResponseParser()
+        self.found = self.pool.loop.time() - self.idle_since
         self._write()
 
     def _write(self) -> None:
@@ -118,8 +167,14 @@
         self.pool.loop.remove_writer(self.socket.fileno())
         self._write()
 
+    def _told(self, *, died: bool) -> None:
+        if self.found is not None:
+            self.pool.idle_limit.told(self.found, died=died)
+            self.found = None
+
     def _broken(self, call: Call) -> None:
         if self.call is call:
+            self._told(died=True)
             self.end(Status.CONNECT_FAILED if call.written < len(call.payload) else Status.RESET)
 
     def _readable(self) -> None:
@@ -136,6 +191,7 @@
         if not data:
             self._broken(call)
             return
+        self._told(died=False)
         try:
             response = self.parser.feed(data)
         except BadMessage:
@@ -180,19 +236,20 @@
         self, loop: asyncio.AbstractEventLoop, dial_timeout_s: float, idle_s: float, most: int
     ) -> None:
         self.loop, self.dial_timeout_s, self.most = loop, dial_timeout_s, most
-        self.idle_s = IDLE_PART * idle_s
+        self.idle_limit = IdleLimit(IDLE_PART * idle_s)
         self.numbers = count()
         self.all: dict[int, Connection] = {}
-        self.idle: dict[Address, list[Connection]] = {}
+        self.idle: dict[Connection, None] = {}  # the longest idle first
         self._sweeper = loop.call_later(self._sweep_every(), self._sweep)
 
-    def call(self, address: Address, payload: bytes, done: Callable[[Call, Status], None]) -> Call:
+    def call(self, upstream: Upstream, payload: bytes, done: Callable[[Call, Status], None]) -> Call:
         """Begin an exchange. `done` is never called before this returns."""
         call = Call(payload, done)
-        idle = self.idle.get(address, [])
-        while idle:
-            connection = idle.pop()
-            if connection.fresh():
+        oldest = self.loop.time() - self.idle_limit.limit_s
+        while upstream.idle:
+            connection = upstream.idle.pop()
+            del self.idle[connection]
+            if connection.idle_since >= oldest and connection.fresh():
                 connection.begin(call)
                 return call
             connection.close()
@@ -201,7 +258,7 @@
         try:
             if len(self.all) >= self.most:
                 raise OSError("too many connections to servers")
-            connection = Connection(self, address, call)
+            connection = Connection(self, upstream, call)
         except OSError:  # none to be had, also where descriptors ran out: never sent
             self.loop.call_soon(done, call, Status.CONNECT_FAILED)
             return call
@@ -210,36 +267,44 @@
         return call
 
     def put_back(self, connection: Connection) -> None:
+        if connection.upstream.retired:
+            connection.close()
+            return
         connection.idle_since = self.loop.time()
-        self.idle.setdefault(connection.address, []).append(connection)
+        connection.upstream.idle.append(connection)
+        self.idle[connection] = None
 
     def forget(self, connection: Connection) -> None:
         self.all.pop(connection.number, None)
-        idle = self.idle.get(connection.address, [])
-        if connection in idle:
-            idle.remove(connection)
+        if connection in self.idle:
+            del self.idle[connection]
+            connection.upstream.idle.remove(connection)
 
-    def close_idle(self, address: Address) -> None:
-        for connection in self.idle.pop(address, []):
+    def close_idle(self, upstream: Upstream) -> None:
+        for connection in upstream.idle[:]:
             connection.close()
 
+    def retire(self, upstream: Upstream) -> None:
+        """Its process has ended, or wants nothing new."""
+        upstream.retired = True
+        self.close_idle(upstream)
+
     def _evict(self) -> None:
         """Close the connection that has been idle longest."""
-        oldest = [idle[0] for idle in self.idle.values() if idle]
-        if oldest:
-            min(oldest, key=lambda c: c.idle_since).close()
+        for connection in self.idle:
+            connection.close()
+            return
 
     def _sweep_every(self) -> float:
-        return min(1.0, self.idle_s / 8)
+        return min(1.0, self.idle_limit.most_s / 8)
 
     def _sweep(self) -> None:
         """Close what the server would soon close: a request crossing that close would end as a reset."""
-        limit = self.loop.time() - self.idle_s
-        for address, idle in list(self.idle.items()):
-            for connection in [c for c in idle if c.idle_since < limit]:
+        self.idle_limit.forget(self._sweep_every())
+        limit = self.loop.time() - self.idle_limit.limit_s
+        for connection in list(self.idle):
+            if connection.idle_since < limit:
                 connection.close()
-            if not idle:
-                del self.idle[address]
         self._sweeper = self.loop.call_later(self._sweep_every(), self._sweep)
 
     def close(self) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -250,7 +250,7 @@
         async with running(server) as node:
             assert (await node.ask(request())).status == 200
             node.catalog.change([target("s0", server.port, "left"), target("s9", server.port)])
-            await until(lambda: list(node.node.host.addresses) == ["s9"])
+            await until(lambda: list(node.node.host.upstreams) == ["s9"])
             assert (await node.ask(request(number="2"))).status == 200
 
     play(test)
@@ -280,7 +280,7 @@
             assert (await node.ask(request())).status == 200
             node.catalog.raw = None
             node.catalog.change([target("s9", other.port)])
-            await until(lambda: "s9" in node.node.host.addresses)
+            await until(lambda: "s9" in node.node.host.upstreams)
             other.stop()
 
     play(test)
@@ -296,7 +296,7 @@
             again = Catalog([target("s7", server.port)])
             again.rev = 5
             await again.start(port)
-            await until(lambda: "s7" in node.node.host.addresses)
+            await until(lambda: "s7" in node.node.host.upstreams)
             again.stop()
 
     play(test)
@@ -354,7 +354,7 @@
         ask = b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
         async with running(Server()) as node:
             assert (await node.ask(ask)).status == 200
-            node.node.host.addresses.clear()
+            node.node.host.upstreams.clear()
             assert (await node.ask(ask)).status == 503
 
     play(test)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -9,20 +9,29 @@
 import pytest
 
 from cloverhold import Status
-from cloverhold.net.upstream import Call, Pool
+from cloverhold.net.upstream import Call, Pool, Upstream
 from loopback import OK, WAIT_S, Server, play, until
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 GET = b"GET /consulta HTTP/1.1\r\nHost: api\r\n\r\n"
 
 
+_UPSTREAMS: dict[int, Upstream] = {}
+
+
 def make_pool(dial_s: float = WAIT_S, idle_s: float = 60.0, most: int = 50) -> Pool:
+    _UPSTREAMS.clear()
     return Pool(asyncio.get_running_loop(), dial_s, idle_s, most)
 
 
+def at(port: int) -> Upstream:
+    """The one upstream at a port."""
+    return _UPSTREAMS.setdefault(port, Upstream(("127.0.0.1", port)))
+
+
 async def ended(pool: Pool, port: int, payload: bytes = GET) -> tuple[Status, Call]:
     future: asyncio.Future[tuple[Status, Call]] = asyncio.get_running_loop().create_future()
-    pool.call(("127.0.0.1", port), payload, lambda call, status: future.set_result((status, call)))
+    pool.call(at(port), payload, lambda call, status: future.set_result((status, call)))
     return await asyncio.wait_for(future, WAIT_S)
 
 
@@ -121,11 +130,11 @@
         await server.start()
         pool = make_pool()
         await asyncio.gather(ended(pool, server.port), ended(pool, server.port))
-        idle = list(pool.idle[("127.0.0.1", server.port)])
+        idle = at(server.port).idle[:]
         assert len(idle) == len(server.writers) == 2
         for _ in range(3):
             await ended(pool, server.port)
-            assert pool.idle[("127.0.0.1", server.port)] == idle
+            assert at(server.port).idle == idle
         assert len(server.writers) == 2
         pool.close()
         server.stop()
@@ -170,7 +179,7 @@
         server = Server(lambda target, body: None)
         await server.start()
         pool = make_pool()
-        call = pool.call(("127.0.0.1", server.port), GET, lambda call, status: pytest.fail("told"))
+        call = pool.call(at(server.port), GET, lambda call, status: pytest.fail("told"))
         await until(lambda: server.requests)
         call.give_up()
         await until(lambda: server.ended == 1)
@@ -207,7 +216,7 @@
         assert (await ended(pool, second.port))[0] is Status.OK  # the idle one made room
         assert len(pool.all) == 1
         second.reply = lambda target, body: None
-        pool.call(("127.0.0.1", second.port), GET, lambda call, status: None)
+        pool.call(at(second.port), GET, lambda call, status: None)
         assert (await ended(pool, first.port))[0] is Status.CONNECT_FAILED
         pool.close()
         first.stop()
@@ -234,3 +243,57 @@
         server.stop()
 
     play(test)
+
+
+def test_a_process_that_ends_takes_no_connection_of_its_successor() -> None:
+    """Guards the next uid at an old address: not closed with the old one's, nor handed one of them."""
+
+    async def test() -> None:
+        server = Server()
+        await server.start()
+        pool = make_pool()
+        old, new = Upstream(("127.0.0.1", server.port)), Upstream(("127.0.0.1", server.port))
+        told: list[Status] = []
+        for upstream in (old, new):
+            pool.call(upstream, GET, lambda call, status: told.append(status))
+        await until(lambda: len(told) == 2)
+        kept = new.idle[:]
+        server.reply = lambda target, body: None
+        pool.call(old, GET, lambda call, status: told.append(status))
+        await until(lambda: len(server.requests) == 3)
+        pool.retire(old)
+        assert new.idle == kept and not kept[0].closed
+        server.writers[0].write(OK)
+        server.writers[1].write(OK)  # nobody asked: that connection closes
+        await until(lambda: len(told) == 3 and not pool.all)
+        assert not old.idle and not new.idle and not pool.idle
+        pool.close()
+        server.stop()
+
+    play(test)
+
+
+def test_connections_that_die_idle_are_kept_for_less_time() -> None:
+    """Guards requests that may not be repeated from connections that peers dropped, and did not say so."""
+
+    async def test() -> None:
+        server = Server()
+        await server.start()
+        pool = make_pool()
+        reset = 0
+        for _ in range(40):
+            server.close_after, server.reply = False, lambda target, body: OK
+            await ended(pool, server.port)
+            for connection in pool.idle:
+                connection.idle_since -= 0.3
+            before = len(server.writers)
+            server.close_after, server.reply = True, lambda target, body: b""
+            status, _call = await ended(pool, server.port)
+            assert status is Status.RESET
+            reset += len(server.writers) == before  # on a kept connection
+        assert 2 <= reset <= 8
+        assert pool.idle_limit.limit_s == 0.2
+        pool.close()
+        server.stop()
+
+    play(test)
