Measure the module's times in parts of the tightest aim

Collections took 5 in 100 of a busy node's CPU (sampled): their threshold is higher, as the heap is small.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -28,6 +28,7 @@
 # Parts of the descriptors; the rest is for discovery, the listening socket and the interpreter.
 CLIENT_PART, SERVER_PART = 0.5, 0.4
 LINGER_S = 0.5  # after SIGTERM new connections still come for this long
+GC_THRESHOLD = 5000, 20, 20  # by default collections took a twentieth of a busy node's CPU
 DEADLINE_MOST_S, STOP_S = 3.0, 0.4  # SIGKILL comes 0.7 s after the longest deadline, of 3 s at most
 
 
@@ -123,6 +124,7 @@
         await self.listener.start(*self.config.listen)
         log.info("listening on %s:%d", *self.config.listen)
         gc.freeze()  # what is there now stays: collections need not look at it again
+        gc.set_threshold(*GC_THRESHOLD)
         await stop.wait()
         await self._drain()
 
--- a/cloverhold/decide.py
+++ b/cloverhold/decide.py
@@ -22,19 +22,20 @@
 # Servers that a node keeps to: at least so many, and so many that each server is shared by this many nodes.
 SUBSET_LEAST, SUBSET_SHARED = 4, 10
 MOST_PROBES = 5  # d is never more: further replies would bring next to nothing new
-AVERAGE_MS = 30000.0  # time over which a server's surplus in old reports is averaged
+# Times are multiples of the tightest aim: where all goes faster, a fixed one outlasts what it was made for.
+AVERAGE = 60.0  # time over which a server's surplus in old reports is averaged
 STALE = 0.03  # part of the reports that may miss what is known to be out before all are taken for old
 CROWD = 0.4  # part of the tightest aim that work waiting at a server may take
 # Parts of its share of a cold server's budget: at once, steadily, and steadily where it holds no request.
 COLD_BURST, COLD_RATE, COLD_DEBT = 0.3, 0.5, 0.33
 SILENT, SILENT_HINTED = 6.0, 3.0  # one without a sign of its server for this multiple (work hinted) stalls
 EJECT_AT, BACK_AT = 0.6, 0.3  # failure averages at which a server is ejected, and called back for good
-EJECT_MS, EJECT_DOUBLINGS, EJECT_PART = 1000.0, 4, 0.5
+EJECT, EJECT_DOUBLINGS, EJECT_PART = 2.0, 4, 0.5
 RETRY_PART, RETRY_BURST = 0.2, 10.0  # retry budget: further attempts for each request, most saved up
 NEAR = 0.1  # classes served this much better than the worst count for a third as much as it
 WAIT_PART = 0.03  # part of its aim that a request may wait for its own probes
-JAM_MS = 5000.0  # how long after requests had to wait a place at a server counts as dear
-POLL_MS = 60.0  # how often waiting requests look at the table again
+JAM = 10.0  # how long after requests had to wait a place at a server counts as dear
+POLL = 0.12  # how often waiting requests look at the table again
 
 NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)
 # Weight of a failure in its average, of an attempt without any sign of life, and what an answer leaves of it.
@@ -197,7 +198,8 @@
         self.full = 0.0  # part of the last attempts that were turned away as full
         self.level = 0.0  # mean of the last reports
         # Work that takes this long to wait for is a crowd; a row of this age says nothing.
-        self.crowd_ms = CROWD * min(c.aim_ms for c in settings.classes)
+        self.tightest = min(c.aim_ms for c in settings.classes)
+        self.crowd_ms = CROWD * self.tightest
         self.held = 0  # attempts of this node that are out
         self.own, self.others = 1.0, settings.nodes - 1.0  # held at a server by it, by others
 
@@ -224,7 +226,7 @@
             self.stale += 0.02 * ((figure < known - 0.5) - self.stale)
         others = figure - len(server.out)
         self.level += 0.1 * (figure - self.level)
-        step, count = min(1.0, (now - server.heard_at) / AVERAGE_MS), max(1, len(self.ready))
+        step, count = min(1.0, (now - server.heard_at) / (AVERAGE * self.tightest)), max(1, len(self.ready))
         self.own += step / count * (self.held / count - self.own)
         self.others += step / count * (max(0.0, others) - self.others)
         server.replies += 1
@@ -369,7 +371,7 @@
             usual = sum(r.failing for r in peers) / max(1, len(peers))
             out = sum(s.record.until > now or s.kinds[kind].until > now for s in ready)
             if record.failing >= EJECT_AT + (1 - EJECT_AT) * usual and out < EJECT_PART * len(ready):
-                span = EJECT_MS * 2.0 ** min(record.ejections, EJECT_DOUBLINGS)
+                span = EJECT * self.table.tightest * 2.0 ** min(record.ejections, EJECT_DOUBLINGS)
                 span *= self.random.uniform(0.8, 1.2)
                 record.until, record.ejections = now + span, record.ejections + 1
                 self.log(f"server {server.entry.server} ejected ({what}) for {span:.0f} ms: {status.value}")
@@ -535,9 +537,9 @@
                 left.append(item)
         self.waiting = left
         if left:
-            self.jam_until = now + JAM_MS
+            self.jam_until = now + JAM * self.table.tightest
             if self.poll_token < 0:
-                self.poll_token = self._set_timer(POLL_MS, None)
+                self.poll_token = self._set_timer(POLL * self.table.tightest, None)
 
     def _poll(self, now: float) -> None:
         """A further look for those that wait; an early end for those that no server could answer in time."""
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -253,3 +253,17 @@
         node.outcome(ref + 1, Status.OK)
         node.reply_all({})
     assert failed <= 16 and safe >= 25
+
+
+def test_an_ejection_lasts_by_the_tightest_aim() -> None:
+    """Guards days at four times the pace from ejections that outlast what they were made for."""
+    for aim, most in ((500.0, 1200.0), (125.0, 300.0)):
+        node = Node(servers=4, classes=(ClassSettings("unsafe", aim, 2 * aim, Repeat.UNSAFE),))
+        node.balancer.health.cost = lambda server, kind: 1.0  # else it is passed over before it is ejected
+        for ref in range(60):
+            node.request(ref, "unsafe")
+            node.run(aim / 20)
+            node.outcome(ref, Status.RESET if node.last_send(ref) == "s0" else Status.OK)
+            node.reply_all({})
+        spans = [float(line.split(" for ")[1].split()[0]) for line in node.logs if "ejected (all)" in line]
+        assert spans and 0 < spans[0] <= most
