Keep fewer connections between requests: 2 s, and a sixth of the descriptors at most

Ruled out: ejection (rows low, all usable), waiting (0), lag. Lines: IDLE_S of 10 s, and no bound on those between requests but that on all.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -27,6 +27,7 @@
 
 # Parts of the descriptors; the rest is for discovery, the listening socket and the interpreter.
 CLIENT_PART, SERVER_PART = 0.5, 0.4
+RESTING_PART = 1 / 6  # of connections between requests: clients hold a third at most
 LINGER_S = 0.5  # after SIGTERM new connections still come for this long
 GC_THRESHOLD = 5000, 20, 20  # by default collections took a twentieth of a busy node's CPU
 DEADLINE_MOST_S, STOP_S = 3.0, 0.4  # SIGKILL comes 0.7 s after the longest deadline, of 3 s at most
@@ -114,7 +115,8 @@
         self.discovery = Discovery(
             config.discovery, clock, self.host.members, self.host.list_failed, asked=asked
         )
-        self.listener = Listener(self.host, max(8, int(CLIENT_PART * config.sockets)))
+        clients, resting = (max(8, int(part * config.sockets)) for part in (CLIENT_PART, RESTING_PART))
+        self.listener = Listener(self.host, clients, resting)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until told to stop, and then answer what was taken."""
--- a/cloverhold/net/client.py
+++ b/cloverhold/net/client.py
@@ -22,7 +22,7 @@
 # A request is whole this long after its first byte, the first one after the connection came: a client that
 # says nothing, or never ends, holds a descriptor.
 PATIENCE_S = 2.5
-IDLE_S = 10.0  # a connection between requests is kept for this long
+IDLE_S = 2.0  # a connection between requests is kept for this long
 LINGER_S = 0.5  # an answer that its client does not read, on a connection that closes, is kept for this long
 SWEEP_S = 0.2
 # uvloop takes one connection a turn from each listening handle. In a surge with turns of some ms that is less
@@ -337,8 +337,8 @@
 class Listener:
     """The listening socket and the connections that came in by it."""
 
-    def __init__(self, taker: Taker, most: int) -> None:
-        self.taker, self.most = taker, most
+    def __init__(self, taker: Taker, most: int, most_resting: int) -> None:
+        self.taker, self.most, self.most_resting = taker, most, most_resting
         self.connections: set[ClientConnection] = set()
         # Those that have not asked yet, and those between requests; the longest so first.
         self.silent: dict[ClientConnection, None] = {}
@@ -375,7 +375,12 @@
         self.resting.pop(connection, None)
 
     def rests(self, connection: ClientConnection) -> None:
+        """Guards against clients that ask once and keep their connection: clients as a whole may hold only so
+        many, and were left with none for requests while this node stood idle.
+        """
         self.resting[connection] = None
+        if len(self.resting) > self.most_resting:
+            next(iter(self.resting)).close()
 
     def lost(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
