Simplify what a second reading found; behaviour as before

One way to turn a bad request away instead of three; the pool holds its connections in a set, without numbers; the idle limit is not judged again where a request on a connection brought nothing new, nor are all servers averaged for one that is under the bar of ejection anyway. The client tests share the loop that asks on each connection.

--- a/cloverhold/decide.py
+++ b/cloverhold/decide.py
@@ -365,7 +365,7 @@
                 weight = SILENCE if record.answered_at < attempt.sent_at else 0.0
             record.failing += weight * (1 - record.failing)
             record.loss += LOSS_STEP * (status in HARD) * (1 - record.loss)
-            if not weight or now < record.until:
+            if not weight or now < record.until or record.failing < EJECT_AT:
                 continue
             # What all servers share, bad networks or too much work, is no fault of this one.
             usual = sum(r.failing for r in peers) / max(1, len(peers))
--- a/cloverhold/net/client.py
+++ b/cloverhold/net/client.py
@@ -216,8 +216,7 @@
         if exchange is None and self.message_bytes == 0:
             self.close()  # said nothing: a request that crosses this is sent once more
             return
-        error = self.broken or BadRequest(408, "not whole in time")
-        self._write(error.status, str(error).encode("latin-1", "replace"), (), close=True)
+        self._turn_away(self.broken or BadRequest(408, "not whole in time"), close=True)
 
     # ----------------------------------------------------------------- requests
 
@@ -290,7 +289,7 @@
         while self.open is None and self.queue and self.transport is not None:
             self._begin(self.queue.popleft())
         if self.open is None and self.broken is not None:
-            self._write(self.broken.status, str(self.broken).encode("latin-1", "replace"), (), close=True)
+            self._turn_away(self.broken, close=True)
 
     def _begin(self, request: Incoming) -> None:
         if request.target.partition(b"?")[0] == b"/_health":
@@ -300,7 +299,7 @@
         try:
             asked = read_request(request, self.listener.taker.classes)
         except BadRequest as error:
-            self._write(error.status, str(error).encode(), (), close=not request.keep_alive)
+            self._turn_away(error, close=not request.keep_alive)
             return
         self.open = Exchange(self, request, asked)
         self.listener.taker.take(self.open)
@@ -313,6 +312,9 @@
         if self.queue or self.broken is not None:
             asyncio.get_running_loop().call_soon(self._next)
 
+    def _turn_away(self, error: BadRequest, *, close: bool) -> None:
+        self._write(error.status, str(error).encode("latin-1", "replace"), (), close=close)
+
     def _write(self, status: int, body: bytes, headers: Headers, *, close: bool) -> None:
         transport = self.transport
         if transport is None or transport.is_closing():
--- a/cloverhold/net/upstream.py
+++ b/cloverhold/net/upstream.py
@@ -11,7 +11,6 @@
 import socket
 from bisect import bisect_right
 from collections.abc import Callable
-from itertools import count
 
 from cloverhold.interface import Status
 from cloverhold.net.http1 import BadMessage, Response, ResponseParser
@@ -62,6 +61,8 @@
     def told(self, age_s: float, *, died: bool) -> None:
         """What became of a request on a connection that was idle for this long."""
         at = bisect_right(self.AGES_S, age_s)
+        if not died and not self.died[at]:
+            return  # as nearly always: nothing new
         self.died[at] += self.STEP * (died - self.died[at])
         self._judge()
 
@@ -101,7 +102,6 @@
     def __init__(self, pool: Pool, upstream: Upstream, call: Call) -> None:
         self.pool, self.upstream = pool, upstream
         self.call: Call | None = call
-        self.number = next(pool.numbers)
         self.parser = ResponseParser()
         self.idle_since = 0.0
         self.found: float | None = None  # how long it was idle before this request; None once that has told
@@ -237,8 +237,7 @@
     ) -> None:
         self.loop, self.dial_timeout_s, self.most = loop, dial_timeout_s, most
         self.idle_limit = IdleLimit(IDLE_PART * idle_s)
-        self.numbers = count()
-        self.all: dict[int, Connection] = {}
+        self.all: set[Connection] = set()
         self.idle: dict[Connection, None] = {}  # the longest idle first
         self._sweeper = loop.call_later(self._sweep_every(), self._sweep)
 
@@ -262,7 +261,7 @@
         except OSError:  # none to be had, also where descriptors ran out: never sent
             self.loop.call_soon(done, call, Status.CONNECT_FAILED)
             return call
-        self.all[connection.number] = connection
+        self.all.add(connection)
         connection.dial(self.dial_timeout_s)
         return call
 
@@ -275,7 +274,7 @@
         self.idle[connection] = None
 
     def forget(self, connection: Connection) -> None:
-        self.all.pop(connection.number, None)
+        self.all.discard(connection)
         if connection in self.idle:
             del self.idle[connection]
             connection.upstream.idle.remove(connection)
@@ -285,15 +284,14 @@
             connection.close()
 
     def retire(self, upstream: Upstream) -> None:
-        """Its process has ended, or wants nothing new."""
+        """Its process has ended, or has moved: an answer that is still awaited is its connection's last."""
         upstream.retired = True
         self.close_idle(upstream)
 
     def _evict(self) -> None:
         """Close the connection that has been idle longest."""
-        for connection in self.idle:
-            connection.close()
-            return
+        if self.idle:
+            next(iter(self.idle)).close()
 
     def _sweep_every(self) -> float:
         return min(1.0, self.idle_limit.most_s / 8)
@@ -309,6 +307,6 @@
 
     def close(self) -> None:
         self._sweeper.cancel()
-        for connection in list(self.all.values()):
+        for connection in list(self.all):
             connection.call = None
             connection.close()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -49,21 +49,27 @@
     play(test)
 
 
-async def silent(node: Running, count: int) -> list[Peer]:
+async def connected(node: Running, count: int) -> list[Peer]:
     return [await node.connect() for _ in range(count)]
 
 
+async def asked(node: Running, count: int) -> list[Peer]:
+    """Connections on which one request each has been answered."""
+    peers = await connected(node, count)
+    for number, (reader, writer) in enumerate(peers):
+        writer.write(request(number=str(number)))
+        assert (await read_answer(reader)).status == 200
+    return peers
+
+
 def test_connections_that_never_asked_go_before_those_that_did() -> None:
     """Guards against hundreds that connect and say nothing, which would cost the usual clients theirs."""
 
     async def test() -> None:
         async with running(Server(), sockets=192) as node:
-            usual = await silent(node, 20)
-            for number, (reader, writer) in enumerate(usual):
-                writer.write(request(number=str(number)))
-                assert (await read_answer(reader)).status == 200
+            usual = await asked(node, 20)
             most = node.node.listener.most
-            many = await silent(node, 2 * most)
+            many = await connected(node, 2 * most)
             await until(lambda: len(node.node.listener.connections) <= most)
             kept = 0
             for number, (reader, writer) in enumerate(usual):
@@ -123,10 +129,7 @@
 
     async def test() -> None:
         async with running(Server(), sockets=192) as node:
-            peers = await silent(node, 60)
-            for number, (reader, writer) in enumerate(peers):
-                writer.write(request(number=str(number)))
-                assert (await read_answer(reader)).status == 200
+            peers = await asked(node, 60)
             await until(lambda: len(node.node.listener.connections) <= 192 // 6)
             assert not peers[-1][0].at_eof() and await asyncio.wait_for(peers[0][0].read(), WAIT_S) == b""
             for _, writer in peers:
