Add a rehearsal kit: real nodes, a stand-in fleet, scripted faults, a judge

Change: cloverhold/rehearsal plays a validated scenario on loopback: real nodes as an operator starts them, servers whose work is virtual time, discovery, a front that deals connections, open-loop clients, twenty kinds of faults and thirteen of hostile clients. A pure judge reads the ledger: service as the operators count it and the four rules, every breach with its proof.

--- /dev/null
+++ b/cloverhold/cli.py
@@ -0,0 +1,46 @@
+"""`cloverhold`: the console command. It loads only what the chosen part needs; running a node loads no kit."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Sequence
+
+USAGE = """usage: cloverhold run                       one node, configured by PROXY_CONFIG
+       cloverhold rehearse [SCENARIO] ...   real nodes before a stand-in fleet that fails on a script
+       cloverhold --version
+
+`cloverhold rehearse --help` tells more."""
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the named part; its exit status. 2 where there is no such part."""
+    words = list(sys.argv[1:] if argv is None else argv)
+    match words:
+        case ["run"]:
+            from cloverhold.__main__ import main as node
+
+            return node()
+        case ["rehearse", *rest]:
+            try:
+                from cloverhold.rehearsal.cli import main as kit
+            except ModuleNotFoundError as error:
+                print(
+                    f"the rehearsal kit needs {error.name}: pip install 'cloverhold[rehearsal]'",
+                    file=sys.stderr,
+                )
+                return 2
+            return kit(rest)
+        case ["--version"]:
+            from cloverhold import __version__
+
+            print(__version__)
+            return 0
+        case ["--help"] | ["-h"]:
+            print(USAGE)
+            return 0
+    print(USAGE, file=sys.stderr)
+    return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cloverhold/rehearsal/catalog.py
@@ -0,0 +1,109 @@
+"""What discovery has for one node, and what that node has been told: versions, changes, the whole list.
+
+In the pushed form each node has an agent on its own machine, which has what it has been sent. No I/O and no
+clock: the time is handed in, in seconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from cloverhold.rehearsal.ledger import Told
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One line of the list."""
+
+    uid: str
+    state: str  # "active", "leaving" or "left"
+    kind: str
+    cell: int
+    weight: float = 1.0
+    boot_s: float | None = None  # on the kit's clock; None: long ago
+
+
+class Agent:
+    """Discovery as one node sees it."""
+
+    def __init__(self, node: int, told: Callable[[Told], None]) -> None:
+        self.node, self.life, self.told = node, 0, told
+        self.rev = 1
+        self.entries: dict[str, tuple[int, Entry]] = {}
+        self.written: dict[str, Entry] = {}  # the list as the node last had it
+        self.held: dict[str, Entry] | None = None  # news that do not come through; None: they do
+        self._due: list[tuple[int, Told]] = []  # told, but not yet written
+
+    def put(self, now: float, entry: Entry) -> bool:
+        """News of one server; whether the node can hear of them."""
+        if self.held is not None:
+            self.held[entry.uid] = entry
+            return False
+        old = self.entries.get(entry.uid)
+        if old is not None and old[1] == entry:
+            return False
+        self.rev += 1
+        self.entries[entry.uid] = (self.rev, entry)
+        if old is None or (old[1].state, old[1].boot_s) != (entry.state, entry.boot_s):
+            self._owe(now, entry)
+        return True
+
+    def _owe(self, now: float, entry: Entry) -> None:
+        row = Told(self.node, self.life, entry.uid, entry.state, entry.boot_s, now)
+        self.told(row)
+        self._due.append((self.rev, row))
+
+    def hold(self) -> None:
+        """Nothing new comes through until `release`."""
+        if self.held is None:
+            self.held = {}
+
+    def release(self, now: float) -> bool:
+        """What was held comes through; whether there was any."""
+        held, self.held = self.held or {}, None
+        return any([self.put(now, entry) for entry in held.values()])
+
+    def born(self, now: float, life: int) -> dict[str, Entry]:
+        """A process of the node starts; the list that it remembers. It is to be told of all that differs."""
+        self.life = life
+        self._due = []
+        for uid, (_, entry) in self.entries.items():
+            old = self.written.get(uid)
+            if old is None or (old.state, old.boot_s) != (entry.state, entry.boot_s):
+                self._owe(now, entry)
+        return dict(self.written)
+
+    def whole(self) -> tuple[int, list[Entry]]:
+        """The whole list with its version."""
+        return self.rev, [entry for _, entry in self.entries.values() if entry.state != "left"]
+
+    def changes(self, since: int) -> tuple[int, list[Entry]]:
+        """What has changed since a version."""
+        return self.rev, [entry for rev, entry in self.entries.values() if rev > since]
+
+    def wrote(self, now: float, rev: int) -> None:
+        """An answer of this version has been written to the node."""
+        for at, row in self._due:
+            if at <= rev:
+                row.written_s = now
+        self._due = [(at, row) for at, row in self._due if at > rev]
+        for uid, (at, entry) in self.entries.items():
+            if at <= rev:
+                self.written[uid] = entry
+        self.written = {uid: e for uid, e in self.written.items() if e.state != "left"}
+
+
+def line(entry: Entry, endpoint: str, zone: str, unix_s: Callable[[float], float]) -> dict[str, Any]:
+    """An entry in discovery's form, with the address that this node is given."""
+    return {
+        "uid": entry.uid,
+        "endpoint": endpoint,
+        "az": zone,
+        "model": entry.kind,
+        "pod_group": entry.cell,
+        "state": entry.state,
+        "capacity_hint": round(entry.weight, 4),
+        "boot_ms": round(unix_s(entry.boot_s) * 1000) if entry.boot_s is not None else 0,
+    }
--- /dev/null
+++ b/cloverhold/rehearsal/faults.py
@@ -0,0 +1,257 @@
+"""The faults that a scenario may name: their keys, and in each first line what it does.
+
+A fault lasts from `at_s` for `for_s` seconds after the start of the load. Faults on servers name their part of
+the fleet in one of three ways: `part` (drawn by the seed), `count` (the same) or `servers` (by name).
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal, Union
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+Spoiling = Literal[
+    "cut",
+    "noise",
+    "noise_behind",
+    "second_copy",
+    "wrong_length",
+    "endless_head",
+    "endless_1xx",
+    "endless_body",
+    "bad_report",
+    "early_1xx",
+]
+Hostility = Literal[
+    "silent",
+    "half_request",
+    "smuggled",
+    "huge_body",
+    "endless_head",
+    "garbage",
+    "bad_lengths",
+    "bad_class",
+    "bad_budget",
+    "no_id",
+    "id_reused",
+    "flood",
+    "again_at_once",
+]
+
+
+class _Fault(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True, populate_by_name=False)
+
+    at_s: Annotated[float, Field(ge=0)]
+    for_s: Annotated[float, Field(gt=0)]
+
+
+class _OnServers(_Fault):
+    part: Annotated[float, Field(gt=0, le=1)] | None = None
+    count: Annotated[int, Field(ge=1)] | None = None
+    servers: Annotated[tuple[str, ...], Field(strict=False)] = ()
+
+    @model_validator(mode="after")
+    def _one_way(self) -> _OnServers:
+        if (self.part is not None) + (self.count is not None) + bool(self.servers) != 1:
+            raise ValueError("exactly one of part, count and servers is allowed")
+        return self
+
+
+class _OnNodes(_Fault):
+    nodes: Annotated[tuple[int, ...], Field(min_length=1, strict=False)] = (0,)
+
+
+class Crash(_OnServers):
+    """Processes die at once: connections are reset, new ones refused; they come back cold after `for_s`."""
+
+    kind: Literal["crash"]
+
+
+class Silent(_OnServers):
+    """Machines go silent: open connections stay open, new ones never come up; back cold after `for_s`."""
+
+    kind: Literal["silent"]
+
+
+class Hang(_OnServers):
+    """Servers take requests and answer none, probes neither; afterwards what they hold goes on."""
+
+    kind: Literal["hang"]
+
+
+class Slow(_OnServers):
+    """Servers need `factor` times as long for everything."""
+
+    kind: Literal["slow"]
+    factor: Annotated[float, Field(gt=1)] = 4.0
+
+
+class HeavyTail(_Fault):
+    """A `share` of one class's requests costs `factor` times the usual work, at any server."""
+
+    kind: Literal["heavy_tail"]
+    class_name: Annotated[str, Field(alias="class")]
+    share: Annotated[float, Field(gt=0, le=1)] = 0.02
+    factor: Annotated[float, Field(gt=1)] = 15.0
+
+
+class QuickErrors(_OnServers):
+    """Servers answer a `share` of what comes with 500 at once, and so look idle."""
+
+    kind: Literal["quick_errors"]
+    share: Annotated[float, Field(gt=0, le=1)] = 1.0
+
+
+class ClassFails(_OnServers):
+    """Servers fail one class (`how`: error, reset, silence) and serve the others well."""
+
+    kind: Literal["class_fails"]
+    class_name: Annotated[str, Field(alias="class")]
+    how: Literal["error", "reset", "silence"] = "error"
+
+
+class Spoil(_OnServers):
+    """A `share` of the answers comes spoilt (`how`), after the request has run."""
+
+    kind: Literal["spoil"]
+    how: Spoiling
+    share: Annotated[float, Field(gt=0, le=1)] = 0.1
+
+
+class IdleDrop(_OnServers):
+    """Servers drop connections that are idle for `after_ms`, long before the time they state."""
+
+    kind: Literal["idle_drop"]
+    after_ms: Annotated[float, Field(gt=0)] = 200.0
+
+
+class Drain(_OnServers):
+    """Servers are listed as leaving, finish what they hold and refuse the rest; they are active again later."""
+
+    kind: Literal["drain"]
+
+
+class Replace(_OnServers):
+    """Servers die; after `gap_s` another one, with a new uid and cold, listens at the same address."""
+
+    kind: Literal["replace"]
+    gap_s: Annotated[float, Field(ge=0)] = 0.5
+
+
+class Join(_Fault):
+    """`count` new, cold servers join the fleet."""
+
+    kind: Literal["join"]
+    count: Annotated[int, Field(ge=1, le=1000)] = 1
+
+
+class RollingRestart(_OnServers):
+    """Servers are drained, die and come back cold, one after the other, spread evenly over `for_s`."""
+
+    kind: Literal["rolling_restart"]
+    drain_s: Annotated[float, Field(ge=0)] = 1.5
+    down_s: Annotated[float, Field(gt=0)] = 0.5
+
+
+class DiscoveryDown(_OnNodes):
+    """Discovery is silent (`how`: silent, refuse, error) towards these nodes."""
+
+    kind: Literal["discovery_down"]
+    how: Literal["silent", "refuse", "error"] = "silent"
+
+
+class DiscoveryStale(_OnNodes):
+    """Discovery goes on answering these nodes and tells nothing new."""
+
+    kind: Literal["discovery_stale"]
+
+
+class NodeKill(_OnNodes):
+    """Nodes are killed outright and start again after `for_s` with nothing but their last list."""
+
+    kind: Literal["node_kill"]
+
+
+class NodeTerm(_OnNodes):
+    """Nodes get SIGTERM, have their time to answer what they took, and start again after `for_s`."""
+
+    kind: Literal["node_term"]
+
+
+class ReloadMove(_OnNodes):
+    """The configuration names another address of discovery and nodes get SIGHUP; the old one closes 1.5 s on."""
+
+    kind: Literal["reload_move"]
+    for_s: Annotated[float, Field(gt=0)] = 1.5
+
+
+class ReloadBroken(_OnNodes):
+    """A configuration that cannot be read replaces the good one and nodes get SIGHUP; put right after `for_s`."""
+
+    kind: Literal["reload_broken"]
+
+
+class Hostile(_Fault):
+    """Clients that keep no rule (`how`) connect at `rate_per_s`, beside the usual ones."""
+
+    kind: Literal["hostile"]
+    how: Hostility
+    rate_per_s: Annotated[float, Field(gt=0, le=1000)] = 5.0
+
+
+Fault = Annotated[
+    Union[
+        Crash,
+        Silent,
+        Hang,
+        Slow,
+        HeavyTail,
+        QuickErrors,
+        ClassFails,
+        Spoil,
+        IdleDrop,
+        Drain,
+        Replace,
+        Join,
+        RollingRestart,
+        DiscoveryDown,
+        DiscoveryStale,
+        NodeKill,
+        NodeTerm,
+        ReloadMove,
+        ReloadBroken,
+        Hostile,
+    ],
+    Field(discriminator="kind"),
+]
+ALL: tuple[type[_Fault], ...] = (
+    Crash,
+    Silent,
+    Hang,
+    Slow,
+    HeavyTail,
+    QuickErrors,
+    ClassFails,
+    Spoil,
+    IdleDrop,
+    Drain,
+    Replace,
+    Join,
+    RollingRestart,
+    DiscoveryDown,
+    DiscoveryStale,
+    NodeKill,
+    NodeTerm,
+    ReloadMove,
+    ReloadBroken,
+    Hostile,
+)
+
+
+def catalogue() -> list[tuple[str, str]]:
+    """Each fault's name and what it does, in a line."""
+    return [
+        (str(kind.model_fields["kind"].annotation.__args__[0]), (kind.__doc__ or "").strip())  # type: ignore[union-attr]
+        for kind in ALL
+    ]
--- /dev/null
+++ b/cloverhold/rehearsal/nodes.py
@@ -0,0 +1,221 @@
+"""Real nodes as an operator starts them: the same program, a configuration file, signals."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import signal
+import sys
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import IO, Any
+
+from cloverhold.rehearsal.agents import Desk
+from cloverhold.rehearsal.catalog import line
+from cloverhold.rehearsal.front import Front
+from cloverhold.rehearsal.ledger import NodeLife
+from cloverhold.rehearsal.scenario import Scenario
+from cloverhold.rehearsal.sockets import LOOPBACK, hold, port_of
+from cloverhold.rehearsal.world import World
+
+COMMAND = (sys.executable, "-m", "cloverhold")
+READY_S = 30.0
+LATE_S = 1.0  # past the time that a node has after SIGTERM, it is killed after this
+TICK_MS = 5.0
+_REPEATS = {"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}
+
+
+class NodeFailed(Exception):
+    """A node that did not start."""
+
+
+def settings(scenario: Scenario, node: int) -> dict[str, Any]:
+    """The settings object of a node's configuration."""
+    nodes, rules, fleet = scenario.nodes, scenario.rules, scenario.fleet
+    cold = [k for k in fleet.kind if k.cold_from < 1 and k.cold_s > 0]
+    return {
+        "Zone": scenario.zone,
+        "Azs": [scenario.zone],
+        "Me": node,
+        "GroupSize": nodes.count,
+        "ResolutionMs": TICK_MS,
+        "RegistryMode": "automatic",
+        "WeightSource": scenario.discovery.weights,
+        "CountedBy": "request",
+        "Clients": {"MarksRetry": True},
+        "Goal": {"Whole": 0.55, "WorstWindow": 0.15, "WorstClass": 0.3, "WorstTenant": 0.0},
+        "Deductions": {"Probe": 0.01, "Waste": 0.04, "LateFail": 0.03, "Connection": 0.03, "Handshake": 0.03},
+        "Limits": {
+            "Probes": nodes.probes, "Cancelling": True, "ParallelTries": False, "RetryAfter": nodes.retry_after,
+            "MaxRetryAfterMs": nodes.max_retry_after_ms, "MaxAttempts": nodes.max_attempts, "MostHeld": 20000,
+            "ConnIdleMs": fleet.idle_s * 1000, "DialTimeoutMs": nodes.dial_timeout_ms, "StreamsPerConn": 1,
+        },
+        "Guarantees": {
+            "AnswerSlackMs": rules.answer_slack_ms, "DrainGraceMs": rules.drain_grace_ms,
+            "FallMultiple": rules.fall_multiple, "FallMs": rules.fall_ms, "MustAskInMs": 10000.0,
+            "ColdFrom": min((k.cold_from for k in cold), default=1.0),
+            "ColdMs": 1000 * max((k.cold_s for k in cold), default=0.0),
+        },
+        "Profiles": [
+            {
+                "Name": c.name, "AimMs": c.aim_ms, "DeadlineMs": c.deadline_ms, "Points": c.worth,
+                "LateWorth": 0.0, "Repeat": _REPEATS[c.repeats], "Group": c.group, "KeyTtlMs": c.key_ttl_ms,
+                "Stream": False,
+            }
+            for c in scenario.classes
+        ],
+        "Projects": [],
+        "Reporting": {"Fields": ["active", "waiting", "rps"], "Via": "probe"},
+    }  # fmt: skip
+
+
+class Node:
+    """One node: its address, its configuration and its processes, one after the other."""
+
+    def __init__(
+        self, world: World, number: int, desk: Desk, front: Front, folder: Path, command: Sequence[str],
+        ended: Callable[[int], None],
+    ) -> None:  # fmt: skip
+        self.world, self.number, self.desk, self.front = world, number, desk, front
+        self.folder, self.command, self.ended = folder, tuple(command), ended
+        self.held = hold()
+        self.port = port_of(self.held)
+        self.path = folder / f"n{number}.json"
+        self.life = -1
+        self.row: NodeLife | None = None
+        self.process: asyncio.subprocess.Process | None = None
+        self.known: list[dict[str, Any]] = []
+        self._log: IO[bytes] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def _text(self) -> str:
+        limits = self.world.scenario.nodes
+        seed = self.world.source("node", self.number, self.life).getrandbits(64)
+        return json.dumps({
+            "name": f"n{self.number}", "listen": f"{LOOPBACK}:{self.port}", "discovery": self.desk.address(),
+            "seed": f"{seed:016x}",
+            "limits": {"cores": limits.cores, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
+            "known": {"rev": self.desk.agent.rev if self.life == 0 else 0, "all": True, "targets": self.known},
+            "settings": settings(self.world.scenario, self.number),
+        })  # fmt: skip
+
+    def write(self, text: str | None = None) -> None:
+        """Replace the configuration file, whole or not at all."""
+        spare = self.path.with_suffix(".new")
+        spare.write_text(self._text() if text is None else text, encoding="utf-8")
+        os.replace(spare, self.path)
+
+    async def start(self) -> None:
+        """Start a process with the list that the last one had. Raises NodeFailed."""
+        self.life += 1
+        now, agent = self.world.now(), self.desk.agent
+        remembered = agent.born(now, self.life)
+        zone, unix = self.world.scenario.zone, self.world.unix_s
+        self.known = [line(e, f"{LOOPBACK}:{self.desk.endpoint(e.uid)}", zone, unix) for e in remembered.values()]
+        row = NodeLife(self.number, self.life, now, {uid: e.state for uid, e in remembered.items()})
+        self.row = row
+        self.world.ledger.rows.append(row)
+        self.write()
+        self._close_log()
+        self._log = open(self.folder / f"n{self.number}.log", "ab")
+        kept = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
+        sockets = self.world.scenario.nodes.sockets
+
+        def limit() -> None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
+            signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
+        try:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.command,
+                env={
+                    **kept, "PROXY_NAME": f"n{self.number}", "PROXY_LISTEN": f"{LOOPBACK}:{self.port}",
+                    "PROXY_DISCOVERY": self.desk.address(), "PROXY_CONFIG": str(self.path),
+                },
+                stdin=asyncio.subprocess.DEVNULL, stdout=self._log, stderr=self._log, preexec_fn=limit,
+            )  # fmt: skip
+        except OSError as error:
+            raise NodeFailed(f"node n{self.number}: {' '.join(self.command)}: {error}") from None
+        self._task(self._watch(self.process, row))
+        self._task(self._until_ready(row))
+
+    def _task(self, work: Any) -> None:
+        task = self.world.loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _watch(self, process: asyncio.subprocess.Process, row: NodeLife) -> None:
+        row.code = await process.wait()
+        row.ended_s = self.world.now()
+        if row.term_s is None:
+            self.front.ends(self.number, self.world.now())
+        self.ended(self.number)
+
+    async def _until_ready(self, row: NodeLife) -> None:
+        """Ask for its health until it is well; then the front takes it in."""
+        while row.ended_s is None and self.row is row:
+            try:
+                reader, writer = await asyncio.open_connection(LOOPBACK, self.port)
+                writer.write(b"GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                said = await reader.readline()
+                writer.transport.abort()
+            except OSError:
+                said = b""
+            if b" 200 " in said:
+                row.ready_s = self.world.now()
+                self.front.ready(self.number)
+                return
+            await asyncio.sleep(0.03)
+
+    def is_up(self) -> bool:
+        """Whether a process runs."""
+        return self.process is not None and self.process.returncode is None
+
+    def kill(self) -> None:
+        """End it outright."""
+        if self.is_up() and self.process is not None and self.row is not None:
+            self.row.killed_s = self.world.now()
+            self.process.kill()
+
+    def term(self, front_after_s: float | None = 0.3) -> None:
+        """A planned stop; the front takes it out a little later. SIGKILL follows if it does not end."""
+        if self.is_up() and self.process is not None and self.row is not None and self.row.term_s is None:
+            self.row.term_s = self.world.now()
+            self.process.terminate()
+            self.front.ends(self.number, self.world.now(), front_after_s)
+            self._task(self._enforce(self.process))
+
+    async def _enforce(self, process: asyncio.subprocess.Process) -> None:
+        longest = max(c.deadline_ms for c in self.world.scenario.classes) / 1000
+        await asyncio.sleep(min(longest, 3.0) + 0.7 + LATE_S)
+        if process.returncode is None:
+            self.kill()
+
+    def hup(self) -> None:
+        """Have it read its configuration again."""
+        if self.is_up() and self.process is not None and self.row is not None:
+            self.row.hups.append(self.world.now())
+            self.process.send_signal(signal.SIGHUP)
+
+    async def gone(self) -> None:
+        """Wait until its process has ended."""
+        if self.process is not None:
+            await self.process.wait()
+
+    async def close(self) -> None:
+        """End what runs, whatever it does, and give the port back."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._close_log()
+        self.held.close()
+
+    def _close_log(self) -> None:
+        if self._log is not None:
+            self._log.close()
+            self._log = None
--- /dev/null
+++ b/cloverhold/rehearsal/roster.py
@@ -0,0 +1,73 @@
+"""What the registry says of the servers, and how late each node's agent hears it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+from cloverhold.rehearsal.agents import Desk
+from cloverhold.rehearsal.catalog import Entry
+from cloverhold.rehearsal.plan import ServerPlan
+from cloverhold.rehearsal.servers import Server
+from cloverhold.rehearsal.world import World
+
+
+class Roster:
+    """The list as the registry has it; its news reach each desk by themselves, late."""
+
+    def __init__(self, world: World, desks: list[Desk], servers: dict[str, Server]) -> None:
+        self.world, self.desks, self.servers = world, desks, servers
+        self.entries: dict[str, Entry] = {}
+        spread = world.scenario.discovery.spread_ms / 1000
+        self.late = [world.source("spread", desk.node).uniform(0.0, spread) for desk in desks]
+        self._timers: set[asyncio.TimerHandle] = set()
+
+    def nominal(self, plan: ServerPlan) -> float:
+        """The weight of a server that holds nothing."""
+        return 1.0 if self.world.scenario.discovery.weights == "none" else plan.speed * plan.kind.cores
+
+    def first(self, plan: ServerPlan) -> None:
+        """List a server that is there from the beginning; every node knows it."""
+        entry = Entry(plan.uid, "active", plan.kind.name, plan.cell, self.nominal(plan))
+        self.entries[plan.uid] = entry
+        for desk in self.desks:
+            desk.agent.put(0.0, entry)
+            desk.agent.wrote(0.0, desk.agent.rev)
+
+    def list_after(self, delay_s: float, plan: ServerPlan, state: str, still: Callable[[], bool]) -> None:
+        """List a server's new state after a time, if that still holds then."""
+
+        def publish() -> None:
+            if still():
+                server = self.servers[plan.uid]
+                self._publish(Entry(plan.uid, state, plan.kind.name, plan.cell, self.nominal(plan), server.boot_s()))
+
+        self._later(delay_s, publish)
+
+    def _later(self, delay_s: float, call: Callable[[], None]) -> None:
+        def fire() -> None:
+            self._timers.discard(handle)
+            call()
+
+        handle = self.world.loop.call_later(max(0.0, delay_s), fire)
+        self._timers.add(handle)
+
+    def _publish(self, entry: Entry) -> None:
+        self.entries[entry.uid] = entry
+        for desk, late in zip(self.desks, self.late, strict=True):
+            self._later(late, lambda desk=desk: desk.put(entry))  # type: ignore[misc]
+
+    def weigh(self) -> None:
+        """Renew the live weights, now and after each period."""
+        for uid, entry in list(self.entries.items()):
+            if entry.state != "left":
+                server = self.servers[uid]
+                held = server.held() / server.plan.kind.cores
+                self._publish(replace(entry, weight=round(self.nominal(server.plan) / (1 + held), 3)))
+        self._later(self.world.scenario.discovery.weight_period_ms / 1000, self.weigh)
+
+    def close(self) -> None:
+        """Nothing more is told."""
+        for timer in list(self._timers):
+            timer.cancel()
--- /dev/null
+++ b/cloverhold/rehearsal/stage.py
@@ -0,0 +1,392 @@
+"""One rehearsal from its first port to its last: starts what is needed, plays the script, ends all of it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+from cloverhold.rehearsal import faults as f
+from cloverhold.rehearsal.agents import Desk
+from cloverhold.rehearsal.clients import Clients
+from cloverhold.rehearsal.front import Front
+from cloverhold.rehearsal.hostile import Strangers
+from cloverhold.rehearsal.ledger import FaultSpan, Lag, Ledger, Probes
+from cloverhold.rehearsal.nodes import COMMAND, READY_S, Node, NodeFailed
+from cloverhold.rehearsal.plan import ServerPlan, Step, make_plan
+from cloverhold.rehearsal.roster import Roster
+from cloverhold.rehearsal.scenario import Scenario
+from cloverhold.rehearsal.servers import Address, Group, Server
+from cloverhold.rehearsal.service import percentile
+from cloverhold.rehearsal.world import World
+
+LEAD_S = 0.2  # between the last node's readiness and the load
+TAIL_S = 1.0  # after the last deadline, for what is late
+LAG_S = 0.01  # the loop's lag is sampled this often
+
+
+@dataclass(slots=True)
+class Progress:
+    """How far a rehearsal is, for those who watch."""
+
+    at_s: float
+    length_s: float
+    sent: int
+    open: int
+    servers_up: int
+    nodes_up: int
+    faults: Sequence[str] = ()
+    lag_ms: float = 0.0
+
+
+class LagMeter:
+    """Samples how late the loop is; a row a second."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.samples: list[float] = []
+        self.last = 0.0
+        self.due = self.second = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Begin to sample."""
+        self.second = self.world.now()
+        self._arm()
+
+    def _arm(self) -> None:
+        self.due = self.world.now() + LAG_S
+        self._timer = self.world.loop.call_later(LAG_S, self._tick)
+
+    def _tick(self) -> None:
+        now = self.world.now()
+        # Timers of the loop are kept in whole ms: less than that says nothing.
+        self.samples.append(max(0.0, 1000 * (now - self.due) - 1.0))
+        if now - self.second >= 1.0:
+            self._row()
+            self.second = now
+        self._arm()
+
+    def _row(self) -> None:
+        self.samples.sort()
+        self.last = percentile(self.samples, 0.99)
+        most = self.samples[-1] if self.samples else 0.0
+        self.world.ledger.rows.append(Lag(self.second, self.last, most, len(self.samples)))
+        self.samples = []
+
+    def close(self) -> None:
+        """Stop, with a row of what was seen last."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self.samples:
+            self._row()
+
+
+class Stage:
+    """The parts of one rehearsal, and the script's steps."""
+
+    def __init__(self, scenario: Scenario, folder: Path, command: Sequence[str]) -> None:
+        self.scenario = scenario
+        self.world = World(scenario, make_plan(scenario))
+        world, nodes = self.world, scenario.nodes.count
+        self.addresses: dict[str, Address] = {}
+        self.servers: dict[str, Server] = {}
+        self.groups: dict[int, Group] = {}
+        self.front = Front(scenario.front.notice_s, world.source("front"))
+        self.desks = [Desk(world, n, lambda uid, n=n: self.addresses[uid].ports[n]) for n in range(nodes)]  # type: ignore[misc]
+        self.nodes = [
+            Node(world, n, self.desks[n], self.front, folder, command, self._node_ended) for n in range(nodes)
+        ]
+        ports = [node.port for node in self.nodes]
+        self.clients = Clients(world, self.front, ports)
+        self.strangers = Strangers(world, self.front, self.clients, ports)
+        self.roster = Roster(world, self.desks, self.servers)
+        self.meter = LagMeter(world)
+        self.stopped = asyncio.Event()
+        self.why = ""
+        self.tasks: list[asyncio.Task[None]] = []
+        for plan in world.plan.servers:
+            self._add(plan)
+
+    def _add(self, plan: ServerPlan, *, at: str = "") -> Server:
+        """A server, at an address of its own or at another's."""
+        address = self.addresses[at] if at else Address(self.scenario.nodes.count)
+        self.addresses[plan.uid] = address
+        group = self.groups.setdefault(plan.cell, Group())
+        server = self.servers[plan.uid] = Server(self.world, plan, address, group, replaces=at)
+        return server
+
+    # ---------------------------------------------------------------------------------------------- running
+
+    def stop(self, why: str) -> None:
+        """End the rehearsal early; its report will say so."""
+        if not self.stopped.is_set():
+            self.why = why
+            self.stopped.set()
+
+    def _node_ended(self, number: int) -> None:
+        row = self.nodes[number].row
+        if row is not None and row.term_s is None and row.killed_s is None:
+            self.front.ends(number, self.world.now())
+            self.stop(f"node n{number} ended by itself, status {row.code}")
+
+    async def ready(self) -> None:
+        """Start discovery and the nodes; wait until each has said that it is well. Raises NodeFailed."""
+        for plan in self.world.plan.servers:
+            self.roster.first(plan)
+        for desk in self.desks:
+            desk.listen()
+        for node in self.nodes:
+            await node.start()
+        until = self.world.now() + READY_S
+        while not all(node.row is not None and node.row.ready_s is not None for node in self.nodes):
+            if self.stopped.is_set():
+                raise NodeFailed(self.why)
+            if self.world.now() > until:
+                raise NodeFailed(f"a node was not ready within {READY_S:g} s")
+            await asyncio.sleep(0.02)
+
+    async def play(self) -> None:
+        """The load and the script, to the end or until it is stopped."""
+        self.world.begin(LEAD_S)
+        for plan in self.world.plan.servers:
+            self.servers[plan.uid].start(cold=False)
+        self.meter.start()
+        if self.scenario.discovery.weights == "live":
+            self.roster.weigh()
+        for at, fault in enumerate(self.scenario.faults):
+            targets = sorted({s.target for s in self.world.plan.steps if s.fault == at})
+            span = FaultSpan(fault.kind, fault.at_s, fault.at_s + fault.for_s, targets)
+            self.world.ledger.rows.append(span)
+        create = self.world.loop.create_task
+        self.tasks = [create(self.clients.run()), create(self._script()), create(self.strangers.run())]
+        finished = create(self._finished())
+        stopped = create(self._until_stopped())
+        try:
+            await asyncio.wait([finished, stopped], return_when=asyncio.FIRST_COMPLETED)
+            for task in (*self.tasks, finished):
+                if task.done() and not task.cancelled() and (error := task.exception()) is not None:
+                    raise error
+        finally:
+            for task in (finished, stopped):
+                task.cancel()
+            await asyncio.gather(finished, stopped, return_exceptions=True)
+
+    async def _until_stopped(self) -> None:
+        await self.stopped.wait()
+
+    async def _finished(self) -> None:
+        """All is sent, and has its answer or is past its time."""
+        longest = max(c.deadline_ms for c in self.scenario.classes) / 1000
+        await asyncio.sleep(max(0.0, self.scenario.length_s - self.world.now()))
+        until = self.world.now() + longest + TAIL_S
+        while self.world.now() < until and not (self.clients.idle_now() and not self.strangers.tasks):
+            if any(task.done() and not task.cancelled() and task.exception() for task in self.tasks):
+                return
+            await asyncio.sleep(0.05)
+
+    async def end(self) -> Ledger:
+        """A planned stop of the nodes, and the ledger."""
+        ledger = self.world.ledger
+        ledger.partial, ledger.ended_s = self.why, self.world.now()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.strangers.close()
+        await self.clients.close()
+        if not self.why:
+            for node in self.nodes:
+                node.term()
+            await asyncio.gather(*(node.gone() for node in self.nodes))
+        self.meter.close()
+        for server in self.servers.values():
+            for number, count in sorted(server.probes.items()):
+                ledger.rows.append(Probes(server.plan.uid, number, count))
+        return ledger
+
+    async def close(self) -> None:
+        """End every child and give back every port, whatever state they are in."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await asyncio.gather(*(node.close() for node in self.nodes))
+        await self.strangers.close()
+        await self.clients.close()
+        self.roster.close()
+        self.meter.close()
+        for server in self.servers.values():
+            server.close()
+        for desk in self.desks:
+            desk.close()
+        for address in {id(a): a for a in self.addresses.values()}.values():
+            address.close()
+        await asyncio.sleep(0)  # transports that were aborted close their sockets in the next turn
+
+    def progress(self) -> Progress:
+        """How far it is."""
+        now = self.world.now()
+        faults = [x.kind for x in self.scenario.faults if x.at_s <= now < x.at_s + x.for_s]
+        return Progress(
+            at_s=now, length_s=self.scenario.length_s, sent=self.clients.sent, open=len(self.clients.pending),
+            servers_up=sum(s.machine is not None and not s.silent for s in self.servers.values()),
+            nodes_up=sum(node.is_up() for node in self.nodes), faults=faults, lag_ms=self.meter.last,
+        )  # fmt: skip
+
+    # ----------------------------------------------------------------------------------------------- script
+
+    async def _script(self) -> None:
+        for step in self.world.plan.steps:
+            wait = step.at_s - self.world.now()
+            if wait > 0:
+                await asyncio.sleep(wait)
+            await self._do(step)
+
+    async def _do(self, step: Step) -> None:
+        if step.what in _ON_SERVERS:
+            _ON_SERVERS[step.what](self, self.servers[step.target], step)
+        elif step.what in _ON_FLEET:
+            _ON_FLEET[step.what](self, step)
+        elif step.what in _ON_DESKS:
+            _ON_DESKS[step.what](self, self.desks[int(step.target[1:])], step)
+        else:
+            await self._on_node(self.nodes[int(step.target[1:])], step)
+
+    def _die(self, server: Server, step: Step) -> None:
+        server.causes.add(step.fault)
+        life = server.life
+        server.end("crash")
+        self._list_down(server, life)
+
+    def _list_down(self, server: Server, life: int) -> None:
+        notice = self.scenario.discovery.notice_s
+        self.roster.list_after(notice, server.plan, "left", lambda: server.life == life)
+
+    def _die_for_good(self, server: Server, step: Step) -> None:
+        server.causes.add(step.fault)
+        server.end("replaced")
+        self.roster.list_after(self.scenario.discovery.notice_s, server.plan, "left", lambda: True)
+
+    def _silence(self, server: Server, step: Step) -> None:
+        server.causes.add(step.fault)
+        life = server.life
+        server.fall_silent()
+        notice = self.scenario.discovery.silent_notice_s
+        self.roster.list_after(notice, server.plan, "left", lambda: server.life == life)
+
+    def _return(self, server: Server, step: Step) -> None:
+        """It comes back cold, unless something else keeps it down."""
+        server.causes.discard(step.fault)
+        if server.causes:
+            return
+        server.end("crash")
+        server.start(cold=True)
+        self._list_up(server)
+
+    def _list_up(self, server: Server) -> None:
+        life = server.life
+        notice = self.scenario.discovery.notice_s
+
+        def same() -> bool:
+            return server.life == life and server.machine is not None and not server.leaving
+
+        self.roster.list_after(notice, server.plan, "active", same)
+
+    def _leave(self, server: Server, step: Step) -> None:
+        server.leaving = True
+        self.roster.list_after(0.0, server.plan, "leaving", lambda: server.leaving)
+
+    def _rejoin(self, server: Server, step: Step) -> None:
+        server.leaving = False
+        if server.machine is not None:
+            self._list_up(server)
+
+    def _replace(self, step: Step) -> None:
+        assert step.other is not None
+        self.servers[step.target].end("replaced")
+        self._add(step.other, at=step.target)
+        self.servers[step.other.uid].start(cold=True)
+        self._list_up(self.servers[step.other.uid])
+
+    def _join(self, step: Step) -> None:
+        assert step.other is not None
+        self._add(step.other).start(cold=True)
+        self._list_up(self.servers[step.other.uid])
+
+    def _down(self, desk: Desk, step: Step) -> None:
+        fault = self.scenario.faults[step.fault]
+        assert isinstance(fault, f.DiscoveryDown)
+        desk.fail(step.fault, fault.how)
+
+    async def _on_node(self, node: Node, step: Step) -> None:
+        match step.what:
+            case "node_kill":
+                node.kill()
+            case "node_term":
+                node.term()
+            case "node_start":
+                await node.gone()
+                await node.start()
+            case "reload_move":
+                node.desk.move()
+                node.write()
+                node.hup()
+            case "reload_broken":
+                node.write('{"listen": ')
+                node.hup()
+            case "reload_mended":
+                node.write()
+                node.hup()
+            case _:
+                raise ValueError(f"no such step: {step.what}")
+
+
+_ON_SERVERS: dict[str, Callable[[Stage, Server, Step], None]] = {
+    "die": Stage._die,
+    "die_for_good": Stage._die_for_good,
+    "silence": Stage._silence,
+    "return": Stage._return,
+    "leave": Stage._leave,
+    "rejoin": Stage._rejoin,
+    "behave": lambda stage, server, step: server.behave(step.fault, stage.scenario.faults[step.fault]),
+    "behave_again": lambda stage, server, step: server.behave_again(step.fault),
+}
+_ON_FLEET: dict[str, Callable[[Stage, Step], None]] = {"replace": Stage._replace, "join": Stage._join}
+_ON_DESKS: dict[str, Callable[[Stage, Desk, Step], None]] = {
+    "discovery_down": Stage._down,
+    "discovery_up": lambda stage, desk, step: desk.mend(step.fault),
+    "discovery_stale": lambda stage, desk, step: desk.freeze(step.fault, on=True),
+    "discovery_fresh": lambda stage, desk, step: desk.freeze(step.fault, on=False),
+    "discovery_old_closes": lambda stage, desk, step: desk.close_old(),
+}
+
+
+@asynccontextmanager
+async def staged(scenario: Scenario, folder: Path, command: Sequence[str] = COMMAND) -> AsyncIterator[Stage]:
+    """A stage that is cleared whatever happens on it."""
+    stage = Stage(scenario, folder, command)
+    try:
+        yield stage
+    finally:
+        await stage.close()
+
+
+async def rehearse(
+    scenario: Scenario,
+    folder: Path,
+    command: Sequence[str] = COMMAND,
+    *,
+    started: Callable[[Stage], object] = lambda stage: None,
+) -> Ledger:
+    """Play a scenario; `started` gets the stage before anything runs on it. Raises NodeFailed."""
+    async with staged(scenario, folder, command) as stage:
+        started(stage)
+        gc.freeze()
+        with contextlib.ExitStack() as undo:
+            undo.callback(gc.unfreeze)
+            await stage.ready()
+            await stage.play()
+            return await stage.end()
--- /dev/null
+++ b/cloverhold/rehearsal/wire.py
@@ -0,0 +1,64 @@
+"""The bytes of the usual clients' requests, as PROTOCOL words them, and how a server knows them again.
+
+Bodies follow from ids, so that either side can check what it was sent without asking the other.
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from dataclasses import dataclass
+
+from cloverhold.rehearsal.scenario import Class
+
+
+@dataclass(frozen=True, slots=True)
+class Known:
+    """What a server may expect of an id."""
+
+    class_name: str
+    method: str
+    target: str
+    key: str | None
+    work_ms: float
+    body_bytes: int
+
+
+def digest(body: bytes) -> str:
+    """A short digest of a body."""
+    return blake2b(body, digest_size=8).hexdigest()
+
+
+def body_of(name: str, size: int) -> bytes:
+    """The body that goes with an id."""
+    return (name.encode() * (size // len(name) + 1))[:size]
+
+
+def answer_of(name: str, server: str, life: int, run: int, size: int) -> bytes:
+    """The body of a server's answer; no two executions have the same."""
+    head = f'{{"id":"{name}","server":"{server}","life":{life},"run":{run},"pad":"'.encode()
+    return head + b"." * max(0, size - len(head) - 2) + b'"}'
+
+
+def expected(kind: Class, subject: str, key: str | None, work_ms: float) -> Known:
+    """What a request of this class is like."""
+    method = "GET" if kind.repeats == "safe" else "POST"
+    size = 0 if method == "GET" else kind.body_bytes
+    return Known(kind.name, method, f"/{kind.name}?sid={subject}", key, work_ms, size)
+
+
+def request_bytes(name: str, known: Known, budget_s: float, *, retry: bool) -> bytes:
+    """A request as the usual clients send it."""
+    lines = [
+        f"{known.method} {known.target} HTTP/1.1",
+        "Host: api.internal",
+        f"X-Call-Id: {name}",
+        f"X-Call-Class: {known.class_name}",
+        f"X-Budget: {max(1, round(budget_s * 1e6))}u",
+    ]
+    if retry:
+        lines.append("X-Again: 1")
+    if known.key is not None:
+        lines.append(f"Idempotency-Key: {known.key}")
+    if known.method == "POST":
+        lines.append(f"Content-Length: {known.body_bytes}")
+    return "\r\n".join([*lines, "", ""]).encode() + body_of(name, known.body_bytes)
--- /dev/null
+++ b/tests/layout.py
@@ -0,0 +1,73 @@
+"""Checks of the tree itself: the bounds on the policy files, and who may import whom. Run by `make lint`."""
+
+from __future__ import annotations
+
+import ast
+import sys
+import tomllib
+from collections.abc import Iterator
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+POLICY_LINES, WIDEST = 1200, 110
+IO_MODULES = {"asyncio", "socket", "select", "selectors", "ssl", "uvloop", "httptools", "subprocess"}
+# Modules that decide or judge: neither they nor what they import may do I/O.
+PURE = (
+    "cloverhold/decide.py", "cloverhold/interface.py", "cloverhold/checks.py", "cloverhold/settings.py",
+    *(f"cloverhold/rehearsal/{name}.py" for name in (
+        "scenario", "faults", "plan", "machine", "catalog", "front", "ledger", "judge", "service", "wire",
+    )),
+)  # fmt: skip
+NODE = ("cloverhold/__main__.py", "cloverhold/net", "cloverhold/decide.py", "cloverhold/benchlink.py")
+
+
+def imports(path: Path) -> Iterator[str]:
+    """The modules that a file imports."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (name.name for name in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            yield node.module
+            yield from (f"{node.module}.{name.name}" for name in node.names)
+
+
+def _file(module: str) -> Path | None:
+    path = ROOT / (module.replace(".", "/") + ".py")
+    return path if path.exists() else None
+
+
+def reached(path: Path, seen: set[Path]) -> Iterator[tuple[Path, str]]:
+    """All imports of a file and of the project's files that it imports."""
+    if path in seen:
+        return
+    seen.add(path)
+    for module in imports(path):
+        yield path, module
+        inner = _file(module)
+        if inner is not None:
+            yield from reached(inner, seen)
+
+
+def faults() -> Iterator[str]:
+    """What is wrong with the tree, a line each."""
+    deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
+    policy = [line for name in deploy["policy"] for line in (ROOT / name).read_text().splitlines()]
+    count, widest = sum(bool(line.strip()) for line in policy), max(map(len, policy))
+    if count > POLICY_LINES or widest > WIDEST:
+        yield f"policy: {count} lines that are not blank ({POLICY_LINES} at most), widest {widest} ({WIDEST})"
+    for name in PURE:
+        for path, module in reached(ROOT / name, set()):
+            if module.split(".")[0] in IO_MODULES:
+                yield f"{name} does no I/O, but {path.relative_to(ROOT)} imports {module}"
+    for name in NODE:
+        files = sorted((ROOT / name).glob("*.py")) if (ROOT / name).is_dir() else [ROOT / name]
+        for file in files:
+            for path, module in reached(file, set()):
+                if module.startswith("cloverhold.rehearsal"):
+                    yield f"the node imports the kit: {path.relative_to(ROOT)} imports {module}"
+
+
+if __name__ == "__main__":
+    found = list(faults())
+    print("\n".join(found) or "layout: good")
+    sys.exit(bool(found))
