--- a/cloverhold/rehearsal/agents.py
+++ b/cloverhold/rehearsal/agents.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from cloverhold.rehearsal.catalog import Agent, Entry, line
+from cloverhold.rehearsal.catalog import Agent, Counter, Entry, line
 from cloverhold.rehearsal.peer import answer
 from cloverhold.rehearsal.sockets import LOOPBACK, hold, listen, port_of
 from cloverhold.rehearsal.world import World
@@ -22,8 +22,9 @@
 class Desk:
     """One node's discovery: its agent's state, two addresses, and what is wrong with it."""
 
-    def __init__(self, world: World, node: int, endpoint: Callable[[str], int]) -> None:
+    def __init__(self, world: World, node: int, endpoint: Callable[[str], int], counter: Counter | None = None) -> None:
         self.world, self.node, self.endpoint = world, node, endpoint
+        self.counter = counter  # None: what the agent has costs nothing
         self.agent = Agent(node, world.ledger.rows.append)
         self.held = [hold(), hold()]
         self.ports = [port_of(h) for h in self.held]
@@ -214,9 +215,22 @@
         if self.desk.down:
             self.unheard = True
             return
+        counter, now = self.desk.counter, self.desk.world.now()
+        if counter is None:
+            self._write()
+            return
+        lines = self.desk.agent.whole() if self.since is None else self.desk.agent.changes(self.since)
+        wait = counter.take(now, len(lines[1]))
+        if wait is None:
+            self._put(answer("503 Service Unavailable", b""))
+        else:
+            self._timer = self.desk.world.loop.call_later(wait, self._write)
+
+    def _write(self) -> None:
         rev, body = self.desk.told(self.since)
         self._put(answer("200 OK", body))
-        self.desk.agent.wrote(self.desk.world.now(), rev)
+        if self.transport is not None:
+            self.desk.agent.wrote(self.desk.world.now(), rev)
 
     def _put(self, data: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
--- a/cloverhold/rehearsal/catalog.py
+++ b/cloverhold/rehearsal/catalog.py
@@ -95,6 +95,22 @@
         self.written = {uid: e for uid, e in self.written.items() if e.state != "left"}
 
 
+class Counter:
+    """Discovery that is asked: one service for all nodes, which works through calls in turn."""
+
+    def __init__(self, lines_per_s: float, call_lines: float, timeout_s: float) -> None:
+        self.lines_per_s, self.call_lines, self.timeout_s = lines_per_s, call_lines, timeout_s
+        self.free_at = 0.0
+
+    def take(self, now: float, lines: int) -> float | None:
+        """After how many seconds a call for so many lines is answered; None where it would wait too long."""
+        begin = max(now, self.free_at)
+        if begin - now > self.timeout_s:
+            return None
+        self.free_at = begin + (self.call_lines + lines) / self.lines_per_s
+        return self.free_at - now
+
+
 def line(entry: Entry, endpoint: str, zone: str, unix_s: Callable[[float], float]) -> dict[str, Any]:
     """An entry in discovery's form, with the address that this node is given."""
     return {
--- a/cloverhold/rehearsal/ledger.py
+++ b/cloverhold/rehearsal/ledger.py
@@ -136,6 +136,18 @@
     ended_s: float | None = None
     code: int | None = None  # exit status; negative: the signal
     hups: list[float] = field(default_factory=list)
+    why: str = ""  # it was ended for, as the platform would: "memory"
+
+
+@dataclass(slots=True)
+class Usage:
+    """What a node's process held at one time."""
+
+    node: int
+    at_s: float
+    memory_mb: float  # resident
+    descriptors: int
+    cpu_ms: float  # since its start
 
 
 @dataclass(slots=True)
@@ -193,9 +205,9 @@
     samples: int
 
 
-Row = Try | Arrival | Life | Told | NodeLife | Stranger | Dial | Probes | FaultSpan | Lag
+Row = Try | Arrival | Life | Told | NodeLife | Usage | Stranger | Dial | Probes | FaultSpan | Lag
 _ROWS: dict[str, type[Any]] = {
-    "try": Try, "arrival": Arrival, "life": Life, "told": Told, "node": NodeLife, "stranger": Stranger,
+    "try": Try, "arrival": Arrival, "life": Life, "told": Told, "node": NodeLife, "usage": Usage, "stranger": Stranger,
     "dial": Dial, "probes": Probes, "fault": FaultSpan, "lag": Lag,
 }  # fmt: skip
 _NAMES = {kind: name for name, kind in _ROWS.items()}
--- a/cloverhold/rehearsal/page.py
+++ b/cloverhold/rehearsal/page.py
@@ -36,7 +36,8 @@
     axes[-1].set_xlim(0, end)
     figure.tight_layout()
     out = io.StringIO()
-    figure.savefig(out, format="svg")
+    # Without its metadata, which would name places on the net.
+    figure.savefig(out, format="svg", metadata=dict.fromkeys(("Creator", "Date", "Format", "Type")))
     return out.getvalue()[out.getvalue().index("<svg") :]
 
 
--- a/cloverhold/rehearsal/peer.py
+++ b/cloverhold/rehearsal/peer.py
@@ -210,6 +210,9 @@
                 self._probed(self.open)
 
     def _probed(self, request: Request) -> None:
+        if not self.world.scenario.nodes.probes:
+            self._end(answer("404 Not Found", b""))
+            return
         self.server.probe(self.node)
         if self.server.hangs():
             return
@@ -218,7 +221,7 @@
         elif self.server.leaving:
             self._end(answer("503 Service Unavailable", b""))
         else:
-            self._end(answer("200 OK", self.server.report()))
+            self._end(answer("200 OK", b"" if self.world.scenario.fleet.reports == "none" else self.server.report()))
 
     def _begin(self, request: Request) -> None:
         server, arrival = self.server, request.arrival
@@ -288,7 +291,9 @@
         how = server.spoils()
         if how is None:
             arrival.outcome = "served"
-            self._end(answer("200 OK", body))
+            told = self.world.scenario.fleet.reports == "answers"
+            extra = (f"X-Load-Report: {server.report().decode()}",) if told else ()
+            self._end(answer("200 OK", body, *extra))
         else:
             self._spoil(request, body, how)
 
--- /dev/null
+++ b/tests/rehearsal/test_judge.py
@@ -0,0 +1,312 @@
+"""The judge: each breach by hand, and generated ledgers against a second, slow reading of the rules."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+import second_reading
+from cloverhold.rehearsal.judge import judge
+from cloverhold.rehearsal.ledger import (
+    OUTCOMES,
+    Answer,
+    Arrival,
+    Lag,
+    Ledger,
+    LedgerError,
+    Life,
+    NodeLife,
+    Row,
+    Stranger,
+    Told,
+    Try,
+    lines,
+    read,
+)
+from small import CLASSES, small
+
+CLASS_OF = {"safe": "consulta", "unsafe": "alerta-umbral", "keyed": "lote"}
+KEYED_MS = 1505.0  # no multiple of the grid of the generated times: a tie would be read either way
+SCENARIO = small(
+    rules={"fall_ms": 1505.0},
+    **{"class": [{**k, **({"key_ttl_ms": KEYED_MS} if k["repeats"] == "keyed" else {})} for k in CLASSES]},
+)
+
+
+def ledger(*rows: Row, nodes: int = 1, **changes: Any) -> Ledger:
+    lives = [NodeLife(n, 0, -1.0, {"s0": "active", "s1": "active"}, ready_s=-0.5) for n in range(nodes)]
+    return Ledger("small", 1, rows=[*lives, *rows], ended_s=9.0, **changes)
+
+
+def a_try(kind: str = "safe", **changes: Any) -> Try:
+    row = Try("r", 0, 0, CLASS_OF[kind], None, 0, 0, 1, True, 1.0, 0.8, sent_s=1.0)
+    return replaced(row, changes)
+
+
+def replaced(row: Any, changes: dict[str, Any]) -> Any:
+    for name, value in changes.items():
+        setattr(row, name, value)
+    return row
+
+
+def arrival(at: float = 1.0, server: str = "s0", **changes: Any) -> Arrival:
+    row = Arrival(server, 0, 0, 0, 1, "r", "", None, at, at, outcome="served", executed=True, digest="d", work_ms=10.0)
+    row.ended_s = row.closed_s = at + 0.1
+    return replaced(row, changes)
+
+
+GOOD = Answer(1.2, 200, "d")
+HELD = {"outcome": "held", "ended_s": None, "closed_s": None, "digest": ""}
+
+
+def broken(seen: Ledger) -> dict[str, str]:
+    """The rules that are broken, with what is said of each."""
+    return {name: found[0].what for name, found in judge(SCENARIO, seen).rules.items() if found}
+
+
+@pytest.mark.parametrize(
+    ("said", "rows"),
+    [
+        # Kept.
+        ({}, [a_try(answers=[GOOD]), arrival()]),
+        ({}, [a_try(answers=[Answer(1.85, 502, "")]), arrival(outcome="reset")]),
+        ({}, [a_try(left_s=1.3)]),
+        ({}, [a_try(ended_s=1.05, ended="closed")]),  # crossed the close of a kept connection
+        ({}, [a_try(ended_s=1.5, ended="closed", reused=False)]),  # the first on its connection
+        ({}, [a_try(sent_s=None, ended_s=1.0, ended="refused")]),
+        ({}, [a_try(watched_s=1.4)]),  # the rehearsal ended before its limit
+        ({}, [a_try(answers=[Answer(1.3, 200, "", whole=False)]), arrival(outcome="spoilt")]),
+        # One answer in the client's time.
+        ({"one_answer": "no answer"}, [a_try(watched_s=2.2)]),
+        ({"one_answer": "answered 130 ms late"}, [a_try(answers=[Answer(2.0, 502, "")])]),
+        ({"one_answer": "answered 2 times"}, [a_try(answers=[GOOD, Answer(1.3, 0, "")]), arrival()]),
+        ({"one_answer": "served with what no server made for it"}, [a_try(answers=[Answer(1.2, 200, "x")]), arrival()]),
+        (
+            {"one_answer": "a kept connection ended with the request on it unanswered"},
+            [a_try(ended_s=1.2, ended="closed")],
+        ),
+        (
+            {"one_answer": "its connection ended with no answer, though it had been sent on"},
+            [a_try(ended_s=1.05, ended="closed"), arrival()],
+        ),
+        (
+            {"one_answer": "an answer was cut though no server's was"},
+            [a_try(answers=[Answer(1.3, 200, "", whole=False)]), arrival()],
+        ),
+        (
+            {"one_answer": "sent to a server after its answer"},
+            [a_try(answers=[Answer(1.2, 502, "")]), arrival(1.4)],
+        ),
+        (
+            {"one_answer": "a client that keeps no rule (bad_class) was served"},
+            [Stranger("bad_class", 0, 1.0, ["h0"], statuses=[200], first_answer_s=1.1)],
+        ),
+        # No effect twice.
+        (
+            {"no_repeat": "two attempts out at once, the other at s0"},
+            [a_try(answers=[Answer(1.7, 200, "d")]), arrival(**HELD), arrival(1.3, "s1")],
+        ),
+        (
+            {"no_repeat": "an unsafe request was sent again, after it may have run at s0"},
+            [a_try("unsafe", answers=[Answer(1.7, 200, "d")]), arrival(outcome="reset"), arrival(1.3, "s1")],
+        ),
+        ({}, [a_try("unsafe", answers=[Answer(1.7, 200, "d")]), arrival(outcome="rejected"), arrival(1.3, "s1")]),
+        ({}, [a_try("safe", answers=[Answer(1.7, 200, "d")]), arrival(outcome="reset"), arrival(1.3, "s1")]),
+        ({}, [a_try("keyed", answers=[Answer(1.7, 200, "d")]), arrival(outcome="reset"), arrival(1.3, "s1")]),
+        (
+            {"no_repeat": "a keyed request that may have run at s0 was sent outside its group"},
+            [a_try("keyed", answers=[Answer(1.7, 200, "d")]), arrival(outcome="reset"), arrival(1.3, "s2", cell=1)],
+        ),
+        (
+            {"no_repeat": "a keyed request was sent again, 1.60 s after the first"},
+            [
+                a_try("keyed", budget_s=2.0, answers=[Answer(2.8, 200, "d")]),
+                arrival(outcome="reset"),
+                arrival(2.6, "s1"),
+            ],
+        ),
+        (
+            {"no_repeat": "refused, which promises that it never ran, after it may have run"},
+            [a_try("unsafe", answers=[Answer(1.3, 503, "")]), arrival(outcome="reset")],
+        ),
+        ({}, [a_try("unsafe", answers=[Answer(1.3, 503, "")]), arrival(outcome="rejected")]),
+        ({}, [a_try("safe", answers=[Answer(1.3, 503, "")]), arrival(outcome="reset")]),
+        ({"no_repeat": "sent on what no client asked for"}, [arrival(outcome="unknown", id="h0-hidden")]),
+        # Drains.
+        (
+            {"drains_kept": "sent 0.70 s after the node was told that it is unwanted"},
+            [a_try(answers=[GOOD]), arrival(), Told(0, 0, "s0", "leaving", None, 0.2, 0.3)],
+        ),
+        ({}, [a_try(answers=[GOOD]), arrival(), Told(0, 0, "s0", "leaving", None, 0.2, 0.5)]),
+        ({}, [a_try(answers=[GOOD]), arrival(), Told(0, 0, "s0", "leaving", None, 0.2, None)]),
+        ({}, [a_try(answers=[GOOD]), arrival(), Told(1, 0, "s0", "leaving", None, 0.2, 0.3)]),
+        (
+            {"drains_kept": "sent 2.00 s after the node was told that it is unwanted"},  # told without being heard
+            [a_try(answers=[GOOD]), arrival(), Told(0, 0, "s0", "left", None, -8.0, None)],
+        ),
+        (
+            {"drains_kept": "sent 1.00 s after the node was told that it is unwanted"},  # by a reload 4 s before
+            [
+                NodeLife(0, 1, -6.0, {"s0": "active"}, hups=[-4.0]),
+                a_try(answers=[GOOD], node_life=1),
+                arrival(),
+                Told(0, 1, "s0", "left", None, -4.9, None),
+            ],
+        ),
+        (
+            {},
+            [
+                a_try(answers=[GOOD]),
+                arrival(),
+                Told(0, 0, "s0", "leaving", None, 0.2, 0.3),
+                Told(0, 0, "s0", "active", None, 0.8, 0.9),
+            ],
+        ),
+        (
+            {"drains_kept": "sent 0.70 s after the node was told that it is unwanted"},  # by its old address
+            [
+                Life("s0r", 0, 0, 1.0, 1.0, 0.0, 0.0, replaces="s0"),
+                a_try(answers=[GOOD]),
+                arrival(server="s0r"),
+                Told(0, 0, "s0", "left", None, 0.2, 0.3),
+            ],
+        ),
+        # Cold servers.
+        (
+            {"cold_kept": "4000 ms of work within 1.505 s, 0.50 s after its start"},
+            [
+                Life("s0", 1, 0, 1.0, 0.4, 6.0, 0.5),
+                Told(0, 0, "s0", "active", 0.5, 0.6, 0.6),
+                a_try(answers=[GOOD]),
+                arrival(life=1, work_ms=4000.0),
+            ],
+        ),
+        (  # nobody knew
+            {},
+            [Life("s0", 1, 0, 1.0, 0.4, 6.0, 0.5), a_try(answers=[GOOD]), arrival(life=1, work_ms=4000.0)],
+        ),
+    ],
+)
+def test_each_breach_is_seen_and_nothing_else(said: dict[str, str], rows: list[Row]) -> None:
+    assert broken(ledger(*rows)) == said
+
+
+def test_what_a_killed_node_held_is_its_clients_to_repeat() -> None:
+    seen = ledger(a_try(ended_s=1.3, ended="reset"), arrival(**HELD))
+    assert "one_answer" in broken(seen)
+    seen.of(NodeLife)[0].killed_s = seen.of(NodeLife)[0].ended_s = 1.3
+    assert broken(seen) == {}
+    seen.of(NodeLife)[0].term_s = 1.0  # killed too soon after SIGTERM
+    assert broken(seen) == {}
+    seen.of(NodeLife)[0].killed_s, seen.of(Try)[0].budget_s = 4.0, 4.0
+    assert "SIGTERM" in broken(seen)["one_answer"]
+
+
+def test_a_crash_a_missed_goal_and_a_late_kit_each_have_their_exit_code() -> None:
+    good = ledger(a_try(answers=[GOOD]), arrival())
+    assert judge(SCENARIO, good).exit_code() == 0
+    good.rows.append(Lag(1.0, 90.0, 95.0, 100))
+    assert (judge(SCENARIO, good).exit_code(), "kit ran late" in judge(SCENARIO, good).void) == (3, True)
+    good.rows[-1] = Lag(1.0, 5.0, 400.0, 100)
+    assert "up to 400 ms" in judge(SCENARIO, good).void
+    good.rows.pop()
+    high = SCENARIO.model_copy(update={"goals": SCENARIO.goals.model_copy(update={"service": 0.99})})
+    assert (judge(high, good).exit_code(), len(judge(high, good).goals)) == (1, 1)
+    good.of(NodeLife)[0].ended_s, good.of(NodeLife)[0].code = 2.0, 1
+    assert judge(SCENARIO, good).crashes == ["node n0 ended by itself at 2.00 s, status 1"]
+    assert judge(SCENARIO, good).exit_code() == 1
+    assert judge(SCENARIO, ledger(partial="interrupted by SIGINT")).exit_code() == 3
+
+
+# ------------------------------------------------------------------------------------- generated ledgers
+
+# Times of one sort share their last digit, so that no two that are compared lie just at a limit.
+tick = st.integers(0, 300).map(lambda n: n / 100)
+
+
+@st.composite
+def rows(draw: st.DrawFn) -> list[Row]:
+    out: list[Row] = []
+    for number in range(draw(st.integers(1, 4))):
+        name, kind = f"r{number}", draw(st.sampled_from(sorted(CLASS_OF)))
+        sent = draw(tick)
+        row = Try(name, number, 0, CLASS_OF[kind], None, draw(st.integers(0, 1)), 0, number, draw(st.booleans()),
+                  sent, 0.8, sent_s=sent, watched_s=9.0)  # fmt: skip
+        for at in sorted(draw(st.lists(st.integers(0, 120), max_size=2))):
+            answer = Answer(sent + at / 100 + 0.006, draw(st.sampled_from([200, 200, 502, 503])),
+                            draw(st.sampled_from(["d", "x"])), draw(st.booleans()))  # fmt: skip
+            row.answers.append(answer)
+        if not row.answers and draw(st.booleans()):
+            row.ended_s, row.ended = sent + draw(st.integers(0, 30)) / 100 + 0.006, "closed"
+        if draw(st.integers(0, 5)) == 0:
+            row.left_s = sent + draw(st.integers(0, 100)) / 100 + 0.006
+        out.append(row)
+        out.extend(_arrivals(draw, name, sent))
+    for _ in range(draw(st.integers(0, 4))):
+        due = draw(tick) - 6.5 * draw(st.integers(0, 1)) + 0.001
+        written = due + draw(st.integers(0, 100)) / 100 + 0.001 if draw(st.booleans()) else None
+        state = draw(st.sampled_from(["active", "leaving", "left"]))
+        boot = 0.5 if state == "active" and draw(st.booleans()) else None
+        out.append(Told(draw(st.integers(0, 1)), 0, draw(st.sampled_from(["s0", "s1"])), state, boot, due, written))
+    out.append(Life("s0", 1, 0, 1.0, 0.4, 6.0, 0.5))
+    return out
+
+
+def _arrivals(draw: st.DrawFn, name: str, sent: float) -> list[Arrival]:
+    out, used = [], set()
+    for _ in range(draw(st.integers(0, 3))):
+        offset = draw(st.integers(0, 200))
+        if offset in used:
+            continue
+        used.add(offset)
+        at = sent + offset / 100 + 0.003
+        server = draw(st.sampled_from(["s0", "s1", "s2"]))
+        row = Arrival(server, draw(st.integers(0, 1)), int(server == "s2"), draw(st.integers(0, 1)), 1, name, "", None,
+                      at, at if draw(st.integers(0, 5)) else None,
+                      work_ms=draw(st.sampled_from([10.0, 900.0, 1500.0])))  # fmt: skip
+        row.outcome, row.digest = draw(st.sampled_from(sorted(OUTCOMES))), "d"
+        for cell in ("ended_s", "closed_s"):
+            if draw(st.booleans()):
+                setattr(row, cell, at + draw(st.integers(0, 60)) / 100 + 0.005)
+        out.append(row)
+    return out
+
+
+@settings(max_examples=400, deadline=None)
+@given(rows())
+def test_the_judge_agrees_with_a_second_reading(generated: list[Row]) -> None:
+    seen = ledger(*generated, nodes=2)
+    verdict = judge(SCENARIO, seen)
+    mine = {
+        (name, v.server if name == "cold_kept" else v.id) for name, found in verdict.rules.items() for v in found
+    }
+    assert mine == second_reading.read(SCENARIO, seen)
+
+
+@settings(max_examples=40, deadline=None)
+@given(rows())
+def test_a_ledger_comes_back_from_its_file_and_gets_the_same_verdict(generated: list[Row]) -> None:
+    seen = ledger(*generated, nodes=2)
+    again = read(lines(seen))
+    assert again == seen and judge(SCENARIO, again) == judge(SCENARIO, seen)
+
+
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        (lambda text: text[:-1], "the file was cut"),
+        (lambda text: [], "the file was cut"),
+        (lambda text: [text[0].replace('"ledger": 1', '"ledger": 2'), *text[1:]], "version 2 is newer"),
+        (lambda text: ["[]", *text[1:]], "line 1: not a ledger"),
+        (lambda text: [text[0], text[1][:-9], *text[2:]], "line 2: not JSON"),
+        (lambda text: [text[0], text[1].replace('"node"', '"nod"', 1), *text[2:]], "line 2: no row"),
+        (lambda text: [text[0], text[1].replace('"code"', '"cod"', 1), *text[2:]], "line 2: no row"),
+        (lambda text: [text[0], *text[2:]], "the file was cut"),
+    ],
+)
+def test_a_ledger_that_cannot_be_read_is_refused_by_line(change: Any, said: str) -> None:
+    with pytest.raises(LedgerError, match=said):
+        read(change(list(lines(ledger(a_try(answers=[GOOD]), arrival())))))
