--- a/cloverhold/rehearsal/report.py
+++ b/cloverhold/rehearsal/report.py
@@ -9,7 +9,8 @@
 from rich.console import Console
 from rich.table import Table
 
-from cloverhold.rehearsal.judge import TITLES, Verdict, Violation
+from cloverhold.rehearsal.judge import Verdict
+from cloverhold.rehearsal.rules import TITLES, Violation
 from cloverhold.rehearsal.scenario import Scenario
 
 FORMAT = 1
--- a/cloverhold/rehearsal/scenario.py
+++ b/cloverhold/rehearsal/scenario.py
@@ -144,9 +144,10 @@
     """The usual clients: open loop, each try's time counted from when it was meant to be sent."""
 
     rate_per_s: Positive = 60.0
-    arrivals: Literal["steady", "bursty", "wave"] = "steady"
+    arrivals: Literal["steady", "bursty", "wave", "steps"] = "steady"
     swing: Part = 0.3  # how far the rate swings about its mean, for bursty and wave
-    period_s: Positive = 10.0
+    period_s: Positive = 10.0  # of a wave, of a burst and a lull, of each step
+    steps: Annotated[tuple[NotNegative, ...], Field(strict=False)] = ()  # rates, in parts of rate_per_s, in turn
     retries: Annotated[int, Field(ge=0, le=10)] = 2
     backoff_ms: NotNegative = 100.0
     backoff: Literal["fixed", "exp"] = "exp"
@@ -156,6 +157,16 @@
     ask_once: Part = 0.0  # part of the connections that ask once and stay open, unused
     idle_s: Positive = 10.0  # a client closes a connection unused for this long
 
+    @model_validator(mode="after")
+    def _agree(self) -> Clients:
+        if (self.arrivals == "steps") != bool(self.steps):
+            raise ValueError("steps: is needed with arrivals = 'steps', and allowed with no other")
+        return self
+
+    def most_per_s(self) -> float:
+        """A rate that the load never exceeds."""
+        return self.rate_per_s * max(self.steps, default=1 + self.swing)
+
 
 class Goals(Table):
     """What the rehearsal must reach beside the four rules."""
--- a/cloverhold/rehearsal/sockets.py
+++ b/cloverhold/rehearsal/sockets.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Iterator
 
 LOOPBACK = "127.0.0.1"
 BACKLOG = 512
@@ -34,6 +35,17 @@
     return listening
 
 
+def accepted(listening: socket.socket) -> Iterator[socket.socket]:
+    """All connections that wait to be accepted."""
+    while True:
+        try:
+            connection, _ = listening.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            return
+        connection.setblocking(False)
+        yield connection
+
+
 class Plug:
     """Makes a listening socket that nobody accepts on swallow new connections: they never come up.
 
