Part spoilt answers from the connection that writes them; test that a flooded server falls

Need: the file of a server's connection held tables of bytes besides its state; that a pushed cold server falls over in the stand-in fleet stood in no test. Change: spoil.py (no I/O), answers' bytes with the requests' in wire.py, the test.

--- a/cloverhold/rehearsal/agents.py
+++ b/cloverhold/rehearsal/agents.py
@@ -12,8 +12,8 @@
 import httptools
 
 from cloverhold.rehearsal.catalog import Agent, Counter, Entry, line
-from cloverhold.rehearsal.peer import answer
 from cloverhold.rehearsal.sockets import LOOPBACK, accepted, hold, listen, port_of
+from cloverhold.rehearsal.wire import answer
 from cloverhold.rehearsal.world import World
 
 MOST_HOLD_S = 60.0
--- a/cloverhold/rehearsal/peer.py
+++ b/cloverhold/rehearsal/peer.py
@@ -12,7 +12,8 @@
 
 from cloverhold.rehearsal.ledger import Arrival, Dial
 from cloverhold.rehearsal.machine import Job
-from cloverhold.rehearsal.wire import Known, digest
+from cloverhold.rehearsal.spoil import spoilt
+from cloverhold.rehearsal.wire import Known, answer, digest
 
 if TYPE_CHECKING:
     from cloverhold.rehearsal.servers import Server
@@ -33,12 +34,6 @@
     listed: bool = False  # its arrival stands in the ledger
 
 
-def answer(status: str, body: bytes, *extra: str) -> bytes:
-    """An answer's bytes."""
-    head = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *extra, "", ""]
-    return "\r\n".join(head).encode() + body
-
-
 class Peer(asyncio.Protocol):
     """A node's connection. One request at a time; what comes in between waits."""
 
@@ -326,36 +321,19 @@
 
     def _spoil(self, request: Request, body: bytes, how: str) -> None:
         """The request has run; what comes back is not its answer, or more than that."""
-        arrival = request.arrival
-        good = answer("200 OK", body)
-        kept = {
-            "noise_behind": good + b"\x00\xffnoise\r\n",
-            "second_copy": good + good,
-            "bad_report": answer("200 OK", body, "X-Load-Report: " + "[" * 2000),
-            "early_1xx": b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + good,
-        }
-        if how in kept:
+        said, arrival = spoilt(how, body), request.arrival
+        if said.good:
             arrival.outcome = "served"
-            self._end(kept[how])
+            self._end(said.first)
             return
         arrival.outcome, self.useless = "spoilt", True
-        if how == "cut":
-            self._put(answer("200 OK", body)[: -max(1, len(body) // 2)])
+        self._put(said.first)
+        if said.ends:
             arrival.ended_s = self.world.now()
             if self.transport is not None:
                 self.transport.close()
-        elif how == "noise":
-            self._put(b"\x16\x03\x01\x00\xff" * 20 + b"\r\n\r\n")
-        elif how == "wrong_length":
-            self._put(b"HTTP/1.1 200 OK\r\nContent-Length: 1x7\r\n\r\n" + body)
-        else:
-            begin, more = {
-                "endless_head": (b"HTTP/1.1 200 OK\r\n", b"X-More: " + b"y" * 4000 + b"\r\n"),
-                "endless_1xx": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 40),
-                "endless_body": (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", b"z" * 16000),
-            }[how]
-            self._put(begin)
-            self._drip_on(more, MOST_SPOILT)
+        elif said.more:
+            self._drip_on(said.more, MOST_SPOILT)
 
     def _drip_on(self, more: bytes, left: int) -> None:
         if self.transport is None or self.transport.is_closing() or left <= 0:
--- a/cloverhold/rehearsal/wire.py
+++ b/cloverhold/rehearsal/wire.py
@@ -62,3 +62,9 @@
     if known.method == "POST":
         lines.append(f"Content-Length: {known.body_bytes}")
     return "\r\n".join([*lines, "", ""]).encode() + body_of(name, known.body_bytes)
+
+
+def answer(status: str, body: bytes, *extra: str) -> bytes:
+    """An answer's bytes."""
+    head = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *extra, "", ""]
+    return "\r\n".join(head).encode() + body
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -15,7 +15,8 @@
 PURE = (
     "cloverhold/decide.py", "cloverhold/interface.py", "cloverhold/checks.py", "cloverhold/settings.py",
     *(f"cloverhold/rehearsal/{name}.py" for name in (
-        "scenario", "faults", "plan", "machine", "catalog", "front", "ledger", "judge", "rules", "service", "wire",
+        "scenario", "faults", "plan", "machine", "catalog", "front", "ledger", "judge", "rules", "service", "spoil",
+        "wire",
     )),
 )  # fmt: skip
 NODE = ("cloverhold/__main__.py", "cloverhold/net", "cloverhold/decide.py", "cloverhold/benchlink.py")
--- a/tests/rehearsal/test_cheats.py
+++ b/tests/rehearsal/test_cheats.py
@@ -12,7 +12,7 @@
 
 from cheat import NAMES
 from cloverhold.rehearsal.judge import Verdict, judge
-from cloverhold.rehearsal.ledger import Ledger
+from cloverhold.rehearsal.ledger import Arrival, Ledger, Life
 from cloverhold.rehearsal.scenario import Scenario
 from cloverhold.rehearsal.stage import rehearse
 from small import CLASSES, small
@@ -58,7 +58,7 @@
 
 
 @pytest.fixture(scope="module")
-def verdicts(tmp_path_factory: pytest.TempPathFactory) -> dict[str, Verdict]:
+def seen(tmp_path_factory: pytest.TempPathFactory) -> dict[str, Ledger]:
     """All cheats, side by side."""
 
     async def one(name: str) -> Ledger:
@@ -69,8 +69,28 @@
         async with asyncio.timeout(120):
             return await asyncio.gather(*(one(name) for name in NAMES))
 
-    ledgers = uvloop.run(all_of_them())
-    return {name: judge(scenario(name), ledger) for name, ledger in zip(NAMES, ledgers, strict=True)}
+    return dict(zip(NAMES, uvloop.run(all_of_them()), strict=True))
+
+
+@pytest.fixture(scope="module")
+def verdicts(seen: dict[str, Ledger]) -> dict[str, Verdict]:
+    return {name: judge(scenario(name), ledger) for name, ledger in seen.items()}
+
+
+def test_a_cold_server_that_is_flooded_falls_over_and_stays_down(seen: dict[str, Ledger]) -> None:
+    lives = [life for life in seen["floods_cold"].of(Life) if life.server == "s0"]
+    assert [life.ended for life in lives] == ["crash", "fell"]
+    fell = lives[-1].ended_s
+    assert fell is not None and not [
+        a for a in seen["floods_cold"].of(Arrival) if a.server == "s0" and a.first_byte_s > fell
+    ]
+    assert not [
+        life
+        for name, ledger in seen.items()
+        if name != "floods_cold"
+        for life in ledger.of(Life)
+        if life.ended == "fell"
+    ]
 
 
 @pytest.mark.parametrize("name", NAMES)
