--- a/tests/rehearsal/test_scenario.py
+++ b/tests/rehearsal/test_scenario.py
@@ -10,6 +10,7 @@
 from cloverhold.rehearsal.files import find, load_scenario, shipped
 from cloverhold.rehearsal.plan import make_plan
 from cloverhold.rehearsal.scenario import ScenarioError
+from cloverhold.rehearsal.spoil import spoilt
 from small import small
 
 GOOD = """
@@ -54,6 +55,8 @@
             "fault.0.class: one of consulta is allowed, got 'other'",
         ),
         (GOOD + 'extends = "../x.toml"\n', "Extra inputs are not permitted"),
+        (GOOD + '[clients]\narrivals = "steps"\n', "clients: steps: is needed with arrivals = 'steps'"),
+        (GOOD + "[clients]\nsteps = [1.0]\n", "clients: steps: is needed with arrivals = 'steps'"),
     ],
 )
 def test_an_error_names_file_key_and_what_is_allowed(tmp_path: Path, text: str, said: str) -> None:
@@ -133,6 +136,29 @@
     assert all((a.key is not None) == (a.class_name == "lote") for a in plan.arrivals)
 
 
+def test_arrivals_follow_given_steps() -> None:
+    clients = {"rate_per_s": 200.0, "arrivals": "steps", "period_s": 2.0, "steps": [0.5, 0.0, 2.0]}
+    at = [a.at_s for a in make_plan(small(length_s=6.0, clients=clients)).arrivals]
+    counts = [sum(begin <= t < begin + 2 for t in at) for begin in (0, 2, 4)]
+    assert 150 < counts[0] < 250 and counts[1] == 0 and 700 < counts[2] < 900
+
+
+def test_each_spoilt_answer_is_one_that_no_client_takes_for_good_or_a_good_one_with_more() -> None:
+    for how in faults.Spoiling.__args__:
+        said = spoilt(how, b"the body")
+        assert said.good is (said.first.count(b"\r\n\r\nthe body") >= 1 and how != "wrong_length")
+        assert said.good or said.ends or said.more or how in ("noise", "wrong_length")
+    with pytest.raises(KeyError):
+        spoilt("well", b"")
+
+
+def test_the_operators_page_names_every_fault_and_its_ways() -> None:
+    page = (Path(__file__).parent.parent.parent / "docs/rehearsal.md").read_text()
+    named = [name for name, _ in faults.catalogue()]
+    assert [name for name in named if f"| `{name}` |" not in page] == []
+    assert [how for how in (*faults.Spoiling.__args__, *faults.Hostility.__args__) if how not in page] == []
+
+
 def test_a_heavy_tail_strikes_its_class_in_its_time() -> None:
     tail = {"kind": "heavy_tail", "class": "consulta", "share": 1.0, "factor": 50.0, "at_s": 1.0, "for_s": 1.0}
     with_tail, without = make_plan(small(fault=[tail])).arrivals, make_plan(small()).arrivals
