--- a/cloverhold/rehearsal/cli.py
+++ b/cloverhold/rehearsal/cli.py
@@ -111,6 +111,7 @@
     if options.judge is not None:
         with options.judge.open(encoding="utf-8") as file:
             return ledgers.read(file)
+    console.print(f"playing {scenario.name}, {scenario.length_s:g} s of load, seed {scenario.seed}", highlight=False)
     command = shlex.split(options.node) if options.node else COMMAND
     with _folder(options.logs) as folder:
         return uvloop.run(_play(scenario, folder, command, console))
