Test that arrivals count for the send that they came of

Need: with that guard taken out of the judge no test failed for sure; the generated ledgers find it only at times. Change: a case by hand. Result: it fails without the guard and passes with it.

--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -76,6 +76,10 @@
         ({}, [a_try(left_s=1.3)]),
         ({}, [a_try(ended_s=1.05, ended="closed")]),  # crossed the close of a kept connection
         ({}, [a_try(ended_s=1.5, ended="closed", reused=False)]),  # the first on its connection
+        (  # crossed, and sent once more: what arrived came of the second send
+            {},
+            [a_try(ended_s=1.05, ended="closed"), a_try(again=True, sent_s=1.06, answers=[GOOD]), arrival(1.07)],
+        ),
         ({}, [a_try(sent_s=None, ended_s=1.0, ended="refused")]),
         ({}, [a_try(watched_s=1.4)]),  # the rehearsal ended before its limit
         ({}, [a_try(answers=[Answer(1.3, 200, "", whole=False)]), arrival(outcome="spoilt")]),
