Judge what a restarted node takes by the process that took it; call shared pieces once

Cause, found on reading the change again: each try's row named the life of its node, and clients never raised it after a restart. The judge so took every later try of a node that had been killed once for one that the kill excused: a request lost at a restarted node was not seen.

Change: the judge derives the process from the time of the send, as it does for drains; the cell and the clients' list go. Also one piece for what stood twice or more: sleeping until a time of the script, the longest deadline, the warmth of a cold server, the limit of a crossing, the refusals' statuses. An unused constant, an unused cell of a job and the unused half of a pair go.

--- a/cloverhold/rehearsal/clients.py
+++ b/cloverhold/rehearsal/clients.py
@@ -17,11 +17,10 @@
 from cloverhold.rehearsal.plan import FirstTry
 from cloverhold.rehearsal.scenario import Class
 from cloverhold.rehearsal.sockets import LOOPBACK
-from cloverhold.rehearsal.wire import Known, digest, expected, request_bytes
+from cloverhold.rehearsal.wire import CROSSING_S, REFUSED, Known, digest, expected, request_bytes
 from cloverhold.rehearsal.world import World
 
 WATCH_S = 0.25  # past a try's limit its connection is watched for this long
-REFUSED = (429, 503)
 
 
 @dataclass(slots=True)
@@ -40,8 +39,8 @@
 
     _numbers = 0
 
-    def __init__(self, clients: Clients, node: int, life: int, *, once: bool) -> None:
-        self.clients, self.node, self.life, self.once = clients, node, life, once
+    def __init__(self, clients: Clients, node: int, *, once: bool) -> None:
+        self.clients, self.node, self.once = clients, node, once
         Connection._numbers += 1
         self.number = Connection._numbers
         self.transport: asyncio.Transport | None = None
@@ -107,7 +106,7 @@
     def data_received(self, data: bytes) -> None:
         """Bytes of an answer, or of more than was asked for."""
         if self.current is None:
-            if self.last is not None and (not self.last.row.answers or len(self.last.row.answers) < 2):
+            if self.last is not None and len(self.last.row.answers) < 2:
                 self.last.row.answers.append(Answer(self.clients.world.now(), 0, ""))
             self.abort()
             return
@@ -166,7 +165,6 @@
 
     def __init__(self, world: World, front: Front, ports: list[int]) -> None:
         self.world, self.front, self.ports = world, front, ports
-        self.lives = [0] * len(ports)
         self.random = world.source("clients")
         self.idle: list[Connection] = []
         self.open: set[Connection] = set()
@@ -178,9 +176,7 @@
     async def run(self) -> None:
         """Send every first try when it is meant to be sent."""
         for first in self.world.plan.arrivals:
-            wait = first.at_s - self.world.now()
-            if wait > 0:
-                await asyncio.sleep(wait)
+            await self.world.until(first.at_s)
             self.sent += 1
             self._try(first, 0, first.at_s)
 
@@ -193,7 +189,7 @@
         self.world.known[name] = known
         spent = intended_s - first.at_s
         budget = min(self.world.scenario.clients.try_share * kind.deadline_ms / 1000, kind.deadline_ms / 1000 - spent)
-        row = Try(name, first.index, number, kind.name, first.key, -1, 0, 0, False, intended_s, budget)
+        row = Try(name, first.index, number, kind.name, first.key, -1, 0, False, intended_s, budget)
         self._start(Pending(first, kind, known, row))
 
     def _start(self, pending: Pending) -> None:
@@ -205,7 +201,7 @@
             self._later(pending.first.leaves_s, self._leaves, pending)
         if self.idle and not pending.first.once:
             connection = self.idle.pop(self.random.randrange(len(self.idle)))
-            row.node, row.node_life = connection.node, connection.life
+            row.node = connection.node
             connection.send(pending)
             return
         node = self.front.deal(self.world.now())
@@ -213,14 +209,14 @@
             row.ended_s, row.ended = self.world.now(), "refused"
             self.ended(pending, None)
             return
-        row.node, row.node_life = node, self.lives[node]
+        row.node = node
         self._task(self._dial(pending, node))
 
     async def _dial(self, pending: Pending, node: int) -> None:
         row = pending.row
         try:
             _, connection = await self.world.loop.create_connection(
-                lambda: Connection(self, node, self.lives[node], once=pending.first.once),
+                lambda: Connection(self, node, once=pending.first.once),
                 LOOPBACK,
                 self.ports[node],
             )
@@ -231,7 +227,6 @@
         if pending.over:
             connection.abort()  # it took longer than the client waits
             return
-        row.node_life = connection.life
         connection.send(pending)
 
     def _task(self, work: object) -> None:
@@ -293,7 +288,7 @@
             and not row.answers
             and row.ended_s is not None
             and row.sent_s is not None
-            and row.ended_s - row.sent_s <= 0.1
+            and row.ended_s - row.sent_s <= CROSSING_S
             and not row.again
             and row.id not in self.world.seen
         )
@@ -301,7 +296,7 @@
         self.pending.pop(row.id, None)
         if crossed:
             left = row.intended_s + row.budget_s - self.world.now()
-            again = Try(row.id, row.first, row.number, row.class_name, row.key, -1, 0, 0, False,
+            again = Try(row.id, row.first, row.number, row.class_name, row.key, -1, 0, False,
                         self.world.now(), left, again=True)  # fmt: skip
             if left > 0:
                 self._start(Pending(pending.first, pending.kind, pending.known, again))
--- a/cloverhold/rehearsal/hostile.py
+++ b/cloverhold/rehearsal/hostile.py
@@ -73,9 +73,7 @@
     async def run(self) -> None:
         """Begin each visit at its time."""
         for visit in self.world.plan.visits:
-            wait = visit.at_s - self.world.now()
-            if wait > 0:
-                await asyncio.sleep(wait)
+            await self.world.until(visit.at_s)
             task = self.world.loop.create_task(self._visit(visit))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
--- a/cloverhold/rehearsal/ledger.py
+++ b/cloverhold/rehearsal/ledger.py
@@ -40,7 +40,6 @@
     class_name: str
     key: str | None
     node: int
-    node_life: int
     connection: int
     reused: bool  # the connection had carried a request before
     intended_s: float  # when it was meant to be sent
--- a/cloverhold/rehearsal/machine.py
+++ b/cloverhold/rehearsal/machine.py
@@ -17,6 +17,13 @@
 COLD_STEP_S = 0.02  # while it warms up its rate changes: it is looked at again this often
 
 
+def warmth(age_s: float, cold_from: float, cold_s: float) -> float:
+    """The part of its capacity that a server of this age has: it rises evenly."""
+    if age_s >= cold_s:
+        return 1.0
+    return cold_from + (1 - cold_from) * max(0.0, age_s) / cold_s
+
+
 class Offer(Enum):
     """What became of a job that was offered."""
 
@@ -31,7 +38,6 @@
 
     work_ms: float
     started_at: float | None = None  # in virtual ms
-    started_s: float | None = None
     ends_at: float = math.inf
     over: bool = False  # it has ended, or has left
     done_ms: float = 0.0
@@ -77,9 +83,7 @@
 
     def warmth(self, now: float) -> float:
         """The part of its capacity that it has."""
-        if self.cold_s <= 0 or now - self.born >= self.cold_s:
-            return 1.0
-        return self.cold_from + (1 - self.cold_from) * max(0.0, now - self.born) / self.cold_s
+        return warmth(now - self.born, self.cold_from, self.cold_s)
 
     def capacity(self, now: float) -> float:
         """Work that it can do, in ms a ms, whatever holds it up at the moment."""
@@ -151,7 +155,7 @@
         return self.now + max(0.0, (self.running[0][0] - self.virtual) / rate)
 
     def _start(self, job: Job) -> None:
-        job.started_at, job.started_s, job.ends_at = self.virtual, self.now, self.virtual + job.work_ms
+        job.started_at, job.ends_at = self.virtual, self.virtual + job.work_ms
         self._order += 1
         heapq.heappush(self.running, (job.ends_at, self._order, job))
         self.count += 1
--- a/cloverhold/rehearsal/nodes.py
+++ b/cloverhold/rehearsal/nodes.py
@@ -213,8 +213,7 @@
             self._task(self._enforce(self.process))
 
     async def _enforce(self, process: asyncio.subprocess.Process) -> None:
-        longest = max(c.deadline_ms for c in self.world.scenario.classes) / 1000
-        await asyncio.sleep(min(longest, 3.0) + 0.7 + LATE_S)
+        await asyncio.sleep(min(self.world.scenario.longest_s(), 3.0) + 0.7 + LATE_S)
         if process.returncode is None:
             self.kill()
 
--- a/cloverhold/rehearsal/peer.py
+++ b/cloverhold/rehearsal/peer.py
@@ -51,13 +51,12 @@
         self.job: Job | None = None
         self.served = 0
         self.useless = self.lost = False
-        self.over = False  # more connections than the server takes
         self._idle: asyncio.TimerHandle | None = None
         self._drip: asyncio.TimerHandle | None = None
         self.dial = Dial(server.plan.uid, node, self.world.now())
         self.world.ledger.rows.append(self.dial)
         server.peers.add(self)
-        self.over = server.crowded()
+        self.over = server.crowded()  # more connections than the server takes
         # Kept, so that the task is not collected; it only wraps the socket.
         self._up = self.world.loop.create_task(self._come_up(accepted))
 
@@ -233,7 +232,7 @@
             return
         wrong = server.fault_for(known)
         if wrong is not None:
-            self._fail(request, wrong[0])
+            self._fail(request, wrong)
             return
         if arrival.key is not None and (body := server.group.recall(self.world.now(), arrival.key)) is not None:
             arrival.outcome, arrival.digest = "repeat", digest(body)
--- a/cloverhold/rehearsal/plan.py
+++ b/cloverhold/rehearsal/plan.py
@@ -14,8 +14,6 @@
 from cloverhold.rehearsal import faults as f
 from cloverhold.rehearsal.scenario import Class, Kind, Scenario, server_name
 
-CLOSE_OLD_S = 1.5  # after a reload the old address of discovery closes what is open
-
 
 @dataclass(frozen=True, slots=True)
 class FirstTry:
@@ -116,14 +114,14 @@
     if clients.arrivals == "steps":
         steps = clients.steps
         return lambda t: clients.rate_per_s * steps[int(t / clients.period_s) % len(steps)]
-    random, t, high, turns = _source(scenario, "bursts"), 0.0, False, [0.0]
+    random, t, turns = _source(scenario, "bursts"), 0.0, [0.0]
     while t < scenario.length_s:
         t += random.expovariate(2 / clients.period_s)
         turns.append(t)
 
     def bursty(at: float) -> float:
         turn = sum(start <= at for start in turns)
-        return clients.rate_per_s * (1 + (clients.swing if turn % 2 == high else -clients.swing))
+        return clients.rate_per_s * (1 + (clients.swing if turn % 2 == 0 else -clients.swing))
 
     return bursty
 
--- a/cloverhold/rehearsal/rules.py
+++ b/cloverhold/rehearsal/rules.py
@@ -23,17 +23,14 @@
     Told,
     Try,
 )
-from cloverhold.rehearsal.machine import Pressure
+from cloverhold.rehearsal.machine import Pressure, warmth
 from cloverhold.rehearsal.scenario import Class, Scenario
+from cloverhold.rehearsal.wire import CROSSING_S, REFUSED
 
 MARGIN_S = 0.05
-# A request that crosses its kept connection's close meets it within this time; a close that comes later has
-# taken the request with it.
-CROSSING_S = 0.1
 FREED_S = 0.25  # an id that a stranger takes may have become free within this
 TOLD_AFTER_HUP_S = 4.0  # what discovery has to tell counts as told after this
 TERM_S = 0.7  # after SIGTERM and the longest deadline, SIGKILL may come
-REFUSED = (429, 503)
 
 
 @dataclass(slots=True)
@@ -143,13 +140,13 @@
 
 def _lost(case: Case, row: Try, arrivals: list[Arrival]) -> str | None:
     """Why a try without any answer is lost; None where it is not."""
-    life, limit = case.lives.get((row.node, row.node_life)), case.limit(row)
+    sent = row.sent_s if row.sent_s is not None else row.intended_s
+    life, limit = case.life_at(row.node, sent), case.limit(row)
     if row.left_s is not None and row.left_s <= limit:
         return None  # its client left: nothing is owed
     if life is not None and life.killed_s is not None and life.killed_s <= limit:
         allowed = life.term_s
-        longest = max(c.deadline_ms for c in case.scenario.classes) / 1000
-        if allowed is None or life.killed_s < allowed + min(longest, 3.0) + TERM_S:
+        if allowed is None or life.killed_s < allowed + min(case.scenario.longest_s(), 3.0) + TERM_S:
             return None  # held by a node that was killed: the client's to repeat
         return "held by a node that did not end in its time after SIGTERM"
     if row.ended_s is None:
@@ -159,7 +156,6 @@
         return "its connection ended with no answer, though it had been sent on"
     if not row.reused:
         return None  # the first on its connection, and nothing sent on for it: failed, not lost
-    sent = row.sent_s if row.sent_s is not None else row.intended_s
     if row.ended_s - sent <= CROSSING_S:
         return None  # it crossed the close of a kept connection: unread, and sent once more
     return "a kept connection ended with the request on it unanswered"
@@ -333,8 +329,7 @@
         age = at_s - life.started_s
         if age >= life.cold_s:
             return
-        warmth = life.cold_from + (1 - life.cold_from) * max(0.0, age) / life.cold_s
-        if not pressure.add(at_s, a.work_ms, life.capacity * warmth):
+        if not pressure.add(at_s, a.work_ms, life.capacity * warmth(age, life.cold_from, life.cold_s)):
             continue
         window = [b for b in came[: place + 1] if (b.last_byte_s or 0.0) > at_s - rules.fall_ms / 1000]
         knew = sum(
--- a/cloverhold/rehearsal/scenario.py
+++ b/cloverhold/rehearsal/scenario.py
@@ -230,6 +230,10 @@
                 return kind
         raise KeyError(name)
 
+    def longest_s(self) -> float:
+        """The longest deadline, in seconds."""
+        return max(c.deadline_ms for c in self.classes) / 1000
+
     def fall_slack_ms(self) -> float:
         """What chance may add to a cold server's budget, in ms of work."""
         return FALL_SLACK_WORKS * max(c.work_ms for c in self.classes)
--- a/cloverhold/rehearsal/servers.py
+++ b/cloverhold/rehearsal/servers.py
@@ -207,7 +207,7 @@
         if self.machine is None or self.silent:
             return
         self._settle(self.world.now())
-        self.machine.stopped = any(isinstance(w, f.Hang) for w in self.wrong.values())
+        self.machine.stopped = self.hangs()
         slower = 1.0
         for wrong in self.wrong.values():
             slower *= wrong.factor if isinstance(wrong, f.Slow) else 1.0
@@ -229,13 +229,13 @@
         """Whether more connections are open than it takes."""
         return len(self.peers) > self.world.scenario.fleet.connection_cap * self.plan.kind.cores
 
-    def fault_for(self, known: Known) -> tuple[str, str] | None:
-        """What goes wrong with this request before it runs: ("error" | "reset" | "silence", why)."""
+    def fault_for(self, known: Known) -> str | None:
+        """What goes wrong with this request before it runs: "error", "reset" or "silence"; None if nothing does."""
         for wrong in self.wrong.values():
             if isinstance(wrong, f.QuickErrors) and self.random.random() < wrong.share:
-                return "error", "quick_errors"
+                return "error"
             if isinstance(wrong, f.ClassFails) and wrong.class_name == known.class_name:
-                return wrong.how, "class_fails"
+                return wrong.how
         return None
 
     def spoils(self) -> str | None:
--- a/cloverhold/rehearsal/stage.py
+++ b/cloverhold/rehearsal/stage.py
@@ -135,26 +135,22 @@
         create = self.world.loop.create_task
         self.tasks = [create(self.clients.run()), create(self._script()), create(self.strangers.run())]
         finished = create(self._finished())
-        stopped = create(self._until_stopped())
+        stopped = create(self.stopped.wait())
         try:
             await asyncio.wait([finished, stopped], return_when=asyncio.FIRST_COMPLETED)
             for task in (*self.tasks, finished):
                 if task.done() and not task.cancelled() and (error := task.exception()) is not None:
                     raise error
         finally:
-            for task in (finished, stopped):
-                task.cancel()
+            finished.cancel()
+            stopped.cancel()
             await asyncio.gather(finished, stopped, return_exceptions=True)
 
-    async def _until_stopped(self) -> None:
-        await self.stopped.wait()
-
     async def _finished(self) -> None:
         """All is sent, and has its answer or is past its time."""
-        longest = max(c.deadline_ms for c in self.scenario.classes) / 1000
-        await asyncio.sleep(max(0.0, self.scenario.length_s - self.world.now()))
+        await self.world.until(self.scenario.length_s)
         owed = max((patience_s(v.how) for v in self.world.plan.visits), default=0.0)
-        until = self.world.now() + max(longest, owed) + TAIL_S
+        until = self.world.now() + max(self.scenario.longest_s(), owed) + TAIL_S
         while self.world.now() < until and not (self.clients.idle_now() and not self.strangers.tasks):
             if any(task.done() and not task.cancelled() and task.exception() for task in self.tasks):
                 return
@@ -211,9 +207,7 @@
 
     async def _script(self) -> None:
         for step in self.world.plan.steps:
-            wait = step.at_s - self.world.now()
-            if wait > 0:
-                await asyncio.sleep(wait)
+            await self.world.until(step.at_s)
             await self._do(step)
 
     async def _do(self, step: Step) -> None:
--- a/cloverhold/rehearsal/wire.py
+++ b/cloverhold/rehearsal/wire.py
@@ -10,6 +10,11 @@
 
 from cloverhold.rehearsal.scenario import Class
 
+REFUSED = (429, 503)  # trying again is harmless
+# A request that crosses its kept connection's close meets it within this time; a close that comes later has
+# taken the request with it.
+CROSSING_S = 0.1
+
 
 @dataclass(frozen=True, slots=True)
 class Known:
--- a/cloverhold/rehearsal/world.py
+++ b/cloverhold/rehearsal/world.py
@@ -39,6 +39,12 @@
         """Seconds since the start of the load. Not the loop's time, which stands still within a turn."""
         return time.monotonic() - self._began
 
+    async def until(self, at_s: float) -> None:
+        """Sleep until this time; not at all where it has passed."""
+        wait = at_s - self.now()
+        if wait > 0:
+            await asyncio.sleep(wait)
+
     def unix_s(self, at_s: float) -> float:
         """The same moment as Unix time."""
         return at_s + self._began + self._unix
--- a/tests/rehearsal/second_reading.py
+++ b/tests/rehearsal/second_reading.py
@@ -44,7 +44,10 @@
                 bad = bad or not any(a.outcome in ("spoilt", "reset", "silent", "cancelled") for a in mine)
             bad = bad or any(a.first_byte_s > answer.at_s + margin(answer.at_s) for a in here)
         else:
-            life = next((n for n in nodes if (n.node, n.life) == (t.node, t.node_life)), None)
+            life = None
+            for n in nodes:
+                if n.node == t.node and n.started_s <= t.sent_s:
+                    life = n
             excused = t.left_s is not None and t.left_s <= limit(t)
             if life is not None and life.killed_s is not None and life.killed_s <= limit(t):
                 excused = excused or life.term_s is None
--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -42,7 +42,7 @@
 
 
 def a_try(kind: str = "safe", **changes: Any) -> Try:
-    row = Try("r", 0, 0, CLASS_OF[kind], None, 0, 0, 1, True, 1.0, 0.8, sent_s=1.0)
+    row = Try("r", 0, 0, CLASS_OF[kind], None, 0, 1, True, 1.0, 0.8, sent_s=1.0)
     return replaced(row, changes)
 
 
@@ -155,7 +155,7 @@
             {"drains_kept": "sent 1.00 s after the node was told that it is unwanted"},  # by a reload 4 s before
             [
                 NodeLife(0, 1, -6.0, {"s0": "active"}, hups=[-4.0]),
-                a_try(answers=[GOOD], node_life=1),
+                a_try(answers=[GOOD]),
                 arrival(),
                 Told(0, 1, "s0", "left", None, -4.9, None),
             ],
@@ -209,6 +209,16 @@
     assert "SIGTERM" in broken(seen)["one_answer"]
 
 
+def test_a_restarted_node_answers_for_what_it_takes() -> None:
+    """That it was killed once excuses what it held then, and nothing that came later."""
+    seen = ledger(a_try(watched_s=2.2), arrival(**HELD))
+    first = seen.of(NodeLife)[0]
+    first.killed_s = first.ended_s = 0.5
+    assert broken(seen) == {}
+    seen.rows.append(NodeLife(0, 1, 0.8, {"s0": "active"}, ready_s=0.9))
+    assert broken(seen) == {"one_answer": "no answer"}
+
+
 def test_a_crash_a_missed_goal_and_a_late_kit_each_have_their_exit_code() -> None:
     good = ledger(a_try(answers=[GOOD]), arrival())
     assert judge(SCENARIO, good).exit_code() == 0
@@ -237,7 +247,7 @@
     for number in range(draw(st.integers(1, 4))):
         name, kind = f"r{number}", draw(st.sampled_from(sorted(CLASS_OF)))
         sent = draw(tick)
-        row = Try(name, number, 0, CLASS_OF[kind], None, draw(st.integers(0, 1)), 0, number, draw(st.booleans()),
+        row = Try(name, number, 0, CLASS_OF[kind], None, draw(st.integers(0, 1)), number, draw(st.booleans()),
                   sent, 0.8, sent_s=sent, watched_s=9.0)  # fmt: skip
         for at in sorted(draw(st.lists(st.integers(0, 120), max_size=2))):
             answer = Answer(sent + at / 100 + 0.006, draw(st.sampled_from([200, 200, 502, 503])),
@@ -252,7 +262,7 @@
         if not row.answers and draw(st.booleans()):  # sent once more
             again = sent + draw(st.integers(1, 50)) / 100 + 0.004
             answers = [Answer(again + draw(st.integers(0, 60)) / 100 + 0.006, 200, "d")]
-            out.append(Try(name, number, 0, row.class_name, None, draw(st.integers(0, 1)), 0, 9, False,
+            out.append(Try(name, number, 0, row.class_name, None, draw(st.integers(0, 1)), 9, False,
                            again, 0.8, again=True, sent_s=again, watched_s=9.0, answers=answers))  # fmt: skip
     for _ in range(draw(st.integers(0, 4))):
         due = draw(tick) - 6.5 * draw(st.integers(0, 1)) + 0.001
--- a/tests/rehearsal/test_kit.py
+++ b/tests/rehearsal/test_kit.py
@@ -329,7 +329,7 @@
 
 
 def test_the_verdict_as_json_holds_the_proof_of_each_violation() -> None:
-    row = Try("r0", 0, 0, "consulta", None, 0, 0, 1, True, 1.0, 0.5, sent_s=1.0, watched_s=5.0)
+    row = Try("r0", 0, 0, "consulta", None, 0, 1, True, 1.0, 0.5, sent_s=1.0, watched_s=5.0)
     ledger = Ledger("small", 1, rows=[NodeLife(0, 0, -1.0, ready_s=-0.5), row], ended_s=5.0)
     said = json.loads(as_json(small(), judge(small(), ledger)))
     found = said["rules"]["one_answer"]["violations"]
--- a/tests/rehearsal/test_lag.py
+++ b/tests/rehearsal/test_lag.py
@@ -39,7 +39,7 @@
 
 def test_what_the_kit_was_late_is_not_held_against_the_node() -> None:
     """Only about that time: a margin for all would let every late answer of a bad run pass."""
-    row = Try("r", 0, 0, "consulta", None, 0, 0, 1, True, 1.0, 0.8, sent_s=1.0, answers=[Answer(1.95, 502, "")])
+    row = Try("r", 0, 0, "consulta", None, 0, 1, True, 1.0, 0.8, sent_s=1.0, answers=[Answer(1.95, 502, "")])
     arrival = Arrival("s0", 0, 0, 0, 1, "r", "consulta", None, 1.0, 1.0, outcome="reset", ended_s=1.5, closed_s=1.5)
     seen = Ledger("small", 1, rows=[NodeLife(0, 0, -1.0), row, arrival], ended_s=9.0)
     late = [v.what for v in judge(small(), seen).rules["one_answer"]]
