--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	$(BIN)/mypy
 
 test: $(VENV)/made
-	$(BIN)/python -m pytest -q -p no:cacheprovider
+	$(BIN)/python -m pytest -q -p no:cacheprovider -n 4 --dist worksteal
 
 $(VENV)/made: pyproject.toml
 	python3 -m venv $(VENV)
--- a/cloverhold/__init__.py
+++ b/cloverhold/__init__.py
@@ -1,7 +1,7 @@
 """cloverhold: the decisions of a load-balancing proxy, without any input or output of its own."""
 
-from cloverhold.decide import Balancer
-from cloverhold.interface import (
+from cloverhold.decision.decide import Balancer
+from cloverhold.decision.interface import (
     Action,
     Cancel,
     ClassSettings,
--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -14,8 +14,8 @@
 
 import uvloop
 
-from cloverhold import interface as io
-from cloverhold.checks import check_settings
+from cloverhold.decision import interface as io
+from cloverhold.decision.checks import check_settings
 from cloverhold.net.client import Listener
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import Discovery, ListError, Members, parse_address, read_members
--- a/cloverhold/benchlink.py
+++ b/cloverhold/benchlink.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass, field
 from typing import Any, BinaryIO, TextIO
 
-from cloverhold import interface as io
-from cloverhold.decide import Balancer
+from cloverhold.decision import interface as io
+from cloverhold.decision.decide import Balancer
 from cloverhold.settings import SettingsError, load_report, module_settings
 
 _STATUS = {
--- a/cloverhold/checks.py
+++ b/cloverhold/decision/checks.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Iterable
 
-from cloverhold.interface import ClassSettings, Settings, TenantSettings
+from cloverhold.decision.interface import ClassSettings, Settings, TenantSettings
 
 
 def _number(key: str, value: object, low: float, *, above: bool = False, whole: bool = False) -> None:
--- a/cloverhold/decide.py
+++ b/cloverhold/decision/decide.py
@@ -1,4 +1,4 @@
-"""Every decision of a cloverhold node. Settings, events and actions: cloverhold/interface.py.
+"""Every decision of a cloverhold node. Settings, events and actions: cloverhold/decision/interface.py.
 
 The ordinary path is the design's (README.md): a table with a row per ready server, d random probes
 per request whose replies overwrite rows, each request sent to a random lowest row, which is then raised by
@@ -12,11 +12,12 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
-from cloverhold.checks import check_settings
-from cloverhold.interface import (Action, Cancel, ClassSettings, ClientGone, Event, Fail, Group, Lifecycle,
-                                 ListKind, ListMode, LoadReport, Log, Outcome, Probe, ProbeReply, Refuse,
-                                 Repeat, Request, Send, ServerEntry, ServerList, SetTimer, Settings, Status,
-                                 Streaming, Timer, Watch, WeightSource)
+from cloverhold.decision.checks import check_settings
+from cloverhold.decision.interface import (
+    Action, Cancel, ClassSettings, ClientGone, Event, Fail, Group, Lifecycle, ListKind, ListMode,
+    LoadReport, Log, Outcome, Probe, ProbeReply, Refuse, Repeat, Request, Send, ServerEntry,
+    ServerList, SetTimer, Settings, Status, Streaming, Timer, Watch, WeightSource,
+)
 
 PROBE_SPEND = 0.01  # part of all service that a node may spend on probes; with their price this gives d
 # Servers that a node keeps to: at least so many, and so many that each server is shared by this many nodes.
--- a/cloverhold/net/client.py
+++ b/cloverhold/net/client.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from cloverhold.interface import ClassSettings, Repeat
+from cloverhold.decision.interface import ClassSettings, Repeat
 from cloverhold.net.http1 import ANSWER_LIMIT, BODY_LIMIT, HEAD_LIMIT, Headers
 
 MOST_PIPELINED = 16
--- a/cloverhold/net/discovery.py
+++ b/cloverhold/net/discovery.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from cloverhold import interface as io
+from cloverhold.decision import interface as io
 from cloverhold.net.clock import Clock
 from cloverhold.net.http1 import BadMessage, ResponseParser
 from cloverhold.net.upstream import Address
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from cloverhold import interface as io
-from cloverhold.decide import Balancer
+from cloverhold.decision import interface as io
+from cloverhold.decision.decide import Balancer
 from cloverhold.net.client import Exchange, retry_after
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import Members
--- a/cloverhold/net/upstream.py
+++ b/cloverhold/net/upstream.py
@@ -12,7 +12,7 @@
 from bisect import bisect_right
 from collections.abc import Callable
 
-from cloverhold.interface import Status
+from cloverhold.decision.interface import Status
 from cloverhold.net.http1 import BadMessage, Response, ResponseParser
 
 Address = tuple[str, int]
--- a/cloverhold/settings.py
+++ b/cloverhold/settings.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from cloverhold import interface as io
+from cloverhold.decision import interface as io
 
 _NUM = (int, float)
 _REPEAT = {
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from cloverhold.decide import WAIT_PART
+from cloverhold.decision.decide import WAIT_PART
 from cloverhold import (
     Action,
     Balancer,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -214,7 +214,7 @@
 
 
 def test_exception_in_the_module_becomes_the_fault_action(monkeypatch: pytest.MonkeyPatch) -> None:
-    from cloverhold import decide
+    from cloverhold.decision import decide
 
     def broken(*_: object) -> None:
         raise RuntimeError("two\nlines")
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -15,7 +15,7 @@
     Status,
     WeightSource,
 )
-from cloverhold.decide import STALE, SUBSET_LEAST
+from cloverhold.decision.decide import STALE, SUBSET_LEAST
 
 
 def served(node: Node, first: int, count: int, took: float, kind: str = "safe") -> None:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,7 +1,7 @@
 """Ejection, return, stalls, waiting and the list: one small test per failure that the module answers."""
 
 from helpers import Node, entries, make_settings, of
-from cloverhold.decide import Attempt, RequestState
+from cloverhold.decision.decide import Attempt, RequestState
 
 from cloverhold import (
     ClassSettings,
