File servers in an index: a pick's cost no longer grows with the fleet

Change: servers are filed by what makes them alike (room, pace, figure by class, warmth), by load and by row; health, subset, cold budgets and staleness are kept by events and by a heap of when each next changes; requests wait in a heap a class, and one timer is out for all of them. A keyed repeat keeps to the zone and cell of its first attempt as they were at its send: a server listed under another cell meanwhile moved the group before.

--- /dev/null
+++ b/cloverhold/decision/state.py
@@ -0,0 +1,134 @@
+"""What a node keeps of servers, attempts and requests."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+from cloverhold.decision.interface import ClassSettings, Group, Repeat, Request, ServerEntry, Settings, Status
+
+EJECT_AT, BACK_AT = 0.6, 0.3  # failure averages at which a server is ejected, and called back for good
+SILENT, SILENT_HINTED = 6.0, 3.0  # one without a sign of its server for this multiple (work hinted) stalls
+NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)
+
+
+class Record:
+    """How a server, or one class of requests at it, has fared."""
+
+    __slots__ = ("answered_at", "ejections", "failing", "loss", "until")
+
+    def __init__(self) -> None:
+        self.answered_at = -math.inf
+        self.failing, self.loss = 0.0, 0.0  # average of failures, 0 to 1; a slower one, without weights
+        self.ejections, self.until = 0, -math.inf  # ejected until then
+
+    def ejected(self, now: float, out: int) -> bool:
+        """Ejected, or back on trial: one attempt at a time until an answer shows that it works again."""
+        return now < self.until or (self.failing >= EJECT_AT and self.ejections > 0 and out > 0)
+
+
+# What makes servers alike in a pick: the most load at which they have room; the pace in quarters of a
+# doubling; for each class the weighted figure in halves (None: not served); how warm; whether the row is aged;
+# and the zone where repeats keep to theirs.
+Profile = tuple[float, int, tuple[int | None, ...], int, bool, str]
+
+
+class Server:
+    """What this node knows of one listed server."""
+
+    __slots__ = (
+        "askers", "closed", "counted", "due", "entry", "filled", "heard_at", "kinds", "lost_probes",
+        "lost_since", "out", "pace", "pace_at", "probed_at", "profile", "rank", "ready", "record", "replies",
+        "row", "size", "spoilt", "surplus", "tokens", "took", "warm",
+    )  # fmt: skip
+
+    def __init__(self, entry: ServerEntry, now: float, rank: float) -> None:
+        self.entry, self.rank = entry, rank
+        self.size = entry.weight  # as stated; where weights are live the largest, shown when it holds nothing
+        self.ready = False
+        self.row = self.counted = 0  # the table's figure, and as it last went into the sum of all
+        self.replies = 0  # of probes, that filled the row
+        self.surplus, self.heard_at = 0.0, now  # what others hold there over their usual; last reply
+        self.out: dict[tuple[int, int], Attempt] = {}  # this node's attempts there, oldest first
+        self.took, self.due = 0.0, 0.0  # time answers took, and what a typical server would take
+        self.pace, self.pace_at = 1.0, -math.inf
+        self.tokens, self.filled = math.nan, now  # the cold budget, in ms of work; not used so far
+        self.warm, self.closed = 0, False  # steps of warmth; whether the cold budget is spent for now
+        self.probed_at: float | None = None  # the probe still out
+        self.lost_probes, self.lost_since = 0, math.inf
+        self.record, self.spoilt = Record(), False  # whether any record knows of a failure
+        self.kinds: dict[str, Record] = {}  # by class, from its first outcome there on
+        self.askers: list[RequestState] = []  # requests that wait for the reply of the probe still out
+        self.profile: Profile | None = None  # as last found
+
+    def kind(self, name: str) -> Record:
+        record = self.kinds.get(name)
+        if record is None:
+            record = self.kinds[name] = Record()
+        return record
+
+
+class Attempt:
+    """One send of a request; kept until its outcome."""
+
+    __slots__ = ("cancelled", "due", "entry", "expected", "may_have_run", "number", "pending", "place",
+                 "request", "sent_at", "server", "silent")  # fmt: skip
+
+    def __init__(self, request: RequestState, server: Server, now: float, place: float, due: float) -> None:
+        self.request, self.server, self.number = request, server, len(request.attempts)
+        self.entry = server.entry  # as it was then: a server may come under another zone or cell
+        self.sent_at, self.place, self.due, self.expected = now, place, due, due * server.pace
+        self.silent = (SILENT_HINTED if request.event.cost_ms else SILENT) * self.expected
+        self.pending, self.may_have_run, self.cancelled = True, True, False
+
+
+class RequestState:
+    """One request that this node owes an answer, with all that has been tried for it."""
+
+    __slots__ = ("attempts", "awaited", "base", "born", "done", "event", "expires", "held", "id", "kind",
+                 "rank", "streaming", "term", "ticket", "work")  # fmt: skip
+
+    def __init__(self, event: Request, kind: ClassSettings, now: float) -> None:
+        self.id, self.kind, self.event, self.born = event.id, kind, event, now
+        self.term = self.expires = now + event.expires_ms
+        self.attempts: list[Attempt] = []
+        self.work = self.base = 0.0
+        self.rank = 0.0
+        self.awaited = 0  # probe replies that it waits for before it is placed
+        self.held = self.done = self.streaming = False
+        self.ticket = -1  # its place among those that wait
+
+    def pending(self) -> list[Attempt]:
+        return [a for a in self.attempts if a.pending]
+
+    def may_refuse(self) -> bool:
+        """A refusal promises that trying again is harmless."""
+        keyed = self.kind.repeat is Repeat.KEYED and self.kind.group is Group.ALL
+        return keyed or self.kind.repeat is Repeat.SAFE or not any(a.may_have_run for a in self.attempts)
+
+    def may_send(self, now: float, settings: Settings) -> Group | None:
+        """Among which servers it may get a further attempt: all, or those of the zone or cell of the first
+        that may have run; None if none may.
+        """
+        attempts = self.attempts
+        if not attempts:
+            return None if settings.max_attempts < 1 or self.streaming else Group.ALL
+        if len(attempts) >= settings.max_attempts or self.streaming:
+            return None
+        ran = [a for a in attempts if a.may_have_run]
+        if ran and (self.kind.repeat is Repeat.UNSAFE or (not settings.parallel_tries and self.pending())):
+            return None
+        if not ran or self.kind.repeat is Repeat.SAFE:
+            return Group.ALL
+        # Keyed: only while the group still remembers the first attempt that may have run, less a margin for
+        # the way there.
+        if now > ran[0].sent_at + 0.9 * self.kind.key_ttl_ms - 2 * settings.tick_ms:
+            return None
+        return self.kind.group
+
+    def first(self) -> ServerEntry:
+        """Where the first attempt went that may have run; there must be one."""
+        return next(a.entry for a in self.attempts if a.may_have_run)
+
+
+Told = Callable[[str], None]
--- /dev/null
+++ b/cloverhold/decision/table.py
@@ -0,0 +1,332 @@
+"""The design's table: a row per server, the probes that overwrite rows, and the pick.
+
+Servers are filed in an index by what makes them alike (`Profile`), by load and by row, and filed anew when one
+of these changes. What drifts for all at once (the mean work, the mean size) a server takes over at its own
+next event, or when the balancer's round comes to it: no event costs a walk over the servers.
+"""
+
+from __future__ import annotations
+
+import math
+from random import Random
+
+from cloverhold.decision.index import Choice, Index, Level, Prefix
+from cloverhold.decision.interface import Group, LoadReport, Repeat, Settings
+from cloverhold.decision.learned import WARM, Learned, Warming
+from cloverhold.decision.state import Profile, RequestState, Server
+
+PROBE_SPEND = 0.01  # part of all service that a node may spend on probes; with their price this gives d
+MOST_PROBES = 5  # d is never more: further replies would bring next to nothing new
+# Servers that a node keeps to: at least so many, and so many that each server is shared by this many nodes.
+SUBSET_LEAST, SUBSET_SHARED = 4, 10
+# Times are multiples of the tightest aim: where all goes faster, a fixed one outlasts what it was made for.
+AVERAGE = 60.0  # time over which a server's surplus in old reports is averaged
+STALE = 0.03  # part of the reports that may miss what is known to be out before all are taken for old
+CROWD = 0.4  # part of the tightest aim that work waiting at a server may take
+EXACT = 32  # loads above count in steps of root two: as far up, a bound need not be exact
+OCTAVES = 20  # paces and figures lie within this many doublings from 1
+POWER: dict[int, float] = {step: 2.0 ** (step / 2) for step in range(-2 * OCTAVES, 2 * OCTAVES + 1)}
+PACE: dict[int, float] = {step: 2.0 ** (step / 4) for step in range(-4 * OCTAVES, 4 * OCTAVES + 1)}
+
+
+def in_steps(steps: float, octave: int) -> int:
+    """A factor as a whole number of steps, so many to a doubling, so that like servers tie."""
+    return max(-octave * OCTAVES, min(octave * OCTAVES, round(steps)))
+
+
+def load_key(load: float) -> float:
+    """A load as the index files it: in quarters, and in steps of root two above `EXACT`, taken upwards."""
+    if load <= EXACT:
+        return round(4 * load) / 4
+    return EXACT * POWER[min(math.ceil(2 * math.log2(load / EXACT)), 2 * OCTAVES)]
+
+
+class Table:
+    """Rows, the servers that this node keeps to, and the pick."""
+
+    def __init__(self, settings: Settings, learned: Learned, warming: Warming, random: Random) -> None:
+        self.settings, self.learned, self.warming, self.random = settings, learned, warming, random
+        self.shared = settings.nodes > 1
+        self.servers: dict[str, Server] = {}
+        self.prefix: Prefix[Server] = Prefix(self.place)
+        self.ready = self.prefix.items  # in an order of this node's own
+        self.well: Index[Profile, Server] = Index()  # of the servers it keeps to, those that look well
+        self.unwell: Index[Profile, Server] = Index()  # the first of those that do not, for when none does
+        self.free: Choice[Server] = Choice()  # that may be probed
+        # Members of a group that a keyed repeat keeps to. Zones are few and part of the profile.
+        self.cells: dict[tuple[str, int], Choice[Server]] = {}
+        keyed = [c.group for c in settings.classes if c.repeat is Repeat.KEYED]
+        self.by_zone, self.by_cell = Group.ZONE in keyed, Group.CELL in keyed
+        self.kinds = {c.name: at for at, c in enumerate(settings.classes)}
+        self.rows = 0  # sum over ready servers
+        self.sizes = 0.0  # likewise
+        self.stale = 2 * STALE  # part of the reports that this node knows to be old; at first, till shown
+        price = settings.probe_price
+        self.d = MOST_PROBES if price * MOST_PROBES <= PROBE_SPEND else max(1, round(PROBE_SPEND / price))
+        self.rtt: float | None = None  # how long a probe takes, on average
+        self.full = 0.0  # part of the last attempts that were turned away as full
+        self.level = 0.0  # mean of the last reports
+        # Work that takes this long to wait for is a crowd; a row of this age says nothing.
+        self.tightest = min(c.aim_ms for c in settings.classes)
+        self.crowd_ms = CROWD * self.tightest
+        self.held = 0  # attempts of this node that are out
+        self.own, self.others = 1.0, settings.nodes - 1.0  # held at a server by it, by others
+
+    # ------------------------------------------------------------------------------------------- membership
+
+    def enter(self, server: Server, *, well: bool) -> None:
+        """A server is ready. It enters at the mean of the other rows until its first probe reply."""
+        server.row = round(self.rows / len(self.ready)) if self.ready else 0
+        server.ready = True
+        self.sizes += server.size
+        if self.by_cell:
+            self.cells.setdefault((server.entry.zone, server.entry.cell), Choice()).add(server)
+        self.prefix.add(server.rank, server, well=well)
+        self._resize()
+
+    def leave(self, server: Server) -> None:
+        """A server wants nothing new, or is gone."""
+        server.ready = False
+        self.sizes -= server.size
+        self.rows -= server.counted
+        server.counted = 0
+        if self.by_cell:
+            key = (server.entry.zone, server.entry.cell)
+            self.cells[key].discard(server)
+            if not self.cells[key].items:
+                del self.cells[key]
+        self.prefix.remove(server.rank, server)
+        self.place(server)
+        self._resize()
+
+    def _resize(self) -> None:
+        """Guards against full connection tables: with many nodes at every server none takes them all."""
+        ready = len(self.ready)
+        self.prefix.resize(max(SUBSET_LEAST, math.ceil(SUBSET_SHARED * ready / self.settings.nodes)))
+        self.learned.mean_size = self.sizes / ready if ready and self.sizes > 0 else 1.0
+
+    def resized(self, server: Server, size: float) -> None:
+        """A ready server's stated size has changed."""
+        self.sizes += size - server.size
+        server.size = size
+        self._resize()
+
+    def looks_well(self, server: Server) -> bool:
+        """Whether a ready server looked well at its last review."""
+        return server in self.prefix.well
+
+    def usable(self) -> Index[Profile, Server]:
+        """Those of them that look well; if none does, likelier by this node's own view: then the first."""
+        return self.well if self.prefix.wells else self.unwell
+
+    # ----------------------------------------------------------------------------------------------- filing
+
+    def place(self, server: Server) -> None:
+        """File a server where it belongs now, by its row, its load and what it was last found to be."""
+        row, out, prefix = server.row, len(server.out), self.prefix
+        if server.ready:
+            self.rows += row - server.counted
+            server.counted = row
+        inside = server in prefix.inside
+        if inside and server.probed_at is None and (self.shared or row > out):
+            # A lone node knows what it sent: a row of just what is out cannot fall (the paper, section 6).
+            self.free.add(server)
+        else:
+            self.free.discard(server)
+        well, profile = server in prefix.well, server.profile
+        if profile is None or server.closed or not (inside if well else server in prefix.leading):
+            self.well.drop(server)
+            self.unwell.drop(server)
+            return
+        index, other = (self.well, self.unwell) if well else (self.unwell, self.well)
+        other.drop(server)
+        index.file(server, profile, load_key(self.base(server)), row)
+
+    def aged(self, server: Server, now: float) -> bool:
+        """Guards against nodes that flock to what was low long ago."""
+        return self.many() and now - server.heard_at > self.crowd_ms
+
+    # ------------------------------------------------------------------------------------------------- rows
+
+    def overwrite(self, server: Server, report: LoadReport, spent: float, now: float) -> None:
+        """A probe reply overwrites the row, the only way a row falls.
+
+        Reports may be old, always or for a while, and all nodes would flock to what was low then. One
+        that counts less than this node has had there for some time proves it. The row then holds what this
+        node has there and what others should have: their usual for each request of this node, and the
+        server's surplus over that; or, if more, what was reported. A lone node knows all that is there.
+        """
+        figure = report.inflight if report.inflight is not None else report.queue
+        if figure is None:
+            return
+        self.rtt = spent if self.rtt is None else self.rtt + 0.05 * (spent - self.rtt)
+        arrived = now - self.rtt - 2 * self.settings.tick_ms - 10
+        known = sum(attempt.sent_at < arrived for attempt in server.out.values())
+        if known:
+            self.stale += 0.02 * ((figure < known - 0.5) - self.stale)
+        others = figure - len(server.out)
+        self.level += 0.1 * (figure - self.level)
+        step, count = min(1.0, (now - server.heard_at) / (AVERAGE * self.tightest)), max(1, len(self.ready))
+        self.own += step / count * (self.held / count - self.own)
+        self.others += step / count * (max(0.0, others) - self.others)
+        server.replies += 1
+        server.surplus += step * (others - self.usual() - server.surplus)
+        server.heard_at = now
+        if self.old():
+            others = max(self.likely(server), others) if self.shared else 0.0
+        server.row = len(server.out) + round(max(0.0, others))
+
+    def old(self) -> bool:
+        """Whether reports are old and this node can tell better: its own are many enough to go by."""
+        return self.stale > STALE and not self.many()
+
+    def many(self) -> bool:
+        """Whether nodes are so many that this one's requests tell little of theirs."""
+        return self.settings.nodes > 2 * len(self.ready)
+
+    def usual(self) -> float:
+        """What others hold at a server, by what this node holds now: a rise of all traffic shows at once."""
+        return self.held / max(1, len(self.ready)) * self.others / self.own
+
+    def load(self, server: Server) -> float:
+        """Requests at a server, for the bounds: its row; while reports are old what is likely there now; and
+        at a lone node what it has there. Guards against waiting for probes where no more room can show.
+        """
+        return self.base(server) + self.shift()
+
+    def shift(self) -> float:
+        """The part of all loads that moves with every request."""
+        return self.usual() if self.shared and self.old() else 0.0
+
+    def base(self, server: Server) -> float:
+        """The part of its load that moves only with the server."""
+        if not self.shared:
+            return len(server.out)
+        if self.old():
+            return len(server.out) + max(server.surplus, -self.usual())
+        return server.row if server.replies else len(server.out)
+
+    def likely(self, server: Server) -> float:
+        return max(0.0, self.usual() + server.surplus) if self.shared else 0.0
+
+    def probes(self) -> list[Server]:
+        """D distinct random ones of the servers that this node keeps to; one probe at a time each, as servers
+        take only a few.
+        """
+        return self.free.sample(self.random, self.d)
+
+    def blind(self) -> bool:
+        """Whether most rows are old (many nodes, few probes each) while servers are not turning work away."""
+        return self.many() and 2 * self.d < SUBSET_LEAST and self.full < 0.1
+
+    # ------------------------------------------------------------------------------------------------- pick
+
+    def most(self, pace: float) -> float:
+        """The load at which a server of this pace has room for one more: bounds what waits there.
+
+        Guards the tightest aim and keeps servers from being crowded into a slow state; what finds no room
+        waits at this node, where it can still be ordered or refused.
+        """
+        # Nor does a fast server take more at once. One at work and one behind it are always allowed: a node
+        # that learned too long times, restarted into an overload, would else send nothing and never learn.
+        most = self.crowd_ms / (self.learned.mix * max(1.0, pace))
+        return load_key(max(1.0, most)) if self.shared else float(max(1, int(most)))
+
+    def room(self, kind: str) -> bool:
+        """Whether any server has room for a request of this class, whatever else would speak against it."""
+        at, blind, shift = self.kinds[kind], self.blind(), self.shift()
+        return any(
+            figures[at] is not None and (blind or min(levels) + shift <= most)
+            for (most, _, figures, _, _, _), levels in self.usable().buckets.items()
+        )
+
+    def fastest(self) -> float:
+        """The least pace of the servers that look well."""
+        return min((PACE[pace] for _, pace, _, _, _, _ in self.usable().buckets), default=1.0)
+
+    def pick(self, request: RequestState, group: Group, left: float, own: float, idle: bool) -> Server | None:
+        """A random lowest row among the servers that have room for a request and could answer it in time;
+        None where there is none.
+
+        left: time that it has, in ms; own: work of its own that it must wait for; idle: what waits at servers
+        does not count. A further attempt goes elsewhere where it can.
+        """
+        index, zone = self.usable(), ""
+        if group is Group.CELL:
+            index = self._among(index, request)
+        elif group is Group.ZONE:
+            zone = request.first().zone
+        tried = {a.server for a in request.attempts}
+        taken = [(s, place) for s in tried if (place := index.drop(s)) is not None] if tried else []
+        picked = self._lowest(index, request, zone, left, own, idle)
+        for server, place in taken:
+            index.file(server, *place)
+        if picked is None and taken:
+            picked = self._lowest(index, request, zone, left, own, idle)
+        return picked
+
+    def _among(self, index: Index[Profile, Server], request: RequestState) -> Index[Profile, Server]:
+        """The members of the cell of a request's first attempt. A cell is small."""
+        first, small = request.first(), Index[Profile, Server]()
+        members = self.cells.get((first.zone, first.cell))
+        for server in members.items if members is not None else ():
+            place = index.places.get(server)
+            if place is not None:
+                small.file(server, *place)
+        return small
+
+    def _lowest(
+        self, index: Index[Profile, Server], request: RequestState, zone: str, left: float, own: float,
+        idle: bool,
+    ) -> Server | None:
+        """The paper's servers are alike. Where one needs far longer for each request (slow machine, neighbour,
+        cold start) or loses some, its row counts that much more, in steps of root two, so that like servers
+        still tie.
+        """
+        at, mix, blind = self.kinds[request.kind.name], self.learned.mix, self.blind()
+        floor, shift = round(self.level), self.shift()
+        lowest, total = math.inf, 0
+        ties: list[list[Server]] = []
+        for key, levels in index.buckets.items():
+            room, pace, figures, warm, aged, where = key
+            step = figures[at]
+            if step is None or (zone and where != zone):
+                continue
+            if warm < WARM and request.work > self.warming.most_work(warm):
+                continue
+            power = PACE[pace]
+            most = math.inf if blind else room
+            if idle:
+                if own * power > left:
+                    continue
+            else:
+                most = min(most, (left / power - own) / mix)
+            most -= shift
+            weight = POWER[step]
+            for load, level in levels.items():
+                if load > most:
+                    continue
+                row = level.lowest()
+                figure = (max(row, floor) + 1) * weight if aged else (row + 1) * weight
+                if figure > lowest:
+                    continue
+                if figure < lowest:
+                    lowest, ties, total = figure, [], 0
+                for group in _tied(level, max(row, floor)) if aged else (level.rows[row],):
+                    ties.append(group.items)
+                    total += len(group.items)
+        if not total:
+            return None
+        if total == 1:
+            return ties[0][0]
+        drawn = int(self.random.random() * total)
+        for items in ties:
+            if drawn < len(items):
+                return items[drawn]
+            drawn -= len(items)
+        raise AssertionError("a draw beyond the ties")
+
+
+def _tied(level: Level[Server], row: int) -> list[Choice[Server]]:
+    """The groups up to a row, which count as equal: rows of few servers and many nodes."""
+    return [group for at, group in level.rows.items() if at <= row]
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,7 +4,6 @@
 
 from typing import Any
 
-from cloverhold.decision.decide import WAIT_PART
 from cloverhold import (
     Action,
     Balancer,
@@ -31,6 +30,9 @@
     Status,
     Timer,
 )
+from cloverhold.decision.decide import WAIT_PART
+from cloverhold.decision.learned import WARM
+from cloverhold.decision.state import RequestState, Server
 
 NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)
 CLASSES = (
@@ -200,9 +202,27 @@
             self.give(Timer(token))
         self.now = end
 
+    def refile(self) -> None:
+        """Take over what a test has set by hand."""
+        for server in self.balancer.table.ready:
+            self.balancer.health.review(server, self.now)
+
     def last_send(self, ref: int) -> str:
         return str(self.sends[ref][-1]["server"])
 
 
+def waiting(balancer: Balancer) -> list[RequestState]:
+    """Those that wait, the worthiest first."""
+    held = [r for r in balancer.requests.values() if r.held]
+    return sorted(held, key=lambda r: (-r.rank, r.ticket))
+
+
+def cold_room(balancer: Balancer, server: Server, work: float, now: float) -> bool:
+    """Whether a cold server may get a request of so much work."""
+    warming = balancer.warming
+    server.warm = warming.step(server, now)
+    return server.warm == WARM or (warming.fill(server, now) <= now and work <= warming.most_work(server.warm))
+
+
 def of(actions: list[Action], kind: type) -> list[Any]:
     return [a for a in actions if isinstance(a, kind)]
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -13,14 +13,14 @@
 IO_MODULES = {"asyncio", "socket", "select", "selectors", "ssl", "uvloop", "httptools", "subprocess"}
 # Modules that decide or judge: neither they nor what they import may do I/O.
 PURE = (
-    *(f"cloverhold/decision/{name}.py" for name in ("decide", "interface", "checks")),
+    *(f"cloverhold/decision/{path.name}" for path in sorted((ROOT / "cloverhold/decision").glob("*.py"))),
     "cloverhold/settings.py",
     *(f"cloverhold/rehearsal/{name}.py" for name in (
         "scenario", "faults", "plan", "machine", "catalog", "front", "ledger", "judge", "rules", "service", "spoil",
         "wire",
     )),
 )  # fmt: skip
-NODE = ("cloverhold/__main__.py", "cloverhold/net", "cloverhold/decision/decide.py", "cloverhold/benchlink.py")
+NODE = ("cloverhold/__main__.py", "cloverhold/net", "cloverhold/decision", "cloverhold/benchlink.py")
 
 
 def imports(path: Path) -> Iterator[str]:
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -1,21 +1,24 @@
 """One small test for each failure found on the bench, driving the module by events."""
 
-from helpers import Node, make_settings, of
+from helpers import CLASSES, Node, cold_room, make_settings, of, waiting
 
 from cloverhold import (
     Balancer,
     ClassSettings,
+    Group,
     Lifecycle,
     ListKind,
     Probe,
     Repeat,
+    Request,
     Send,
     ServerEntry,
     ServerList,
     Status,
     WeightSource,
 )
-from cloverhold.decision.decide import STALE, SUBSET_LEAST
+from cloverhold.decision.state import RequestState
+from cloverhold.decision.table import STALE, SUBSET_LEAST
 
 
 def served(node: Node, first: int, count: int, took: float, kind: str = "safe") -> None:
@@ -36,6 +39,7 @@
     node.balancer.learned.mix = 350.0
     for server in node.balancer.table.servers.values():
         server.row, server.replies = 1, 1  # others always hold one there
+    node.refile()
     assert of(node.request(1), Send)
 
 
@@ -191,8 +195,7 @@
             node.request(ref, "rich")
         node.request(10, "poor")
         assert not node.sends.get(9) and not node.sends.get(10)
-        waiting = [request.kind.name for _, _, request in node.balancer.waiting]
-        assert waiting[0] == first
+        assert waiting(node.balancer)[0].kind.name == first
 
 
 def test_waiting_list_keeps_no_ended_requests() -> None:
@@ -203,7 +206,7 @@
         if ref in node.owed:
             node.gone(ref)
     node.run(100)
-    assert not node.balancer.waiting
+    assert not node.balancer.waiting.count
 
 
 def test_lone_silent_time_out_is_no_ejection() -> None:
@@ -221,12 +224,12 @@
     node = Node(servers=0, nodes=4, cold_from=0.2, cold_ms=60000.0, fall_multiple=3.0, fall_ms=1000.0)
     node.list((ServerEntry("cold", started_at=node.now),))
     server = node.balancer.table.servers["cold"]
-    room = [at for at in range(0, 4000, 10) if node.balancer._cold_room(server, 50.0, node.now + at)]
+    room = [at for at in range(0, 4000, 10) if cold_room(node.balancer, server, 50.0, node.now + at)]
     assert 500 < room[0] < 700, "50 ms of work fit once all of 45 are saved up"
     server.tokens -= 50.0
-    room = [at for at in range(4000, 6000, 10) if node.balancer._cold_room(server, 50.0, node.now + at)]
+    room = [at for at in range(4000, 6000, 10) if cold_room(node.balancer, server, 50.0, node.now + at)]
     assert room[0] > 4000, "and are paid back before the next"
-    assert not node.balancer._cold_room(server, 150.0, node.now + 9000), "more than half the share never fits"
+    assert not cold_room(node.balancer, server, 150.0, node.now + 9000), "more than half the share never fits"
 
 
 def test_a_hint_makes_silence_a_surer_sign() -> None:
@@ -254,16 +257,16 @@
 
 def test_a_lost_server_of_the_subset_is_replaced() -> None:
     node = Node(servers=60, nodes=400)
-    known = {s.entry.server for s in node.balancer.health.subset(node.now)[1]}
+    known = {s.entry.server for s in node.balancer.table.well.places}
     lost = sorted(known)[0]
     node.list((ServerEntry(lost, lifecycle=Lifecycle.GONE),), ListKind.CHANGES)
-    after = {s.entry.server for s in node.balancer.health.subset(node.now)[1]}
+    after = {s.entry.server for s in node.balancer.table.well.places}
     assert len(after) == len(known) == SUBSET_LEAST and known - {lost} < after
 
 
 def test_few_nodes_use_every_server() -> None:
     node = Node(servers=18, nodes=3)
-    assert len(node.balancer.health.subset(node.now)[1]) == 18
+    assert len(node.balancer.table.well) == 18
 
 
 def test_many_nodes_with_a_share_under_one_request_still_use_a_cold_server() -> None:
@@ -277,7 +280,7 @@
             balancer.handle(0.0, ServerList(ListKind.FULL, (ServerEntry("cold", started_at=0.0),)))
             server = balancer.table.servers["cold"]
             for at in range(1, 20000, 100):
-                if balancer._cold_room(server, 50.0, float(at)):
+                if cold_room(balancer, server, 50.0, float(at)):
                     server.tokens -= 50.0
                     sent.append(at)
         warmth = [0.2 + 0.8 * at / 20000 for at in range(0, 18000, 500)]
@@ -305,9 +308,11 @@
     table = node.balancer.table
     table.level, table.servers["s0"].row, table.servers["s1"].row = 3.0, 0, 2
     table.servers["s0"].heard_at, table.servers["s1"].heard_at = node.now - 5000.0, node.now
-    assert table.pick(table.ready, [1.0, 1.0], node.now) is table.servers["s1"]
-    table.servers["s0"].heard_at = node.now
-    assert table.pick(table.ready, [1.0, 1.0], node.now) is table.servers["s0"]
+    request = RequestState(Request(1, "safe", 400.0), CLASSES[0], node.now)
+    for server in ("s1", "s0"):
+        node.refile()
+        assert table.pick(request, Group.ALL, 400.0, 0.0, True) is table.servers[server]
+        table.servers["s0"].heard_at = node.now
 
 
 def test_no_bound_by_rows_where_dear_probes_keep_them_old() -> None:
@@ -315,6 +320,7 @@
     for price, many in ((0.01, True), (0.0, False)):
         node = Node(servers=1, nodes=100, probe_price=price)
         node.balancer.table.servers["s0"].replies, node.balancer.table.servers["s0"].row = 1, 20
+        node.refile()
         node.request(1, settle=False)
         node.run(20)
         assert bool(node.sends.get(1)) is many
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,7 +1,7 @@
 """Ejection, return, stalls, waiting and the list: one small test per failure that the module answers."""
 
 from helpers import Node, entries, make_settings, of
-from cloverhold.decision.decide import Attempt, RequestState
+from cloverhold.decision.state import Attempt, RequestState
 
 from cloverhold import (
     ClassSettings,
@@ -73,6 +73,7 @@
     server = node.balancer.table.servers["s0"]
     server.record.answered_at -= 1000  # its answers came before the pause
     server.row = 0
+    node.refile()
     node.request(3)
     assert node.last_send(3) != "s0"
     node.reply("s0", 0.0)  # the pause is over
@@ -207,7 +208,8 @@
     warm_up(node, 300)
     balancer = node.balancer
     node.run(5000)
-    assert not balancer.requests and not balancer.attempts and not balancer.waiting and not balancer.timers
+    assert not balancer.requests and not balancer.attempts and not balancer.waiting.count
+    assert not balancer.wakes.at and not balancer.rings
     assert all(not s.out for s in balancer.table.servers.values())
     node.list(entries(1))
     assert len(balancer.table.servers) == 1
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -99,6 +99,7 @@
     node = Node(servers=2)
     node.balancer.table.servers["s0"].row = 1
     node.balancer.table.servers["s1"].row = 5
+    node.refile()
     node.list((ServerEntry("new"),), ListKind.CHANGES)
     assert rows(node)["new"] == 3
 
@@ -172,12 +173,12 @@
     node.balancer.table.stale = 0.0  # fresh reports
     for ref in range(20):
         node.request(ref)
-    assert node.balancer.waiting
+    assert node.balancer.waiting.count
     node.reply_all({"s0": 9.0, "s1": 9.0})  # the last that probes tell
     for server in node.balancer.table.servers.values():
         assert server.replies
     ended = 0
-    while node.balancer.waiting and ended < 10:
+    while node.balancer.waiting.count and ended < 10:
         ref = next(r for r, tries in node.sends.items() if r in node.owed and tries[-1]["status"] is None)
         out = len(node.balancer.attempts)
         node.run(5)
