--- a/cloverhold/decision/decide.py
+++ b/cloverhold/decision/decide.py
@@ -369,7 +369,7 @@
         self._place_waiting(now)
 
     def _listed(self, entry: ServerEntry, now: float) -> Server | None:
-        """Take over one line; the server that it changed. A new start under an old name is a new one, cold."""
+        """Take over one line; the server that it changed. A new start under an old name is new and cold."""
         if entry.lifecycle is Lifecycle.GONE:
             self._drop(entry.server)
             return None
--- a/cloverhold/decision/state.py
+++ b/cloverhold/decision/state.py
@@ -28,8 +28,8 @@
 
 
 # What makes servers alike in a pick: the most load at which they have room; the pace in quarters of a
-# doubling; for each class the weighted figure in halves (None: not served); how warm; whether the row is aged;
-# and the zone where repeats keep to theirs.
+# doubling; for each class the weighted figure in halves (None: not served); how warm; whether the row is
+# aged; and the zone where repeats keep to theirs.
 Profile = tuple[float, int, tuple[int | None, ...], int, bool, str]
 
 
