--- a/benchmarks/node_cost.py
+++ b/benchmarks/node_cost.py
@@ -1,6 +1,6 @@
 """CPU per proxied request and requests a second on one core: the node beside a bare forwarder, in the same run.
 
-    python benchmarks/node_cost.py [--seconds 4] [--servers 12,100,1000] [--connections 1,16,128]
+    python benchmarks/node_cost.py [--seconds 4] [--servers 12,100,1000] [--connections 1,16,128] [--tree DIR]
 
 Servers answer two bytes at once and probes too. What is measured runs alone on one core, servers and clients on
 others. The ratio is the figure: it holds when the machine's speed does not. Everything is on loopback, and each cell
@@ -200,7 +200,7 @@
     return [sys.executable, "-m", "cloverhold"], {**os.environ, "PROXY_CONFIG": str(path)}
 
 
-def cell(servers: int, connections: int, seconds: float, rounds: int) -> dict[str, float]:
+def cell(servers: int, connections: int, seconds: float, rounds: int, tree: str) -> dict[str, float]:
     """One cell of the table: node and forwarder in turn, the median of the rounds."""
     cores = sorted(os.sched_getaffinity(0))
     own, backend, loaders = {cores[0]}, {cores[1 % len(cores)]}, [{c} for c in (cores * 4)[2 : 2 + LOADERS]]
@@ -216,7 +216,7 @@
         command, env = node_command(Path(name), port, ports)
         bare = [sys.executable, str(HERE / "forwarder.py"), str(bare_port), ",".join(map(str, ports))]
         quiet = {"stderr": subprocess.DEVNULL}
-        with started(command, own, env=env, **quiet) as node, started(bare, own, **quiet) as forwarder:
+        with started(command, own, env=env, cwd=tree, **quiet) as node, started(bare, own, **quiet) as forwarder:
             until_listening(port)
             until_listening(bare_port)
             rows = []
@@ -239,6 +239,7 @@
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--servers", default="12,100,1000")
     parser.add_argument("--connections", default="1,16,128")
+    parser.add_argument("--tree", default=".", help="the folder whose cloverhold runs, as build/compiled")
     parser.add_argument("--role", nargs="+", help=argparse.SUPPRESS)
     options = parser.parse_args()
     if options.role:
@@ -253,7 +254,7 @@
     print("| --- | --- | --- | --- | --- | --- | --- | --- |")
     for servers in map(int, options.servers.split(",")):
         for connections in map(int, options.connections.split(",")):
-            got = cell(servers, connections, options.seconds, options.rounds)
+            got = cell(servers, connections, options.seconds, options.rounds, options.tree)
             print(
                 f"| {servers} | {connections} | {got['node_us']:.0f} | {got['node_rps']:.0f} | "
                 f"{got['node_failed']:.0f} | {got['bare_us']:.0f} | {got['bare_rps']:.0f} | {got['ratio']:.1f} |",
--- a/cloverhold/decision/table.py
+++ b/cloverhold/decision/table.py
@@ -1,7 +1,7 @@
 """The design's table: a row per server, the probes that overwrite rows, and the pick.
 
 Servers are filed in an index by what makes them alike (`Profile`), by load and by row, and filed anew when
-one of these changes. What drifts for all at once (the mean work, the mean size) a server takes over at its own
+one of these changes. What drifts for all at once (the mean work, the mean size) a server takes over at its
 next event, or when the balancer's round comes to it: no event costs a walk over the servers.
 """
 
@@ -279,9 +279,9 @@
         self, index: Index[Profile, Server], request: RequestState, zone: str, left: float, own: float,
         idle: bool,
     ) -> Server | None:
-        """The paper's servers are alike. Where one needs far longer for each request (slow machine, neighbour,
-        cold start) or loses some, its row counts that much more, in steps of root two, so that like
-        servers still tie.
+        """The paper's servers are alike. Where one needs far longer for each request (slow machine,
+        neighbour, cold start) or loses some, its row counts that much more, in steps of root two, so that
+        like servers still tie.
         """
         at, mix, blind = self.kinds[request.kind.name], self.learned.mix, self.blind()
         floor, shift = round(self.level), self.shift()
