--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -9,8 +9,8 @@
 import os
 import signal
 import sys
-from dataclasses import dataclass
-from typing import Any
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
@@ -18,13 +18,18 @@
 from cloverhold.decision.checks import check_settings
 from cloverhold.net.client import Listener
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery import Discovery, ListError, Members, parse_address, read_members
+from cloverhold.net.discovery import Discovery, ListError, Members, members_value, parse_address, read_members
 from cloverhold.net.host import Host
 from cloverhold.net.upstream import Address, Pool
 from cloverhold.settings import SettingsError, module_settings
 
+if TYPE_CHECKING:
+    from cloverhold.supervise.worker import Attached
+
 log = logging.getLogger(__name__)
 
+WORKER = "CLOVERHOLD_WORKER"  # what a supervisor tells a worker
+
 # Parts of the descriptors; the rest is for discovery, the listening socket and the interpreter.
 CLIENT_PART, SERVER_PART = 0.5, 0.4
 RESTING_PART = 1 / 6  # of connections between requests: clients hold a third at most
@@ -105,25 +110,32 @@
 class Node:
     """The parts of a node, put together."""
 
-    def __init__(self, config: Config, clock: Clock) -> None:
+    def __init__(self, config: Config, clock: Clock, worker: Attached | None = None) -> None:
         loop = asyncio.get_running_loop()
         most_servers = max(8, int(SERVER_PART * config.sockets))
-        self.config, self.clock = config, clock
+        self.config, self.clock, self.worker = config, clock, worker
         self.pool = Pool(loop, config.dial_ms / 1000, config.idle_ms / 1000, most_servers)
         self.host = Host(config.settings, config.seed, clock, self.pool, lambda on: self.discovery.watch(on))
         asked = config.settings.list_mode is io.ListMode.ASK
         self.discovery = Discovery(
-            config.discovery, clock, self.host.members, self.host.list_failed, asked=asked
+            config.discovery, clock, self._members, self.host.list_failed, asked=asked
         )
         clients, resting = (max(8, int(part * config.sockets)) for part in (CLIENT_PART, RESTING_PART))
         self.listener = Listener(self.host, clients, resting)
 
+    def _members(self, members: Members) -> None:
+        self.host.members(members)
+        if self.worker is not None:
+            self.worker.told(members_value(members, self.clock))
+
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until told to stop, and then answer what was taken."""
         if self.config.known is not None:
             self.host.members(self.config.known, remembered=True)
         self.discovery.watch()
-        await self.listener.start(*self.config.listen)
+        await self.listener.start(self.config.listen, self.worker.listening if self.worker else None)
+        if self.worker is not None:
+            self.worker.begin(stop)
         log.info("listening on %s:%d", *self.config.listen)
         gc.freeze()  # what is there now stays: collections need not look at it again
         gc.set_threshold(*GC_THRESHOLD)
@@ -137,6 +149,7 @@
         """
         try:
             config = read_config(self.clock, again=True)
+            config = self.worker.share(config) if self.worker else config
         except ConfigError as error:
             log.error("configuration: %s; the old one stays", error)
             return
@@ -170,8 +183,16 @@
 
 async def serve() -> None:
     """One node, from its configuration to SIGTERM."""
-    clock = Clock()
-    node, stop = Node(read_config(clock), clock), asyncio.Event()
+    clock, worker = Clock(), None
+    config = read_config(clock)
+    if WORKER in os.environ:
+        from cloverhold.supervise.worker import Attached
+
+        worker = Attached(os.environ.pop(WORKER))
+        config = worker.share(config)
+        if (known := worker.known()) is not None:
+            config = replace(config, known=_known({"known": known}, clock))
+    node, stop = Node(config, clock, worker), asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
@@ -179,10 +200,16 @@
     await node.run(stop)
 
 
-def main() -> int:
-    """Run a node; 0 after SIGTERM, 2 on a configuration that it cannot run on."""
+def main(workers: int = 1) -> int:
+    """Run a node, of several workers where more than one is asked for; 0 after SIGTERM, 2 on a configuration that it
+    cannot run on.
+    """
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(message)s")
     try:
+        if workers > 1:
+            from cloverhold.supervise.shell import supervise
+
+            return supervise(workers, read_config(Clock()).listen)
         uvloop.run(serve())
     except ConfigError as error:
         print(f"configuration: {error}", file=sys.stderr)
--- a/cloverhold/cli.py
+++ b/cloverhold/cli.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 USAGE = """usage: cloverhold run                       one node, configured by PROXY_CONFIG
+       cloverhold run --workers N           the same as N processes behind one port
        cloverhold rehearse [SCENARIO] ...   real nodes before a stand-in fleet that fails on a script
        cloverhold --version
 
@@ -20,6 +21,10 @@
             from cloverhold.__main__ import main as node
 
             return node()
+        case ["run", "--workers", count] if count.isdigit() and 0 < int(count) <= 256:
+            from cloverhold.__main__ import main as node
+
+            return node(int(count))
         case ["rehearse", *rest]:
             try:
                 from cloverhold.rehearsal.cli import main as kit
--- a/cloverhold/net/client.py
+++ b/cloverhold/net/client.py
@@ -358,9 +358,10 @@
         self._servers: list[asyncio.Server] = []
         self._sweeper: asyncio.TimerHandle | None = None
 
-    async def start(self, host: str, port: int) -> None:
+    async def start(self, address: tuple[str, int], inherited: socket.socket | None = None) -> None:
+        """Listen there, or on a socket that does already and that is closed with this one."""
         loop = asyncio.get_running_loop()
-        with socket.create_server((host, port), backlog=1024) as listening:
+        with inherited or socket.create_server(address, backlog=1024) as listening:
             for _ in range(ACCEPTS):
                 server = await loop.create_server(lambda: ClientConnection(self), sock=listening.dup())
                 self._servers.append(server)
--- a/cloverhold/net/clock.py
+++ b/cloverhold/net/clock.py
@@ -16,5 +16,8 @@
     def now(self) -> float:
         return time.monotonic() * 1000
 
+    def to_unix(self, ms: float) -> float:
+        return ms + self._unix_offset
+
     def from_unix(self, unix_ms: float) -> float:
         return unix_ms - self._unix_offset
--- a/cloverhold/net/discovery.py
+++ b/cloverhold/net/discovery.py
@@ -78,6 +78,27 @@
     return Members(version, full, tuple(entry for entry, _ in pairs), addresses)
 
 
+def members_value(members: Members, clock: Clock) -> dict[str, Any]:
+    """A list in discovery's form, as `read_members` reads it."""
+    names = {state: name for name, state in _STATES.items()}
+    return {
+        "rev": members.version,
+        "all": members.full,
+        "targets": [
+            {
+                "uid": e.server,
+                "endpoint": "{}:{}".format(*members.addresses[e.server]),
+                "az": e.zone,
+                "pod_group": e.cell,
+                "state": names[e.lifecycle],
+                "capacity_hint": e.weight,
+                "boot_ms": clock.to_unix(e.started_at) if e.started_at is not None else 0,
+            }
+            for e in members.entries
+        ],
+    }
+
+
 class _Link:
     """One kept connection to discovery."""
 
--- /dev/null
+++ b/cloverhold/supervise/shell.py
@@ -0,0 +1,132 @@
+"""The supervisor's processes, signals and channels; what is done about them `core` decides."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+import signal
+import socket
+import sys
+from typing import Any
+
+from cloverhold.supervise.core import Action, Finish, Note, Start, Supervisor, Tell, Word
+
+log = logging.getLogger(__name__)
+
+SIGNALS = {Word.STOP: signal.SIGTERM, Word.RELOAD: signal.SIGHUP, Word.KILL: signal.SIGKILL}
+LINE_MOST = 8 * 1024 * 1024  # a list of 10,000 servers takes some 1.5 MB
+
+
+class Shell:
+    """One supervisor."""
+
+    def __init__(self, workers: int, listening: socket.socket) -> None:
+        self.core, self.workers, self.listening = Supervisor(workers), workers, listening
+        self.loop = asyncio.get_running_loop()
+        self.processes: dict[int, asyncio.subprocess.Process] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.targets: dict[str, dict[str, Any]] = {}  # the last list, by uid
+        self.version: int | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.over: asyncio.Future[int] = self.loop.create_future()
+
+    async def run(self) -> int:
+        """Until all workers have ended; the exit status."""
+        now = self.loop.time
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, lambda: self.act(self.core.stop(now())))
+        self.loop.add_signal_handler(signal.SIGHUP, lambda: self.act(self.core.reload()))
+        self.loop.add_signal_handler(signal.SIGUSR2, lambda: self.act(self.core.replace(now())))
+        self.act(self.core.begin(now()))
+        try:
+            return await self.over
+        finally:
+            if self.timer is not None:
+                self.timer.cancel()
+            for task in self.tasks:
+                task.cancel()
+
+    def act(self, actions: list[Action]) -> None:
+        """Carry out what was decided, and ring when something is due next."""
+        for action in actions:
+            match action:
+                case Start(number=number, life=life):
+                    task = self.loop.create_task(self._worker(number, life))
+                    self.tasks.add(task)
+                    task.add_done_callback(self.tasks.discard)
+                case Tell(life=life, word=word):
+                    process = self.processes.get(life)
+                    if process is not None and process.returncode is None:
+                        process.send_signal(SIGNALS[word])
+                case Note(text=text):
+                    log.warning("%s", text)
+                case Finish(status=status):
+                    if not self.over.done():
+                        self.over.set_result(status)
+        if self.timer is not None:
+            self.timer.cancel()
+        due = self.core.next()
+        if due is not None:
+            self.timer = self.loop.call_at(due, lambda: self.act(self.core.due(self.loop.time())))
+
+    async def _worker(self, number: int, life: int) -> None:
+        """One process from its start to its end."""
+        ours, theirs = socket.socketpair()
+        told = {"number": number, "life": life, "workers": self.workers,
+                "listening": self.listening.fileno(), "channel": theirs.fileno()}  # fmt: skip
+        reader, writer = await asyncio.open_connection(sock=ours, limit=LINE_MOST)
+        try:
+            with theirs:
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "cloverhold", env={**os.environ, "CLOVERHOLD_WORKER": json.dumps(told)},
+                    pass_fds=(theirs.fileno(), self.listening.fileno()),
+                )  # fmt: skip
+            self.processes[life] = process
+            writer.write(json.dumps(self._known()).encode() + b"\n")
+            await self._listen(life, reader)
+            status = await process.wait()
+        finally:
+            writer.close()
+        del self.processes[life]
+        self.act(self.core.exited(life, status, self.loop.time()))
+
+    async def _listen(self, life: int, reader: asyncio.StreamReader) -> None:
+        """What a worker says, until its end of the channel closes."""
+        try:
+            while line := await reader.readline():
+                message = json.loads(line)
+                if "ready" in message:
+                    self.act(self.core.ready(life, self.loop.time()))
+                elif "list" in message:
+                    self._listed(message["list"])
+                else:
+                    self.act(self.core.beat(life, self.loop.time()))
+        except (ConnectionError, ValueError) as error:
+            log.warning("a worker's channel: %s", error)
+
+    def _listed(self, value: dict[str, Any]) -> None:
+        if value["all"]:
+            self.targets = {}
+        for target in value["targets"]:
+            if target["state"] == "left":
+                self.targets.pop(target["uid"], None)
+            else:
+                self.targets[target["uid"]] = target
+        self.version = value["rev"]
+
+    def _known(self) -> dict[str, Any] | None:
+        if self.version is None:
+            return None
+        return {"rev": self.version, "all": True, "targets": list(self.targets.values())}
+
+
+def supervise(workers: int, address: tuple[str, int]) -> int:
+    """Run so many workers behind one port, until SIGTERM; the exit status. OSError where the port is taken."""
+
+    async def run(listening: socket.socket) -> int:
+        return await Shell(workers, listening).run()
+
+    with socket.create_server(address, backlog=1024) as listening:
+        return asyncio.run(run(listening))
--- /dev/null
+++ b/cloverhold/supervise/worker.py
@@ -0,0 +1,86 @@
+"""A node that is one of several workers: what it takes from its supervisor, and what it tells."""
+
+from __future__ import annotations
+
+import asyncio
+import ctypes
+import json
+import signal
+import socket
+from dataclasses import replace
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from cloverhold.__main__ import Config
+
+BEAT_S = 0.5
+PR_SET_PDEATHSIG = 1
+
+
+class Attached:
+    """The channel to the supervisor: a line of JSON a message, the remembered list first."""
+
+    def __init__(self, text: str) -> None:
+        told = json.loads(text)
+        self.number, self.life, self.workers = int(told["number"]), int(told["life"]), int(told["workers"])
+        self.listening = socket.socket(fileno=int(told["listening"]))
+        self.listening.setblocking(False)
+        self.channel = socket.socket(fileno=int(told["channel"]))
+        self.unsent = b""
+        # A worker that is stopped when its supervisor dies goes on, sees the channel's end and ends too.
+        ctypes.CDLL(None, use_errno=True).prctl(PR_SET_PDEATHSIG, signal.SIGCONT)
+
+    def known(self) -> Any:
+        """The last list that any worker was told; None at the first start. Waits for the supervisor's word."""
+        line = b""
+        while not line.endswith(b"\n"):
+            data = self.channel.recv(64 * 1024)
+            if not data:
+                raise OSError("the supervisor has gone")
+            line += data
+        self.channel.setblocking(False)
+        return json.loads(line)
+
+    def share(self, config: Config) -> Config:
+        """The part of a worker in what the node was given: it counts as a node of its own."""
+        return replace(
+            config,
+            settings=replace(config.settings, nodes=config.settings.nodes * self.workers),
+            sockets=max(64, config.sockets // self.workers),
+            seed=Random(f"{config.seed}/{self.life}").getrandbits(63),
+        )
+
+    def begin(self, stop: asyncio.Event) -> None:
+        """It serves: tell so, and live until the supervisor goes."""
+        self.loop, self.stop = asyncio.get_running_loop(), stop
+        self.loop.add_reader(self.channel, self._readable)
+        self._say({"ready": True})
+        self._beat()
+
+    def told(self, members: dict[str, Any]) -> None:
+        """A list, for those that are started after this."""
+        self._say({"list": members})
+
+    def _beat(self) -> None:
+        self._say({"beat": True})
+        if not self.stop.is_set():
+            self.loop.call_later(BEAT_S, self._beat)
+
+    def _say(self, message: dict[str, Any]) -> None:
+        self.unsent += json.dumps(message).encode() + b"\n"
+        try:
+            self.unsent = self.unsent[self.channel.send(self.unsent) :]
+        except BlockingIOError:
+            pass  # said with the next beat
+        except OSError:
+            self.unsent = b""  # the supervisor has gone: the reader sees to it
+
+    def _readable(self) -> None:
+        try:
+            data = self.channel.recv(4096)
+        except OSError:
+            data = b""
+        if not data:
+            self.loop.remove_reader(self.channel)
+            self.stop.set()
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -15,12 +15,16 @@
 PURE = (
     *(f"cloverhold/decision/{path.name}" for path in sorted((ROOT / "cloverhold/decision").glob("*.py"))),
     "cloverhold/settings.py",
+    "cloverhold/supervise/core.py",
     *(f"cloverhold/rehearsal/{name}.py" for name in (
         "scenario", "faults", "plan", "machine", "catalog", "front", "ledger", "judge", "rules", "service", "spoil",
         "wire",
     )),
 )  # fmt: skip
-NODE = ("cloverhold/__main__.py", "cloverhold/net", "cloverhold/decision", "cloverhold/benchlink.py")
+NODE = (
+    *("cloverhold/__main__.py", "cloverhold/benchlink.py"),
+    *("cloverhold/net", "cloverhold/decision", "cloverhold/supervise"),
+)
 
 
 def imports(path: Path) -> Iterator[str]:
