--- a/tests/test_supervise.py
+++ b/tests/test_supervise.py
@@ -18,9 +18,11 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from loopback import OK, Server, play, read_answer, request, target, until
+from helpers import make_settings
+from loopback import OK, Catalog, Server, play, read_answer, request, target, until
 from test_process import ROOT, config, environment
 
+from cloverhold.__main__ import Config
 from cloverhold.supervise.core import (
     BACKOFF_MOST_S,
     BAD_CONFIG,
@@ -35,6 +37,7 @@
     Tell,
     Word,
 )
+from cloverhold.supervise.worker import Attached
 
 
 def lives(actions: list[Action]) -> list[int]:
@@ -218,8 +221,10 @@
 
 
 @asynccontextmanager
-async def workers(tmp_path: Path, count: int) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
-    """A supervisor with so many workers before one server, ready to serve."""
+async def workers(
+    tmp_path: Path, count: int, catalog: Catalog | None = None
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
+    """A supervisor with so many workers before one server, ready to serve. The list is remembered, or a catalog's."""
     server = Server(lambda target, body: OK)
     await server.start()
     with socket.socket() as free, socket.socket() as nobody:
@@ -228,6 +233,10 @@
         port, down = free.getsockname()[1], nobody.getsockname()[1]
     known = {"rev": 1, "all": True, "targets": [target("s0", server.port)]}
     path = tmp_path / "config.json"
+    if catalog is not None:
+        catalog.targets = known["targets"]
+        await catalog.start()
+        down, known = catalog.port, {}
     path.write_text(json.dumps(config(listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{down}", known=known)))
     process = await asyncio.create_subprocess_exec(
         *(sys.executable, "-m", "cloverhold.cli", "run", "--workers", str(count)),
@@ -288,6 +297,33 @@
     on_workers(2, tmp_path, test)
 
 
+def test_a_worker_started_later_has_the_last_list(tmp_path: Path) -> None:
+    async def run() -> None:
+        catalog = Catalog([])
+        async with workers(tmp_path, 2, catalog) as (process, port):
+            catalog.stop()
+            before = children(process.pid)
+            for pid in before:
+                os.kill(pid, signal.SIGKILL)
+            await until(lambda: len(children(process.pid) - before) == 2)
+            assert await asked(port, "again") == 200, "though nobody is left who could tell the list"
+
+    play(run)
+
+
+def test_workers_share_what_the_node_was_given(monkeypatch: pytest.MonkeyPatch) -> None:
+    ours, theirs = socket.socketpair()
+    listening = socket.create_server(("127.0.0.1", 0))
+    told = {"number": 1, "life": 7, "workers": 4, "listening": listening.detach(), "channel": theirs.detach()}
+    attached = Attached(json.dumps(told))
+    with ours, attached.channel, attached.listening:
+        given = Config(("127.0.0.1", 1), ("127.0.0.1", 2), make_settings(nodes=3), 1.0, 1.0, 1024, 5, None)
+        part = attached.share(given)
+        assert (part.settings.nodes, part.sockets) == (12, 256) and part.seed != given.seed
+        ours.sendall(b'{"rev": 1}\n')
+        assert attached.known() == {"rev": 1}
+
+
 def test_all_workers_killed_at_once_come_back(tmp_path: Path) -> None:
     async def test(process: asyncio.subprocess.Process, port: int) -> None:
         before = children(process.pid)
