Give each worker a queue of its own that its successor inherits

Change: the supervisor binds a socket a worker with SO_REUSEPORT and keeps them open: the kernel deals evenly, and what waits in a dead worker's queue is its successor's. A port that is taken is looked for first, as shared ports would hide it.

--- a/cloverhold/supervise/shell.py
+++ b/cloverhold/supervise/shell.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+from contextlib import ExitStack
 from typing import Any
 
 from cloverhold.supervise.core import Action, Finish, Note, Start, Supervisor, Tell, Word
@@ -22,8 +23,8 @@
 class Shell:
     """One supervisor."""
 
-    def __init__(self, workers: int, listening: socket.socket) -> None:
-        self.core, self.workers, self.listening = Supervisor(workers), workers, listening
+    def __init__(self, listening: list[socket.socket]) -> None:
+        self.core, self.workers, self.listening = Supervisor(len(listening)), len(listening), listening
         self.loop = asyncio.get_running_loop()
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -74,14 +75,15 @@
     async def _worker(self, number: int, life: int) -> None:
         """One process from its start to its end."""
         ours, theirs = socket.socketpair()
+        own = self.listening[number].fileno()
         told = {"number": number, "life": life, "workers": self.workers,
-                "listening": self.listening.fileno(), "channel": theirs.fileno()}  # fmt: skip
+                "listening": own, "channel": theirs.fileno()}  # fmt: skip
         reader, writer = await asyncio.open_connection(sock=ours, limit=LINE_MOST)
         try:
             with theirs:
                 process = await asyncio.create_subprocess_exec(
                     sys.executable, "-m", "cloverhold", env={**os.environ, "CLOVERHOLD_WORKER": json.dumps(told)},
-                    pass_fds=(theirs.fileno(), self.listening.fileno()),
+                    pass_fds=(theirs.fileno(), own),
                 )  # fmt: skip
             self.processes[life] = process
             writer.write(json.dumps(self._known()).encode() + b"\n")
@@ -125,8 +127,16 @@
 def supervise(workers: int, address: tuple[str, int]) -> int:
     """Run so many workers behind one port, until SIGTERM; the exit status. OSError where the port is taken."""
 
-    async def run(listening: socket.socket) -> int:
-        return await Shell(workers, listening).run()
-
-    with socket.create_server(address, backlog=1024) as listening:
+    async def run(listening: list[socket.socket]) -> int:
+        return await Shell(listening).run()
+
+    # A queue for each number: the kernel deals connections evenly among them. They stay open here, so that what
+    # waits in a dead worker's queue is its successor's and is not reset.
+    socket.create_server(address).close()  # several may share a port: else one that is taken would not show
+    with ExitStack() as stack:
+        listening: list[socket.socket] = []
+        for _ in range(workers):
+            free = listening[0].getsockname() if listening else address
+            one = socket.create_server(free, backlog=1024, reuse_port=True)
+            listening.append(stack.enter_context(one))
         return asyncio.run(run(listening))
--- a/tests/test_supervise.py
+++ b/tests/test_supervise.py
@@ -324,6 +324,20 @@
         assert attached.known() == {"rev": 1}
 
 
+def test_a_port_that_is_taken_ends_the_start(tmp_path: Path) -> None:
+    async def test(process: asyncio.subprocess.Process, port: int) -> None:
+        again = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "cloverhold.cli", "run", "--workers", "2"),
+            cwd=ROOT,
+            env=environment(tmp_path / "config.json"),
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, said = await again.communicate()
+        assert again.returncode == 1 and said.startswith(b"cannot start") and said.count(b"\n") == 1
+
+    on_workers(2, tmp_path, test)
+
+
 def test_all_workers_killed_at_once_come_back(tmp_path: Path) -> None:
     async def test(process: asyncio.subprocess.Process, port: int) -> None:
         before = children(process.pid)
