Set a worker's parent-death signal before its program runs

Seen: in the whole suite a worker that was stopped while it still imported stayed when its supervisor was killed, and the port with it. Cause: the signal was asked for by the worker itself, some 0.2 s after its start. Now the supervisor sets it between fork and exec.

--- a/cloverhold/supervise/shell.py
+++ b/cloverhold/supervise/shell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
 import logging
 import os
@@ -20,6 +21,17 @@
 LINE_MOST = 8 * 1024 * 1024  # a list of 10,000 servers takes some 1.5 MB
 
 
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None)
+
+
+def _outlive_no_supervisor() -> None:
+    """A worker that is stopped when its supervisor dies goes on, sees the channel's end and ends too. Set before it
+    runs: one that was stopped while it still started stayed for ever.
+    """
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGCONT)
+
+
 class Shell:
     """One supervisor."""
 
@@ -83,7 +95,7 @@
             with theirs:
                 process = await asyncio.create_subprocess_exec(
                     sys.executable, "-m", "cloverhold", env={**os.environ, "CLOVERHOLD_WORKER": json.dumps(told)},
-                    pass_fds=(theirs.fileno(), own),
+                    pass_fds=(theirs.fileno(), own), preexec_fn=_outlive_no_supervisor,
                 )  # fmt: skip
             self.processes[life] = process
             writer.write(json.dumps(self._known()).encode() + b"\n")
--- a/cloverhold/supervise/worker.py
+++ b/cloverhold/supervise/worker.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import ctypes
 import json
-import signal
 import socket
 from dataclasses import replace
 from random import Random
@@ -15,7 +13,6 @@
     from cloverhold.__main__ import Config
 
 BEAT_S = 0.5
-PR_SET_PDEATHSIG = 1
 
 
 class Attached:
@@ -28,8 +25,6 @@
         self.listening.setblocking(False)
         self.channel = socket.socket(fileno=int(told["channel"]))
         self.unsent = b""
-        # A worker that is stopped when its supervisor dies goes on, sees the channel's end and ends too.
-        ctypes.CDLL(None, use_errno=True).prctl(PR_SET_PDEATHSIG, signal.SIGCONT)
 
     def known(self) -> Any:
         """The last list that any worker was told; None at the first start. Waits for the supervisor's word."""
