Move the requests that wait into a data structure beside the policy files

Need: cells bring lines of waiting requests by pool. Change: a move alone, cloverhold/decision/waiting.py. Result: the module's tests pass unchanged.

--- a/cloverhold/decision/decide.py
+++ b/cloverhold/decision/decide.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from random import Random
 
-from cloverhold.decision.admission import Admission, Waiting
+from cloverhold.decision.admission import Admission
 from cloverhold.decision.checks import check_settings
 from cloverhold.decision.health import Health
 from cloverhold.decision.index import Agenda
@@ -23,6 +23,7 @@
 from cloverhold.decision.learned import WARM, Learned, Warming
 from cloverhold.decision.state import NEVER_RAN, Attempt, RequestState, Server
 from cloverhold.decision.table import Table
+from cloverhold.decision.waiting import Waiting
 
 WAIT_PART = 0.03  # part of its aim that a request may wait for its own probes
 JAM = 10.0  # how long after requests had to wait a place at a server counts as dear
