Let a request come with the pool of servers that it may go to

Need: cells confine a tenant to a part of the fleet. The module must go on deciding which server, within the set that the cell allows, and the trouble of one cell must not reach another through what requests share: the budget of further attempts, the places dear in a jam, the order of those that wait. Change: Request.pool, one more filter in front of the one pick; a walk over the pool's servers, so its cost is that of the pool. A lane (all requests, or those of one pool) has its own retries and its own jam; those that wait stand in a line a class and lane, a line without room stands apart and comes back when room shows at one of its servers, or in its turn. With pools a node keeps to every server.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(BIN)/python -m zipfile -e build/wheel/*.whl $(COMPILED)
 	PYTHONPATH=$(COMPILED) CLOVERHOLD_COMPILE=1 $(BIN)/python -P -m pytest -q -p no:cacheprovider -n 4 \
 		-o pythonpath=$(COMPILED) tests/test_compiled.py tests/test_index.py tests/test_scale.py tests/test_path.py tests/test_rules.py \
-		tests/test_health.py tests/test_found.py tests/test_random.py tests/test_odd_days.py
+		tests/test_health.py tests/test_found.py tests/test_random.py tests/test_odd_days.py tests/test_pools.py
 
 $(VENV)/made: pyproject.toml setup.py
 	python3 -m venv $(VENV)
--- a/cloverhold/decision/admission.py
+++ b/cloverhold/decision/admission.py
@@ -5,9 +5,10 @@
 import math
 
 from cloverhold.decision.interface import ClassSettings, Settings
+from cloverhold.decision.pools import RETRY_BURST, Lane
 from cloverhold.decision.state import RequestState
 
-RETRY_PART, RETRY_BURST = 0.2, 10.0  # retry budget: further attempts for each request, most saved up
+RETRY_PART = 0.2  # retry budget: further attempts for each request
 NEAR = 0.1  # classes served this much better than the worst count for a third as much as it
 PULLS = 8  # requests after which the classes' pull is worked out anew: a slow average moves little in between
 
@@ -17,7 +18,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
-        self.retries = RETRY_BURST
+        self.lane = Lane()  # of requests that may go to any server
         self.classes: dict[str, ClassSettings] = {c.name: c for c in settings.classes}
         own = 1000 * settings.nodes
         self.shares = {t.name: (t.quota_per_s / own, 1.0, -math.inf) for t in settings.tenants}
@@ -39,7 +40,7 @@
     def admit(self, request: RequestState, now: float) -> None:
         """Set until when an answer is worth anything, and the rank among waiting requests."""
         kind, s = request.kind, self.settings
-        self.retries = min(RETRY_BURST, self.retries + RETRY_PART)
+        request.lane.retries = min(RETRY_BURST, request.lane.retries + RETRY_PART)
         aim = kind.aim_ms + kind.aim_stretch * request.work
         usual = max(self.usual_try.get(kind.name, 0.0), request.event.expires_ms)
         self.usual_try[kind.name] = usual
--- a/cloverhold/decision/decide.py
+++ b/cloverhold/decision/decide.py
@@ -21,6 +21,7 @@
     WeightSource,
 )  # fmt: skip
 from cloverhold.decision.learned import WARM, Learned, Warming
+from cloverhold.decision.pools import Pool
 from cloverhold.decision.state import NEVER_RAN, Attempt, RequestState, Server
 from cloverhold.decision.table import Table
 from cloverhold.decision.waiting import Waiting
@@ -67,13 +68,12 @@
         self.follower = ListFollower(settings, self.random)
         self.requests: dict[int, RequestState] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
-        self.waiting = Waiting(self.admission.classes)
+        self.waiting = Waiting()
         # When requests must be looked at, and "poll" and "watch"; one timer is out for the first of them.
         self.wakes: Agenda[RequestState | str] = Agenda()
         self.rings: dict[int, float] = {}  # when the timers ring that are out, by their tokens
         self.ring = math.inf  # the first of these
         self.slack = min(1.0, settings.tick_ms / 2)  # timers may ring early by this
-        self.jam_until = -math.inf
         self.tokens = self.turn = self.overloaded = 0
         self.out: list[Action] = []
 
@@ -106,6 +106,10 @@
             self.out.append(SetTimer(max(0.0, at - now), self.tokens))
         return self.out
 
+    def serves(self, pool: Pool) -> bool:
+        """Whether a ready server of a pool looks well. Changes nothing."""
+        return any(self.table.looks_well(server) for server in self.table.members(pool))
+
     def _log(self, text: str) -> None:
         self.out.append(Log(text))
 
@@ -118,7 +122,7 @@
         if ready := self.table.ready:  # the round: what drifts for all is taken over by one server at a time
             self.turn = (self.turn + 1) % len(ready)
             self.health.review(ready[self.turn], now)
-        request = RequestState(event, kind, now)
+        request = RequestState(event, kind, now, event.pool or self.admission.lane)
         self.requests[event.id] = request
         request.base = max(0.0, event.cost_ms or 0.0) or kind.aim_ms / 8
         request.work = self.learned.work(request)
@@ -127,7 +131,7 @@
         self.learned.mix += 0.01 * (request.work - self.learned.mix)
         self.admission.admit(request, now)
         # With many nodes its row is old: it waits for its own probes, a little, where they are quick.
-        asked = self.table.probes() if self.settings.probes else []
+        asked = self.table.probes(event.pool) if self.settings.probes else []
         self._probe(asked, now)
         patience = WAIT_PART * kind.aim_ms
         if asked and self.table.shared and (self.table.rtt or 0.0) <= 0.5 * patience:
@@ -145,34 +149,31 @@
 
     def _wait(self, request: RequestState, now: float) -> None:
         """Place a request, behind those of its class that wait already."""
-        if not self.waiting.count and self._place(request, now):
+        if not request.lane.held and self._place(request, now):
             return
-        alone = not self.waiting.held[request.kind.name]
         self.waiting.add(request, self._gives_up(request))
-        if alone:
+        if request.line is not None and request.line.held == 1:
             self._place_waiting(now)
 
     def _gives_up(self, request: RequestState) -> float:
         """From when on even the fastest server could not answer a request in time."""
         return request.term - 0.8 * request.work * self.table.fastest()
 
-    def _place_waiting(self, now: float) -> None:
-        """Send waiting requests, the worthiest first, while servers have room."""
+    def _place_waiting(self, now: float, server: str = "") -> None:
+        """Send waiting requests, the worthiest first, while servers have room; it has shown there."""
         waiting, misses = self.waiting, 0
-        shut: set[str] = set()  # classes that no server has room for
-        waiting.come_back(MISSES)
-        while misses < MISSES and (request := waiting.best(shut)) is not None:
+        waiting.come_back(MISSES, server)
+        while misses < MISSES and (request := waiting.best()) is not None:
             if self._place(request, now):
                 continue
-            if self.table.room(request.kind.name):
+            request.lane.jam_until = now + JAM * self.table.tightest
+            if self.table.room(request.kind.name, request.event.pool):
                 waiting.stand_aside(request)
                 misses += 1
-            else:
-                shut.add(request.kind.name)
-        if waiting.count:
-            self.jam_until = now + JAM * self.table.tightest
-            if "poll" not in self.wakes.at:
-                self.wakes.set("poll", now + POLL * self.table.tightest)
+            elif request.line is not None:
+                waiting.stand_apart(request.line)
+        if waiting.count and "poll" not in self.wakes.at:
+            self.wakes.set("poll", now + POLL * self.table.tightest)
 
     def _poll(self, now: float) -> None:
         """A further look for those that wait; an early end for those that no server could answer in time."""
@@ -197,7 +198,7 @@
             return True
         # Hints are rough: where nothing waited lately, a try that proves too long costs nobody else. With
         # nothing out, a node tries all the same, to learn better.
-        own = 0.8 * request.work if now < self.jam_until else 0.0
+        own = 0.8 * request.work if now < request.lane.jam_until else 0.0
         idle = not self.attempts or self.table.blind()
         picked = self.table.pick(request, group, request.term - now, own, idle)
         if picked is None:
@@ -274,15 +275,15 @@
         # No report could show better what room the end made.
         known = not self.table.shared or self.table.old()
         if known and self.table.looks_well(server):
-            self._place_waiting(now)
+            self._place_waiting(now, event.server)
         elif server.probed_at is None:
             self._probe([server], now)  # an answer may have made room there; only a probe can show it
 
     def _again(self, request: RequestState, now: float) -> None:
         """After a failed attempt: another one where the class and the budget allow it, else the answer."""
         allowed = now < self._last_call(request) and request.may_send(now, self.settings) is not None
-        if allowed and self.admission.retries >= 1:
-            self.admission.retries -= 1  # a budget: further attempts cannot amplify an overload
+        if allowed and request.lane.retries >= 1:
+            request.lane.retries -= 1  # a budget: further attempts cannot amplify an overload
             self._wait(request, now)
         else:
             self._end(request)
@@ -326,7 +327,7 @@
         if server.ready:
             self.health.replied(server, now)
             if self.waiting.count and event.status is Status.OK and self.table.looks_well(server):
-                self._place_waiting(now)
+                self._place_waiting(now, event.server)
         for request in askers:
             request.awaited -= 1
             if request.awaited == 0 and not request.done:
--- a/cloverhold/decision/interface.py
+++ b/cloverhold/decision/interface.py
@@ -11,6 +11,8 @@
 from enum import Enum
 from typing import Union
 
+from cloverhold.decision.pools import Pool
+
 # ---------------------------------------------------------------- settings
 
 
@@ -101,6 +103,7 @@
     goal_worst_class: float = 0.0  # weight of the class served worst
     probe_price: float = 0.0  # of one probe for each request, as a part of all service
     cross_zone_price: float = 0.0
+    pools: bool = False  # whether requests come with pools: the node then keeps to every server
 
 
 # ------------------------------------------------------------------ events
@@ -181,6 +184,7 @@
     cost_ms: float | None = None  # hinted work; None without a valid hint
     is_retry: bool = False
     is_write: bool = False
+    pool: Pool | None = None  # the servers that it may go to; None: all
 
 
 @dataclass(slots=True)
--- a/cloverhold/decision/state.py
+++ b/cloverhold/decision/state.py
@@ -4,7 +4,15 @@
 
 import math
 
-from cloverhold.decision.interface import ClassSettings, Group, Repeat, Request, ServerEntry, Settings, Status
+from typing import TYPE_CHECKING
+
+from cloverhold.decision.interface import (
+    ClassSettings, Group, Repeat, Request, ServerEntry, Settings, Status,
+)  # fmt: skip
+from cloverhold.decision.pools import Lane
+
+if TYPE_CHECKING:
+    from cloverhold.decision.waiting import Line
 
 EJECT_AT, BACK_AT = 0.6, 0.3  # failure averages at which a server is ejected, and called back for good
 SILENT, SILENT_HINTED = 6.0, 3.0  # one without a sign of its server for this multiple (work hinted) stalls
@@ -85,10 +93,11 @@
     """One request that this node owes an answer, with all that has been tried for it."""
 
     __slots__ = ("attempts", "awaited", "base", "born", "done", "event", "expires", "held", "id", "kind",
-                 "rank", "streaming", "term", "ticket", "work")  # fmt: skip
+                 "lane", "line", "rank", "streaming", "term", "ticket", "work")  # fmt: skip
 
-    def __init__(self, event: Request, kind: ClassSettings, now: float) -> None:
-        self.id, self.kind, self.event, self.born = event.id, kind, event, now
+    def __init__(self, event: Request, kind: ClassSettings, now: float, lane: Lane) -> None:
+        self.id, self.kind, self.event, self.born, self.lane = event.id, kind, event, now, lane
+        self.line: Line | None = None  # where it waits
         self.term = self.expires = now + event.expires_ms
         self.attempts: list[Attempt] = []
         self.work = self.base = 0.0
--- a/cloverhold/decision/table.py
+++ b/cloverhold/decision/table.py
@@ -13,6 +13,7 @@
 from cloverhold.decision.index import Choice, Index, Level, Prefix
 from cloverhold.decision.interface import Group, LoadReport, Repeat, Settings
 from cloverhold.decision.learned import WARM, Learned, Warming
+from cloverhold.decision.pools import Pool
 from cloverhold.decision.state import Profile, RequestState, Server
 
 PROBE_SPEND = 0.01  # part of all service that a node may spend on probes; with their price this gives d
@@ -103,7 +104,8 @@
     def _resize(self) -> None:
         """Guards against full connection tables: with many nodes at every server none takes them all."""
         ready = len(self.ready)
-        self.prefix.resize(max(SUBSET_LEAST, math.ceil(SUBSET_SHARED * ready / self.settings.nodes)))
+        part = 1.0 if self.settings.pools else SUBSET_SHARED / self.settings.nodes  # any may be in a pool
+        self.prefix.resize(max(SUBSET_LEAST, math.ceil(part * ready)))
         self.learned.mean_size = self.sizes / ready if ready and self.sizes > 0 else 1.0
 
     def resized(self, server: Server, size: float) -> None:
@@ -215,11 +217,14 @@
     def likely(self, server: Server) -> float:
         return max(0.0, self.usual() + server.surplus) if self.shared else 0.0
 
-    def probes(self) -> list[Server]:
-        """D distinct random ones of the servers that this node keeps to; one probe at a time each, as servers
-        take only a few.
+    def probes(self, pool: Pool | None = None) -> list[Server]:
+        """D distinct random ones of the servers that this node keeps to, of the pool if it has one; one
+        probe at a time each, as servers take only a few.
         """
-        return self.free.sample(self.random, self.d)
+        if pool is None:
+            return self.free.sample(self.random, self.d)
+        free = [server for server in self.members(pool) if server in self.free]
+        return self.random.sample(free, min(self.d, len(free)))
 
     def blind(self) -> bool:
         """Whether most rows are old (many nodes, few probes each) while servers are not turning work away."""
@@ -238,12 +243,25 @@
         most = self.crowd_ms / (self.learned.mix * max(1.0, pace))
         return load_key(max(1.0, most)) if self.shared else float(max(1, int(most)))
 
-    def room(self, kind: str) -> bool:
+    def members(self, pool: Pool) -> list[Server]:
+        """The ready servers of a pool."""
+        known = (self.servers.get(name) for name in pool.servers or ())
+        return [server for server in known if server is not None and server.ready]
+
+    def within(self, pool: Pool | None) -> Index[Profile, Server]:
+        """What a pick reads: the servers of a pool that look well; if none does, those that do not."""
+        if pool is None:
+            return self.usable()
+        members = self.members(pool)
+        index = self.well if any(server in self.prefix.well for server in members) else self.unwell
+        return _part(index, members)
+
+    def room(self, kind: str, pool: Pool | None) -> bool:
         """Whether any server has room for a request of this class, whatever else would speak against it."""
         at, blind, shift = self.kinds[kind], self.blind(), self.shift()
         return any(
             figures[at] is not None and (blind or min(levels) + shift <= most)
-            for (most, _, figures, _, _, _), levels in self.usable().buckets.items()
+            for (most, _, figures, _, _, _), levels in self.within(pool).buckets.items()
         )
 
     def fastest(self) -> float:
@@ -257,7 +275,7 @@
         left: time that it has, in ms; own: work of its own that it must wait for; idle: what waits at servers
         does not count. A further attempt goes elsewhere where it can.
         """
-        index, zone = self.usable(), ""
+        index, zone = self.within(request.event.pool), ""
         if group is Group.CELL:
             index = self._among(index, request)
         elif group is Group.ZONE:
@@ -273,13 +291,9 @@
 
     def _among(self, index: Index[Profile, Server], request: RequestState) -> Index[Profile, Server]:
         """The members of the cell of a request's first attempt. A cell is small."""
-        first, small = request.first(), Index[Profile, Server]()
+        first = request.first()
         members = self.cells.get((first.zone, first.cell))
-        for server in members.items if members is not None else ():
-            place = index.places.get(server)
-            if place is not None:
-                small.file(server, *place)
-        return small
+        return _part(index, members.items if members is not None else [])
 
     def _lowest(
         self, index: Index[Profile, Server], request: RequestState, zone: str, left: float, own: float,
@@ -333,6 +347,15 @@
         raise AssertionError("a draw beyond the ties")
 
 
+def _part(index: Index[Profile, Server], members: list[Server]) -> Index[Profile, Server]:
+    """Those of an index, filed as they are there. The cost is that of the members."""
+    small = Index[Profile, Server]()
+    for server in members:
+        if (place := index.places.get(server)) is not None:
+            small.file(server, *place)
+    return small
+
+
 def _tied(level: Level[Server], row: int) -> list[Choice[Server]]:
     """The groups up to a row, which count as equal: rows of few servers and many nodes."""
     return [group for at, group in level.rows.items() if at <= row]
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -17,6 +17,7 @@
     Status,
     WeightSource,
 )
+from cloverhold.decision.pools import Lane
 from cloverhold.decision.state import RequestState
 from cloverhold.decision.table import STALE, SUBSET_LEAST
 
@@ -308,7 +309,7 @@
     table = node.balancer.table
     table.level, table.servers["s0"].row, table.servers["s1"].row = 3.0, 0, 2
     table.servers["s0"].heard_at, table.servers["s1"].heard_at = node.now - 5000.0, node.now
-    request = RequestState(Request(1, "safe", 400.0), CLASSES[0], node.now)
+    request = RequestState(Request(1, "safe", 400.0), CLASSES[0], node.now, Lane())
     for server in ("s1", "s0"):
         node.refile()
         assert table.pick(request, Group.ALL, 400.0, 0.0, True) is table.servers[server]
@@ -331,7 +332,7 @@
     for jammed in (False, True):
         node = Node(servers=2)
         served(node, 0, 20, 50.0)
-        node.balancer.jam_until = node.now + 1000.0 if jammed else node.now
+        node.balancer.admission.lane.jam_until = node.now + 1000.0 if jammed else node.now
         node.request(1000)
         node.reply_all({})
         node.request(1001, cost_ms=900.0)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -4,6 +4,7 @@
 
 import pytest
 from helpers import Node, entries, make_settings, of
+from cloverhold.decision.pools import Lane
 from cloverhold.decision.state import Attempt, RequestState
 
 from cloverhold import (
@@ -268,7 +269,7 @@
         kind = ClassSettings("unsafe", aim, 2 * aim, Repeat.UNSAFE)
         node = Node(servers=4, classes=(kind,))
         server = node.balancer.table.servers["s0"]
-        request = RequestState(Request(1, "unsafe", aim), kind, node.now)
+        request = RequestState(Request(1, "unsafe", aim), kind, node.now, Lane())
         for _ in range(6):
             node.balancer.health.bad(Attempt(request, server, node.now, 1, 1.0), Status.RESET, node.now)
         assert 0 < server.record.until - node.now <= most
--- a/tests/test_index.py
+++ b/tests/test_index.py
@@ -14,6 +14,7 @@
 from cloverhold import Group, Lifecycle, ListKind, Request, ServerEntry, Status, Timer
 from cloverhold.decision.index import Agenda, Choice, Index, Level, Prefix
 from cloverhold.decision.learned import WARM
+from cloverhold.decision.pools import Lane
 from cloverhold.decision.state import RequestState, Server
 from cloverhold.decision.table import POWER, SUBSET_LEAST, SUBSET_SHARED, load_key
 
@@ -102,14 +103,15 @@
         assert set(health.away[name]) == away
     held = Counter(r.kind.name for r in balancer.requests.values() if r.held)
     assert balancer.waiting.count == held.total()
-    assert {k: n for k, n in balancer.waiting.held.items() if n} == dict(held)
+    lines = balancer.admission.lane.lines
+    assert {k: line.held for k, line in lines.items() if line.held} == dict(held)
 
 
 def same_ties(node: Node, chance: Random) -> None:
     """The index gives each of the ties of the walk for its part of all draws, and nothing else."""
     table, kept = node.balancer.table, node.balancer.table.random
     kind = chance.choice(CLASSES)
-    request = RequestState(Request(10**9, kind.name, 500.0), kind, node.now)
+    request = RequestState(Request(10**9, kind.name, 500.0), kind, node.now, Lane())
     request.work = chance.choice((1.0, 40.0, 400.0))
     left, own, idle = chance.choice((500.0, 90.0)), chance.choice((0.0, 30.0)), chance.random() < 0.5
     ties = walked(node, request, left, own, idle)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -137,7 +137,8 @@
         node.gone(ref)
     assert not node.balancer.waiting.count
     lines = node.balancer.waiting
-    assert sum(map(len, lines.heaps.values())) + len(lines.aside) <= 2 * 20000 + 128
+    heaps = [line.heap for line in node.balancer.admission.lane.lines.values()]
+    assert sum(map(len, heaps)) + len(lines.aside) <= 2 * 20000 + 128
 
 
 def test_ties_among_a_thousand_are_drawn_evenly() -> None:
