Cells, the pure part: draws, evidence, wards, moves, rebalancing; the operator's [cells]

Change: cloverhold/cells (sans I/O but for keep and shell) and cloverhold/config (a TOML file of the operator's own read into typed tables, every fault of it a line). A cell is the best basis of a partition matroid over rendezvous scores, so one server changes one member; poison is found by two cumulative sums with a stated rate of false alarms; moves and wards are tables of transitions. Off, and not imported, where CLOVERHOLD_CONFIG names no file.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -24,11 +24,14 @@
 from cloverhold.settings import SettingsError, module_settings
 
 if TYPE_CHECKING:
+    from cloverhold.cells.shell import Router
+    from cloverhold.cells.table import CellsTable
     from cloverhold.supervise.worker import Attached
 
 log = logging.getLogger(__name__)
 
 WORKER = "CLOVERHOLD_WORKER"  # what a supervisor tells a worker
+OPERATOR = "CLOVERHOLD_CONFIG"  # names the operator's own file; without it nothing of that is loaded
 
 # Parts of the descriptors; the rest is for discovery, the listening socket and the interpreter.
 CLIENT_PART, SERVER_PART = 0.5, 0.4
@@ -54,6 +57,7 @@
     sockets: int
     seed: int
     known: Members | None
+    cells: CellsTable | None = None
 
 
 def _address(raw: dict[str, Any], key: str, variable: str, *, file_wins: bool = False) -> Address:
@@ -93,7 +97,36 @@
         seed = int(str(raw.get("seed", "0")), 16)
     except (SettingsError, ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"{path}: {error}") from None
-    return Config(listen, discovery, settings, idle, dial, sockets, seed, _known(raw, clock))
+    cells = _cells(os.environ[OPERATOR]) if os.environ.get(OPERATOR) else None
+    settings = replace(settings, pools=cells is not None)
+    return Config(listen, discovery, settings, idle, dial, sockets, seed, _known(raw, clock), cells)
+
+
+def _cells(path: str) -> CellsTable | None:
+    """The operator's `[cells]`; None where the file has none."""
+    try:
+        from cloverhold.cells.table import CellsTable
+        from cloverhold.config.reading import ConfigFaults, read_tables
+    except ModuleNotFoundError as error:
+        raise ConfigError(f"{path}: needs {error.name}: pip install 'cloverhold[cells]'") from None
+    try:
+        table = read_tables(path, {"cells": CellsTable}).get("cells")
+    except ConfigFaults as error:
+        raise ConfigError(str(error)) from None
+    assert table is None or isinstance(table, CellsTable)
+    return table
+
+
+def _router(config: Config, clock: Clock) -> Router | None:
+    if config.cells is None:
+        return None
+    from cloverhold.cells.keep import KeepError
+    from cloverhold.cells.shell import Router
+
+    try:
+        return Router(config.cells, config.settings, clock.now)
+    except KeepError as error:
+        raise ConfigError(str(error)) from None
 
 
 def _known(raw: dict[str, Any], clock: Clock) -> Members | None:
@@ -115,7 +148,10 @@
         most_servers = max(8, int(SERVER_PART * config.sockets))
         self.config, self.clock, self.worker = config, clock, worker
         self.pool = Pool(loop, config.dial_ms / 1000, config.idle_ms / 1000, most_servers)
-        self.host = Host(config.settings, config.seed, clock, self.pool, lambda on: self.discovery.watch(on))
+        self.router = _router(config, clock)
+        self.host = Host(
+            config.settings, config.seed, clock, self.pool, lambda on: self.discovery.watch(on), self.router
+        )
         asked = config.settings.list_mode is io.ListMode.ASK
         self.discovery = Discovery(
             config.discovery, clock, self._members, self.host.list_failed, asked=asked
@@ -132,6 +168,8 @@
         """Serve until told to stop, and then answer what was taken."""
         if self.config.known is not None:
             self.host.members(self.config.known, remembered=True)
+        if self.router is not None:
+            self.router.start(asyncio.get_running_loop())
         self.discovery.watch()
         await self.listener.start(self.config.listen, self.worker.listening if self.worker else None)
         if self.worker is not None:
@@ -159,6 +197,9 @@
             self.config.sockets,
         ):
             log.warning("configuration: of what changed, only discovery takes effect before a restart")
+        if self.router is not None and config.cells is not None:
+            if waits := self.router.reload(config.cells):
+                log.warning("configuration: cells: %s take effect at a restart", ", ".join(waits))
         self.discovery.follow(config.discovery)
 
     async def _drain(self) -> None:
@@ -177,6 +218,8 @@
     def close(self) -> None:
         """Close every socket and end every task."""
         self.listener.close()
+        if self.router is not None:
+            self.router.close()
         self.discovery.stop()
         self.pool.close()
 
--- /dev/null
+++ b/cloverhold/cells/ward.py
@@ -0,0 +1,92 @@
+"""What is done with a key that harms servers: confined, and let out step by step. A state machine as a table.
+
+A ward is confined to the quarantine's servers at a rate. A quiet time at one step leads to the next, with a higher
+rate; after the last it is back in its cell, on probation; harm at any step leads back to the first, and each time that
+happens the quiet time asked is doubled, up to `MOST_DOUBLINGS`. Rates hold at each node by itself.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+MOST_DOUBLINGS = 4
+STEP_UP = 4.0  # how much more a ward may send at each step
+
+
+class Step(Enum):
+    """How far a ward is on its way out."""
+
+    HELD = "held"
+    EASED = "eased"
+    PROBATION = "probation"
+    FREE = "free"
+
+
+class Sign(Enum):
+    """What a ward shows."""
+
+    HARM = "harm"
+    QUIET = "quiet"
+
+
+NEXT: dict[tuple[Step, Sign], Step] = {
+    (Step.HELD, Sign.HARM): Step.HELD,
+    (Step.HELD, Sign.QUIET): Step.EASED,
+    (Step.EASED, Sign.HARM): Step.HELD,
+    (Step.EASED, Sign.QUIET): Step.PROBATION,
+    (Step.PROBATION, Sign.HARM): Step.HELD,
+    (Step.PROBATION, Sign.QUIET): Step.FREE,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """How wards are held. rate_per_s: at the first step, 0 refuses all; hold_ms: the quiet time at each step."""
+
+    rate_per_s: float = 1.0
+    hold_ms: float = 30_000.0
+
+
+class Ward:
+    """One key in quarantine or on its way out."""
+
+    __slots__ = ("falls", "filled_at", "since", "step", "terms", "tokens")
+
+    def __init__(self, terms: Terms, now: float) -> None:
+        self.terms = terms
+        self.step, self.since, self.falls = Step.HELD, now, 0
+        self.tokens, self.filled_at = 1.0, now
+
+    def confined(self) -> bool:
+        """Whether its requests go to the quarantine's servers and not to its cell."""
+        return self.step in (Step.HELD, Step.EASED)
+
+    def harm(self, now: float) -> None:
+        """It harms again."""
+        self.step = NEXT[self.step, Sign.HARM]
+        self.since, self.falls = now, min(self.falls + 1, MOST_DOUBLINGS)
+        self.tokens = min(self.tokens, 1.0)
+
+    def rest(self, now: float) -> bool:
+        """Take the next step if it is time; whether it was."""
+        if now - self.since < self.terms.hold_ms * 2**self.falls:
+            return False
+        self.step, self.since = NEXT[self.step, Sign.QUIET], now
+        return True
+
+    def admits(self, now: float) -> float:
+        """Take one request in: 0 where it may go, else in how many ms the next one may.
+
+        With a rate of 0 nothing goes while it is held, and the answer is the time until its next step.
+        """
+        rate = self.terms.rate_per_s / 1000 * (STEP_UP if self.step is Step.EASED else 1.0)
+        if not rate:
+            left = self.since + self.terms.hold_ms * 2**self.falls - now
+            return max(1.0, left) if self.step is Step.HELD else 0.0
+        self.tokens = min(max(1.0, 1000 * rate), self.tokens + rate * (now - self.filled_at))
+        self.filled_at = now
+        if self.tokens >= 1:
+            self.tokens -= 1
+            return 0.0
+        return (1 - self.tokens) / rate
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from cloverhold.decision import interface as io
 from cloverhold.decision.decide import Balancer
@@ -20,6 +21,10 @@
 from cloverhold.net.upstream import Call, Pool, Upstream
 from cloverhold.settings import load_report
 
+if TYPE_CHECKING:
+    from cloverhold.cells.shell import Router
+    from cloverhold.cells.tenancy import Cell
+
 log = logging.getLogger(__name__)
 
 PROBE_TIMEOUT_MS = 300.0
@@ -38,6 +43,8 @@
     call: Call
     sent_at: float
     timer: asyncio.TimerHandle | None = None
+    cell: Cell | None = None
+    kind: str = ""
 
 
 @dataclass(slots=True)
@@ -48,6 +55,7 @@
     expires_at: float
     guard: asyncio.TimerHandle
     sent: int = 0
+    cell: Cell | None = None  # where it is confined to
     out: dict[int, Attempt] = field(default_factory=dict)
 
 
@@ -55,11 +63,19 @@
     """One instance of the module on real sockets."""
 
     def __init__(
-        self, settings: io.Settings, seed: int, clock: Clock, pool: Pool, watch: Callable[[bool], None]
+        self,
+        settings: io.Settings,
+        seed: int,
+        clock: Clock,
+        pool: Pool,
+        watch: Callable[[bool], None],
+        router: Router | None = None,
     ) -> None:
         self.balancer = Balancer(settings, seed)
         self.classes = {c.name: c for c in settings.classes}
-        self.clock, self.pool, self.watch = clock, pool, watch
+        self.settings, self.clock, self.pool, self.watch, self.router = settings, clock, pool, watch, router
+        if router is not None:
+            router.serves, router.warm = self.balancer.serves, self._warm
         self.loop = pool.loop
         self.upstreams: dict[str, Upstream] = {}
         self.open: dict[int, Open] = {}
@@ -135,12 +151,17 @@
         if call_id in self.call_ids:  # a second copy of what is out, or somebody else's id
             exchange.answer(409)
             return
+        cell = self.router.route(asked.tenant, asked.key, asked.kind.name) if self.router is not None else None
+        if isinstance(cell, io.Refuse):
+            wait = min(cell.retry_after_ms, self.settings.max_retry_after_ms)
+            exchange.answer(503, headers=retry_after(wait if self.settings.retry_after else 0.0))
+            return
         self.call_ids.add(call_id)
         self.requests += 1
         ref = self.requests
         exchange.ref = ref
         guard = self.loop.call_later(left / 1000, self._expired, ref)
-        self.open[ref] = Open(exchange, now + left, guard)
+        self.open[ref] = Open(exchange, now + left, guard, cell=cell)
         self.tell(
             io.Request(
                 id=ref,
@@ -151,6 +172,7 @@
                 cost_ms=asked.cost_ms,
                 is_retry=asked.is_retry,
                 is_write=asked.kind.repeat is not io.Repeat.SAFE,
+                pool=cell.pool if cell is not None else None,
             )
         )
 
@@ -179,6 +201,8 @@
         opened = self.open.pop(ref, None)
         if opened is not None:
             opened.guard.cancel()
+            if self.router is not None and opened.cell is not None:
+                self.router.left(opened.cell)
             self.call_ids.discard(opened.exchange.request.fields[b"x-call-id"])
         return opened
 
@@ -209,6 +233,9 @@
         payload = request_payload(opened.exchange, left)
         call = self.pool.call(upstream, payload, lambda call, status: self._ended(ref, number, call, status))
         attempt = opened.out[number] = Attempt(number, server, call, now)
+        if self.router is not None and opened.cell is not None:
+            attempt.cell, attempt.kind = opened.cell, opened.exchange.asked.kind.name
+            self.router.sent(ref, opened.cell, server)
         if action.timeout_ms:
             attempt.timer = self.loop.call_later(
                 left / 1000, self._stop, ref, opened, number, io.Status.TIMEOUT
@@ -228,6 +255,8 @@
         self, ref: int, attempt: Attempt, status: io.Status, load: io.LoadReport | None = None
     ) -> None:
         spent, closed = self.clock.now() - attempt.sent_at, ref not in self.open
+        if self.router is not None and attempt.cell is not None:
+            self.router.ended(ref, attempt.cell, attempt.kind, attempt.server, status, spent)
         self.tell(io.Outcome(ref, attempt.number, attempt.server, status, spent, closed, load))
 
     def _stop(self, ref: int, opened: Open, number: int, status: io.Status) -> None:
@@ -272,6 +301,14 @@
         timer = self.loop.call_later(PROBE_TIMEOUT_MS / 1000, late)
         call = self.pool.call(upstream, PROBE_PAYLOAD, done)
 
+    def _warm(self, server: str) -> None:
+        """Open a connection to a server that will soon be sent to; its answer tells the module nothing."""
+        upstream = self.upstreams.get(server)
+        if upstream is None or not self.settings.probes or upstream.idle:
+            return
+        call = self.pool.call(upstream, PROBE_PAYLOAD, lambda call, status: timer.cancel())
+        timer = self.loop.call_later(PROBE_TIMEOUT_MS / 1000, call.give_up)
+
     # -------------------------------------------------------------- discovery
 
     def members(self, members: Members, *, remembered: bool = False) -> None:
@@ -292,6 +329,8 @@
         if remembered:
             kind = io.ListKind.REMEMBERED
         self.tell(io.ServerList(kind, members.entries, members.version))
+        if self.router is not None:
+            self.router.members(members.entries, full=members.full)
         for uid in gone:
             if (upstream := self.upstreams.pop(uid, None)) is not None:
                 self.pool.retire(upstream)
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -14,6 +14,9 @@
 # Modules that decide or judge: neither they nor what they import may do I/O.
 PURE = (
     *(f"cloverhold/decision/{path.name}" for path in sorted((ROOT / "cloverhold/decision").glob("*.py"))),
+    *(f"cloverhold/cells/{name}.py" for name in (
+        "core", "draw", "evidence", "moves", "poison", "rebalance", "rules", "tenancy", "ward",
+    )),
     "cloverhold/settings.py",
     "cloverhold/supervise/core.py",
     *(f"cloverhold/rehearsal/{name}.py" for name in (
@@ -23,7 +26,7 @@
 )  # fmt: skip
 NODE = (
     *("cloverhold/__main__.py", "cloverhold/benchlink.py"),
-    *("cloverhold/net", "cloverhold/decision", "cloverhold/supervise"),
+    *("cloverhold/net", "cloverhold/decision", "cloverhold/supervise", "cloverhold/cells", "cloverhold/config"),
 )
 
 
