Cells in the node, the kit and the command line; a pool's pick walks its few servers

A server that died was replaced in its cells at once, so a poison walked through all twelve; and a quarantine of one request a second on two shared servers killed these for everybody. Change: a server that went keeps its place in cells for a minute; a ward is refused at first; the chance that a culprit is seen counts the nodes.

--- a/benchmarks/module_cost.py
+++ b/benchmarks/module_cost.py
@@ -37,6 +37,7 @@
         self.inflight = {f"s{n}": self.random.randrange(1000) if spread else 0 for n in range(servers)}
         self.spent = 0.0
         self.longest = 0.0
+        self.last: list[object] = []
         self.apart = 20.0 / (load * servers)  # ms between requests: each takes 20 ms of a server
         self.give(ServerList(ListKind.FULL, tuple(ServerEntry(name) for name in self.inflight)))
 
@@ -47,6 +48,7 @@
         took = time.perf_counter() - begun
         self.spent += took
         self.longest = max(self.longest, took)
+        self.last = actions
         for action in actions:
             match action:
                 case Send(id=ref, server=name):
--- a/cloverhold/cells/core.py
+++ b/cloverhold/cells/core.py
@@ -34,10 +34,12 @@
     def __init__(self, rules: Rules, serves: Callable[[Pool], bool]) -> None:
         self.rules, self.serves = rules, serves
         self.tenancies = Tenancies(rules)
-        self.poison = Poison(rules.false_alarms)
+        self.poison = Poison(rules.false_alarms, rules.nodes)
         self.moves: dict[str, Move] = {}  # by id, in order of their beginning
         self.queue: dict[str, Order] = {}  # orders that wait for their turn
         self.wards: dict[Tenancy, None] = {}
+        self.ready: dict[str, Member] = {}
+        self.absent: dict[str, tuple[float, Member]] = {}  # until when those keep their place that were ready
         self.allowed, self.allowed_at = 1.0, 0.0  # moves that may begin now
         self.out: list[Action] = []
 
@@ -70,7 +72,7 @@
         cell = self._choose(tenancy, now)
         if isinstance(cell, Refuse):
             return cell
-        if not cell.servers:
+        if not any(name in self.ready for name in cell.servers):
             return Refuse(0)  # nobody can tell when there will be a server
         cell.open += 1
         return cell
@@ -156,6 +158,9 @@
                 self._confine(suspect, why, now)
 
     def _confine(self, tenancy: Tenancy, why: str, now: float) -> None:
+        if tenancy.move is not None and self._tell(tenancy.move, Word.WORSE, now):
+            self.poison.clear(tenancy)  # the new place may be what ails it: that is turned back first
+            return
         if tenancy.ward is None:
             tenancy.ward = Ward(self.rules.terms, now)
             self.wards[tenancy] = None
@@ -163,8 +168,6 @@
             tenancy.ward.harm(now)
         self._note("cells.quarantined", key=tenancy.key, evidence=why, falls=tenancy.ward.falls)
         self.poison.clear(tenancy)
-        if tenancy.move is not None:
-            self._tell(tenancy.move, Word.WORSE, now)
 
     def _rest(self, now: float) -> None:
         for tenancy in list(self.wards):
@@ -181,18 +184,32 @@
     # ---------------------------------------------------------------- the list
 
     def members(self, members: Mapping[str, Member], now: float) -> None:
-        """The servers that cells may hold from now on: those that are ready."""
-        known = self.tenancies.roster.members
-        for name, old in known.items():
+        """The servers that are ready, from now on."""
+        for name, old in self.ready.items():
             if self.rules.poison and (name not in members or members[name].warm_from > old.warm_from):
                 self.poison.gone(name, now)
-        if self.tenancies.roster.change(members):
-            self.poison.keep(members)
-            self._note("cells.roster", servers=len(members), version=self.tenancies.roster.version)
+            if name not in members:
+                self.absent[name] = now + self.rules.linger_ms, old.absent()
+        self.ready = dict(members)
+        self._settle(now)
         for suspect in list(self.poison.suspects):
             if suspect.ward is None:
                 self._judge(suspect, now)
 
+    def _settle(self, now: float) -> None:
+        """Draw from the servers that are ready, and from those that were a while ago.
+
+        Guards against a poison that walks through the fleet: were a server that it killed replaced in its cell at
+        once, it would kill that one next. A cell does with fewer for a while; its floor takes in few, and none for a
+        key that something speaks against.
+        """
+        self.absent = {name: (until, member) for name, (until, member) in self.absent.items()
+                       if until > now and name not in self.ready}  # fmt: skip
+        members = {**{name: member for name, (_, member) in self.absent.items()}, **self.ready}
+        if self.tenancies.roster.change(members):
+            self.poison.keep(members)
+            self._note("cells.roster", ready=len(self.ready), absent=len(self.absent))
+
     # ---------------------------------------------------------------- moves
 
     def orders(self, orders: Sequence[Order], now: float) -> None:
@@ -281,6 +298,8 @@
             self._begin(now)
         if self.wards:
             self._rest(now)
+        if self.absent and min(until for until, _ in self.absent.values()) <= now:
+            self._settle(now)
 
     def _advance(self, move: Move, now: float) -> None:
         tenancies, rules = self.tenancies, self.rules
--- a/cloverhold/cells/draw.py
+++ b/cloverhold/cells/draw.py
@@ -10,9 +10,10 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, deque
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from heapq import nlargest
 
 import xxhash
@@ -30,6 +31,10 @@
     warm_from: float = 0.0  # ms, from when on it has its whole capacity; before, `cold_part` of it
     cold_part: float = 1.0
 
+    def absent(self) -> Member:
+        """The same one while it is down: it keeps its place in cells and can do nothing."""
+        return replace(self, warm_from=math.inf, cold_part=0.0)
+
     def capacity(self, now: float) -> float:
         """What it can really do now, in its unit of size."""
         return self.size if now >= self.warm_from else self.size * self.cold_part
@@ -37,7 +42,7 @@
 
 def score(key: str, server: str) -> int:
     """A server's score for a key, 64 bits, the same on every machine (XXH3)."""
-    return xxhash.xxh3_64_intdigest(f"{key}\0{server}".encode())
+    return xxhash.xxh3_64_intdigest(server.encode(), xxhash.xxh3_64_intdigest(key.encode()))
 
 
 def digest(name: str) -> str:
@@ -60,9 +65,9 @@
         """Another roster; whether servers came or went. Sizes and warmth may change without a new version."""
         came = frozenset(members.keys() - self.members.keys())
         went = frozenset(self.members.keys() - members.keys())
-        # Under another zone, or started anew and cold, it counts as another one under the same name.
+        # Under another zone, started anew and cold, gone or back, it counts as another one under the same name.
         anew = frozenset(n for n, m in members.items() if (old := self.members.get(n)) is not None
-                         and (old.zone != m.zone or old.warm_from < m.warm_from))  # fmt: skip
+                         and (old.zone != m.zone or old.warm_from != m.warm_from))  # fmt: skip
         came, went = came | anew, went | anew
         self.members = dict(members)
         self.mean_size = sum(m.size for m in members.values()) / len(members) if members else 1.0
@@ -119,8 +124,9 @@
         return self._ranked(key, (n for n in self.members if n not in held), count)
 
     def _ranked(self, key: str, names: Iterable[str], count: int) -> list[str]:
-        scored = nlargest(count, ((score(key, name), name) for name in names))
-        return [name for _, name in scored]
+        seed, digest = xxhash.xxh3_64_intdigest(key.encode()), xxhash.xxh3_64_intdigest
+        best = nlargest(count, [(digest(name.encode(), seed), name) for name in names])  # `score`, spelt out
+        return [name for _, name in best]
 
     def _greedy(self, key: str, names: Iterable[str], count: int) -> tuple[str, ...]:
         names, cap = list(names), self.cap(count)
--- a/cloverhold/cells/evidence.py
+++ b/cloverhold/cells/evidence.py
@@ -49,10 +49,14 @@
         return self.sum > math.log(1 / rate) and len(self.witnesses) >= servers
 
 
-def presence(p: float, *, there: bool) -> float:
-    """What one failure of a server says, with p the part of the time that an innocent is there."""
+def presence(p: float, q: float, *, there: bool) -> float:
+    """What one failure of a server says, with p the part of the time that an innocent is there, and q that the one at
+    fault is there and seen. Where an innocent is there as often, nothing.
+    """
     p = min(MOST, max(LEAST, p))
-    return math.log(PRESENT / p) if there else math.log((1 - PRESENT) / (1 - p))
+    if q <= p:
+        return 0.0
+    return math.log(q / p) if there else math.log((1 - q) / (1 - p))
 
 
 def outcome(p: float, *, failed: bool) -> float:
--- a/cloverhold/cells/poison.py
+++ b/cloverhold/cells/poison.py
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Iterable
 
-from cloverhold.cells.evidence import Bench, Count, outcome, presence
+from cloverhold.cells.evidence import PRESENT, Bench, Count, outcome, presence
 from cloverhold.cells.tenancy import Cell, Tenancy
 from cloverhold.decision.interface import Status
 
@@ -54,7 +54,8 @@
 class Poison:
     """The evidence on all keys."""
 
-    def __init__(self, false_alarms: float) -> None:
+    def __init__(self, false_alarms: float, nodes: int = 1) -> None:
+        self.present = PRESENT / nodes  # the one at fault may have come through another node
         self.rate = false_alarms / 2  # two tests
         self.bench = Bench()
         self.servers: dict[str, Place] = {}
@@ -115,12 +116,12 @@
         """One failure of a server: it speaks against those that were there, and for those that were not."""
         self.observed += 1
         for tenancy in there:
-            ratio = presence(self._chance(tenancy, server, now), there=True)
+            ratio = presence(self._chance(tenancy, server, now), self.present, there=True)
             tenancy.presence.tell(ratio, server)
             self._note(tenancy)
         for tenancy in [t for t in self.suspects if t not in there]:
             if any(server in cell.servers for cell in tenancy.cells.values()):
-                ratio = presence(self._chance(tenancy, server, now), there=False)
+                ratio = presence(self._chance(tenancy, server, now), self.present, there=False)
                 tenancy.presence.tell(ratio, server)
                 self._note(tenancy)
 
--- a/cloverhold/cells/rules.py
+++ b/cloverhold/cells/rules.py
@@ -30,12 +30,14 @@
 class Rules:
     """How cells are drawn, kept and left. Counts are of servers where nothing else is said."""
 
+    nodes: int = 1  # that share the servers
     by: By = By.TENANT
     servers: int = 4  # of a cell of the key's own
     fixed: tuple[str, ...] = ()  # names of fixed cells: then each key is in one of these, and none has its own
     sizes: Mapping[str, int] = field(default_factory=dict)  # of single keys' cells
     floor: float = 0.75  # part of its servers' usual capacity that a cell holds at least, cold ones at what they do
-    extra: int = 4  # most servers taken in beside to hold the floor
+    extra: int = 2  # most servers taken in beside to hold the floor
+    linger_ms: float = 60_000.0  # a server that went keeps its place in cells for so long
     known: frozenset[str] = frozenset()  # keys that are no newcomers
     newcomers: int = 3  # of the cell that new keys share; 0: they get their own at once
     newcomer_answers: int = 50  # good answers after which a key is new no more
--- a/cloverhold/cells/shell.py
+++ b/cloverhold/cells/shell.py
@@ -24,7 +24,7 @@
 
     def __init__(self, table: CellsTable, settings: Settings, now: Callable[[], float]) -> None:
         self.table, self.settings, self.now = table, settings, now
-        self.cells = Cells(table.rules(t.name for t in settings.tenants), self._serves)
+        self.cells = Cells(table.rules((t.name for t in settings.tenants), settings.nodes), self._serves)
         self.serves: Callable[[Pool], bool] = lambda pool: True  # until there is a host
         self.warm: Callable[[str], None] = lambda server: None
         self.entries: dict[str, ServerEntry] = {}
--- a/cloverhold/cells/table.py
+++ b/cloverhold/cells/table.py
@@ -44,7 +44,8 @@
     fixed: tuple[Name, ...] = ()
     sizes: dict[str, Count] = {}
     floor: Part = 0.75
-    extra: Some = 4
+    extra: Some = 2
+    linger_s: Annotated[float, Meta(ge=0, le=86_400)] = 60.0
     newcomers: Some = 3
     newcomer_answers: Count = 50
     known: tuple[Name, ...] = ()
@@ -54,7 +55,8 @@
     poison: bool = True
     false_alarms: Annotated[float, Meta(gt=0, le=0.01)] = 1e-6
     quarantine: Count = 2
-    ward_rate_per_s: Annotated[float, Meta(ge=0, le=1e6)] = 1.0
+    held_per_s: Annotated[float, Meta(ge=0, le=1e6)] = 0.0
+    eased_per_s: Annotated[float, Meta(gt=0, le=1e6)] = 1.0
     ward_hold_s: Seconds = 30.0
     prepare_s: Seconds = 30.0
     watch_s: Seconds = 60.0
@@ -72,14 +74,15 @@
         if unknown := sorted({move.cell for move in self.move if move.cell and move.cell not in self.fixed}):
             raise ValueError(f"move.cell: {', '.join(unknown)}: no such cell in fixed")
 
-    def rules(self, tenants: Iterable[str] = ()) -> Rules:
-        """The rules; tenants: those that the platform names, no newcomers."""
+    def rules(self, tenants: Iterable[str] = (), nodes: int = 1) -> Rules:
+        """The rules; tenants: those that the platform names, no newcomers; nodes: that share the servers."""
         return Rules(
-            by=By(self.by), servers=self.servers, fixed=self.fixed, sizes=self.sizes, floor=self.floor,
-            extra=self.extra, known=frozenset(tenants) | frozenset(self.known) | self.sizes.keys(),
-            newcomers=self.newcomers, newcomer_answers=self.newcomer_answers, down=Down(self.down),
-            spill_per_s=self.spill_per_s, most_keys=self.most_keys, quarantine=self.quarantine, poison=self.poison,
-            false_alarms=self.false_alarms, terms=Terms(self.ward_rate_per_s, self.ward_hold_s * 1000),
+            nodes=nodes, by=By(self.by), servers=self.servers, fixed=self.fixed, sizes=self.sizes, floor=self.floor,
+            extra=self.extra, linger_ms=self.linger_s * 1000,
+            known=frozenset(tenants) | frozenset(self.known) | self.sizes.keys(), newcomers=self.newcomers,
+            newcomer_answers=self.newcomer_answers, down=Down(self.down), spill_per_s=self.spill_per_s,
+            most_keys=self.most_keys, quarantine=self.quarantine, poison=self.poison,
+            false_alarms=self.false_alarms, terms=Terms(self.held_per_s, self.eased_per_s, self.ward_hold_s * 1000),
             prepare_ms=self.prepare_s * 1000, watch_ms=self.watch_s * 1000, moves_at_once=self.moves_at_once,
             moves_a_minute=self.moves_a_minute,
         )  # fmt: skip
--- a/cloverhold/cells/tenancy.py
+++ b/cloverhold/cells/tenancy.py
@@ -131,7 +131,7 @@
     def _floored(self, cell: Cell, now: float) -> tuple[tuple[str, ...], float]:
         """The servers drawn, and so many of the next that the cell can do what the floor asks; until when that holds.
 
-        Guards against a cell that a rolling restart left with cold servers alone.
+        Guards against a cell that a rolling restart left with cold servers alone, or that lost some for a while.
         """
         roster = self.roster
         members = [roster.members[name] for name in cell.drawn]
@@ -139,7 +139,7 @@
         done = sum(member.capacity(now) for member in members)
         warm = [member.warm_from for member in members if member.warm_from > now]
         servers = cell.drawn
-        if done < least and warm:  # drawn warm ones short of it are small ones: more of them would not be fair
+        if done < least and warm and not cell.tenancy.suspect():  # warm ones short of it are small: that is its draw
             for name in roster.next_best(cell.key, self.rules.extra, cell.drawn):
                 if done >= least:
                     break
--- a/cloverhold/cells/ward.py
+++ b/cloverhold/cells/ward.py
@@ -11,7 +11,6 @@
 from enum import Enum
 
 MOST_DOUBLINGS = 4
-STEP_UP = 4.0  # how much more a ward may send at each step
 
 
 class Step(Enum):
@@ -42,9 +41,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Terms:
-    """How wards are held. rate_per_s: at the first step, 0 refuses all; hold_ms: the quiet time at each step."""
+    """How wards are held: how much one may send at the first two steps (0: nothing), the quiet time of each step."""
 
-    rate_per_s: float = 1.0
+    held_per_s: float = 0.0
+    eased_per_s: float = 1.0
     hold_ms: float = 30_000.0
 
 
@@ -62,6 +62,10 @@
         """Whether its requests go to the quarantine's servers and not to its cell."""
         return self.step in (Step.HELD, Step.EASED)
 
+    def quiet_ms(self) -> float:
+        """How long this step lasts without harm."""
+        return self.terms.hold_ms * float(1 << self.falls)
+
     def harm(self, now: float) -> None:
         """It harms again."""
         self.step = NEXT[self.step, Sign.HARM]
@@ -70,20 +74,16 @@
 
     def rest(self, now: float) -> bool:
         """Take the next step if it is time; whether it was."""
-        if now - self.since < self.terms.hold_ms * 2**self.falls:
+        if now - self.since < self.quiet_ms():
             return False
         self.step, self.since = NEXT[self.step, Sign.QUIET], now
         return True
 
     def admits(self, now: float) -> float:
-        """Take one request in: 0 where it may go, else in how many ms the next one may.
-
-        With a rate of 0 nothing goes while it is held, and the answer is the time until its next step.
-        """
-        rate = self.terms.rate_per_s / 1000 * (STEP_UP if self.step is Step.EASED else 1.0)
+        """Take one request in: 0 where it may go, else in how many ms the next one may, or the next step comes."""
+        rate = (self.terms.held_per_s if self.step is Step.HELD else self.terms.eased_per_s) / 1000
         if not rate:
-            left = self.since + self.terms.hold_ms * 2**self.falls - now
-            return max(1.0, left) if self.step is Step.HELD else 0.0
+            return max(1.0, self.since + self.quiet_ms() - now)
         self.tokens = min(max(1.0, 1000 * rate), self.tokens + rate * (now - self.filled_at))
         self.filled_at = now
         if self.tokens >= 1:
--- a/cloverhold/cli.py
+++ b/cloverhold/cli.py
@@ -8,9 +8,11 @@
 USAGE = """usage: cloverhold run                       one node, configured by PROXY_CONFIG
        cloverhold run --workers N           the same as N processes behind one port
        cloverhold rehearse [SCENARIO] ...   real nodes before a stand-in fleet that fails on a script
+       cloverhold cells plan|move|undo|status ...
        cloverhold --version
 
-`cloverhold rehearse --help` tells more."""
+`cloverhold rehearse --help` and `cloverhold cells --help` tell more. CLOVERHOLD_CONFIG names the operator's file,
+where there is one (docs/cells.md)."""
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -35,6 +37,13 @@
                 )
                 return 2
             return kit(rest)
+        case ["cells", *rest]:
+            try:
+                from cloverhold.cells.command import main as cells
+            except ModuleNotFoundError as error:
+                print(f"cells need {error.name}: pip install 'cloverhold[cells]'", file=sys.stderr)
+                return 2
+            cells(rest, prog_name="cloverhold cells")
         case ["--version"]:
             from cloverhold import __version__
 
--- a/cloverhold/decision/table.py
+++ b/cloverhold/decision/table.py
@@ -248,22 +248,29 @@
         known = (self.servers.get(name) for name in pool.servers or ())
         return [server for server in known if server is not None and server.ready]
 
-    def within(self, pool: Pool | None) -> Index[Profile, Server]:
-        """What a pick reads: the servers of a pool that look well; if none does, those that do not."""
-        if pool is None:
-            return self.usable()
+    def within(self, pool: Pool) -> list[Server]:
+        """What a pick looks at in a pool: its servers that look well; if none does, those that do not."""
         members = self.members(pool)
         index = self.well if any(server in self.prefix.well for server in members) else self.unwell
-        return _part(index, members)
+        return [server for server in members if server in index.places]
 
     def room(self, kind: str, pool: Pool | None) -> bool:
         """Whether any server has room for a request of this class, whatever else would speak against it."""
         at, blind, shift = self.kinds[kind], self.blind(), self.shift()
+        if pool is not None:
+            places = [self.place_of(server) for server in self.within(pool)]
+            return any(
+                key[2][at] is not None and (blind or load + shift <= key[0]) for key, load, _ in places
+            )
         return any(
             figures[at] is not None and (blind or min(levels) + shift <= most)
-            for (most, _, figures, _, _, _), levels in self.within(pool).buckets.items()
+            for (most, _, figures, _, _, _), levels in self.usable().buckets.items()
         )
 
+    def place_of(self, server: Server) -> tuple[Profile, float, int]:
+        """Where a server is filed; it must be."""
+        return self.well.places.get(server) or self.unwell.places[server]
+
     def fastest(self) -> float:
         """The least pace of the servers that look well."""
         return min((PACE[pace] for _, pace, _, _, _, _ in self.usable().buckets), default=1.0)
@@ -275,31 +282,43 @@
         left: time that it has, in ms; own: work of its own that it must wait for; idle: what waits at servers
         does not count. A further attempt goes elsewhere where it can.
         """
-        index, zone = self.within(request.event.pool), ""
+        zone = request.first().zone if group is Group.ZONE else ""
+        few: list[Server] | None = self.within(request.event.pool) if request.event.pool is not None else None
         if group is Group.CELL:
-            index = self._among(index, request)
-        elif group is Group.ZONE:
-            zone = request.first().zone
+            few = self._among(few, request)
         tried = dict.fromkeys(a.server for a in request.attempts)  # in order: a set's is that of addresses
+        if few is not None:
+            fresh = [server for server in few if server not in tried]
+            picked = self._lowest(fresh, request, zone, left, own, idle)
+            if picked is None and len(fresh) < len(few):
+                picked = self._lowest(few, request, zone, left, own, idle)
+            return picked
+        index = self.usable()
         taken = [(s, place) for s in tried if (place := index.drop(s)) is not None]
-        picked = self._lowest(index, request, zone, left, own, idle)
+        picked = self._lowest(None, request, zone, left, own, idle)
         for server, place in taken:
             index.file(server, *place)
         if picked is None and taken:
-            picked = self._lowest(index, request, zone, left, own, idle)
+            picked = self._lowest(None, request, zone, left, own, idle)
         return picked
 
-    def _among(self, index: Index[Profile, Server], request: RequestState) -> Index[Profile, Server]:
-        """The members of the cell of a request's first attempt. A cell is small."""
+    def _among(self, few: list[Server] | None, request: RequestState) -> list[Server]:
+        """Those of some servers, or of all, in the cell of a request's first attempt. A cell is small."""
         first = request.first()
         members = self.cells.get((first.zone, first.cell))
-        return _part(index, members.items if members is not None else [])
+        if members is None:
+            return []
+        if few is not None:
+            return [server for server in few if server in members]
+        index = self.usable()
+        return [server for server in members.items if server in index.places]
 
     def _lowest(
-        self, index: Index[Profile, Server], request: RequestState, zone: str, left: float, own: float,
-        idle: bool,
+        self, few: list[Server] | None, request: RequestState, zone: str, left: float, own: float, idle: bool
     ) -> Server | None:
-        """The paper's servers are alike. Where one needs far longer for each request (slow machine,
+        """The lowest of a few servers that are filed, or of all that are usable.
+
+        The paper's servers are alike. Where one needs far longer for each request (slow machine,
         neighbour, cold start) or loses some, its row counts that much more, in steps of root two, so that
         like servers still tie.
         """
@@ -307,22 +326,34 @@
         floor, shift = round(self.level), self.shift()
         lowest, total = math.inf, 0
         ties: list[list[Server]] = []
-        for key, levels in index.buckets.items():
-            room, pace, figures, warm, aged, where = key
+        alone: list[Server] = []  # of a few: those that tie
+
+        def bounds(key: Profile) -> tuple[float, float]:
+            """The most load and the weight at which a server of this kind is fit; no load where it is not."""
+            room, pace, figures, warm, _, where = key
             step = figures[at]
             if step is None or (zone and where != zone):
-                continue
+                return -math.inf, 1.0
             if warm < WARM and request.work > self.warming.most_work(warm):
-                continue
-            power = PACE[pace]
-            most = math.inf if blind else room
+                return -math.inf, 1.0
+            power, most = PACE[pace], math.inf if blind else room
             if idle:
-                if own * power > left:
-                    continue
-            else:
-                most = min(most, (left / power - own) / mix)
-            most -= shift
-            weight = POWER[step]
+                return (-math.inf if own * power > left else most - shift), POWER[step]
+            return min(most, (left / power - own) / mix) - shift, POWER[step]
+
+        if few is not None:
+            for server in few:
+                key, load, row = self.place_of(server)
+                most, weight = bounds(key)
+                figure = (max(row, floor) + 1) * weight if key[4] else (row + 1) * weight
+                if load <= most and figure <= lowest:
+                    if figure < lowest:
+                        lowest, alone = figure, []
+                    alone.append(server)
+            return alone[int(self.random.random() * len(alone))] if alone else None
+        for key, levels in self.usable().buckets.items():
+            most, weight = bounds(key)
+            aged = key[4]
             for load, level in levels.items():
                 if load > most:
                     continue
@@ -347,15 +378,6 @@
         raise AssertionError("a draw beyond the ties")
 
 
-def _part(index: Index[Profile, Server], members: list[Server]) -> Index[Profile, Server]:
-    """Those of an index, filed as they are there. The cost is that of the members."""
-    small = Index[Profile, Server]()
-    for server in members:
-        if (place := index.places.get(server)) is not None:
-            small.file(server, *place)
-    return small
-
-
 def _tied(level: Level[Server], row: int) -> list[Choice[Server]]:
     """The groups up to a row, which count as equal: rows of few servers and many nodes."""
     return [group for at, group in level.rows.items() if at <= row]
--- a/cloverhold/rehearsal/faults.py
+++ b/cloverhold/rehearsal/faults.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Literal, Union, get_args
+from typing import Annotated, Any, Literal, Union, get_args
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
@@ -192,6 +192,25 @@
     kind: Literal["reload_broken"]
 
 
+class Reconfigure(_OnNodes):
+    """The operator's file changes (`operator`: tables laid over those before) and nodes get SIGHUP."""
+
+    kind: Literal["reconfigure"]
+    for_s: Annotated[float, Field(gt=0)] = 0.1
+    operator: dict[str, Any]
+
+
+class Poison(_Fault):
+    """A `share` of a tenant's requests harms the server it comes to (`how`: crash, hang, error), for `down_s`."""
+
+    kind: Literal["poison"]
+    tenant: str
+    how: Literal["crash", "hang", "error"] = "crash"
+    share: Annotated[float, Field(gt=0, le=1)] = 1.0
+    down_s: Annotated[float, Field(gt=0)] = 2.0
+    renamed_s: Annotated[float, Field(gt=0)] | None = None  # the tenant calls itself something new this often
+
+
 class Hostile(_Fault):
     """Clients that keep no rule (`how`) connect at `rate_per_s`, beside the usual ones."""
 
@@ -221,6 +240,8 @@
         NodeTerm,
         ReloadMove,
         ReloadBroken,
+        Reconfigure,
+        Poison,
         Hostile,
     ],
     Field(discriminator="kind"),
--- a/cloverhold/rehearsal/judge.py
+++ b/cloverhold/rehearsal/judge.py
@@ -61,6 +61,7 @@
     pairs = (
         ("service", service.service, goals.service),
         ("worst class", service.worst_class, goals.worst_class),
+        ("worst tenant", service.worst_tenant, goals.worst_tenant),
     )
     return [f"{name} {got:.3f}, under {goal:.3f}" for name, got, goal in pairs if got < goal]
 
--- a/cloverhold/rehearsal/nodes.py
+++ b/cloverhold/rehearsal/nodes.py
@@ -16,7 +16,7 @@
 from cloverhold.rehearsal.catalog import line
 from cloverhold.rehearsal.front import Front
 from cloverhold.rehearsal.ledger import NodeLife, Usage
-from cloverhold.rehearsal.scenario import Scenario
+from cloverhold.rehearsal.scenario import Scenario, merged
 from cloverhold.rehearsal.sockets import LOOPBACK, hold, port_of
 from cloverhold.rehearsal.world import World
 
@@ -25,6 +25,7 @@
 USAGE_S = 0.5  # between two looks at what a node holds
 LATE_S = 1.0  # past the time that a node has after SIGTERM, it is killed after this
 TICK_MS = 5.0
+QUOTA_PER_S = 1e6  # of a tenant: the kit plays no quotas
 _REPEATS = {"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}
 
 
@@ -68,7 +69,7 @@
             }
             for c in scenario.classes
         ],
-        "Projects": [],
+        "Projects": [{"Name": t.name, "QuotaPerS": QUOTA_PER_S} for t in scenario.tenants if t.known],
         "Reporting": {"Fields": ["active", "waiting", "rps"], "Via": fleet.reports},
     }  # fmt: skip
 
@@ -93,6 +94,7 @@
         self.held = hold()
         self.port = port_of(self.held)
         self.path = folder / f"n{number}.json"
+        self.operator = world.scenario.nodes.operator
         self.life = -1
         self.row: NodeLife | None = None
         self.process: asyncio.subprocess.Process | None = None
@@ -117,6 +119,25 @@
         spare.write_text(self._text() if text is None else text, encoding="utf-8")
         os.replace(spare, self.path)
 
+    def _write_operator(self) -> str:
+        """The operator's file, whole or not at all; its path, empty where the scenario has none."""
+        if not self.operator:
+            return ""
+        import tomlkit
+
+        path = self.folder / f"n{self.number}.toml"
+        spare = path.with_suffix(".new.toml")
+        own = str(self.folder / f"n{self.number}")
+        spare.write_text(tomlkit.dumps(self.operator).replace("{own}", own), encoding="utf-8")
+        os.replace(spare, path)
+        return str(path)
+
+    def reconfigure(self, tables: dict[str, Any]) -> None:
+        """Lay tables over the operator's file and let the node read it."""
+        self.operator = merged(self.operator, tables)
+        self._write_operator()
+        self.hup()
+
     async def start(self) -> None:
         """Start a process with the list that the last one had. Raises NodeFailed."""
         self.life += 1
@@ -143,6 +164,7 @@
                 env={
                     **kept, "PROXY_NAME": f"n{self.number}", "PROXY_LISTEN": f"{LOOPBACK}:{self.port}",
                     "PROXY_DISCOVERY": self.desk.address(), "PROXY_CONFIG": str(self.path),
+                    "CLOVERHOLD_CONFIG": self._write_operator(),
                 },
                 stdin=asyncio.subprocess.DEVNULL, stdout=self._log, stderr=self._log, preexec_fn=limit,
             )  # fmt: skip
--- a/cloverhold/rehearsal/peer.py
+++ b/cloverhold/rehearsal/peer.py
@@ -239,6 +239,8 @@
             self._end(answer("200 OK", body))
             return
         self._work(request, known)
+        if known.harm is not None:
+            server.harmed(known.harm, lambda: self._fail(request, "error"))
 
     def _work(self, request: Request, known: Known) -> None:
         server, arrival = self.server, request.arrival
--- a/cloverhold/rehearsal/plan.py
+++ b/cloverhold/rehearsal/plan.py
@@ -27,7 +27,10 @@
     subject: str
     honours: bool  # comes back when Retry-After says
     leaves_s: float | None  # leaves this long after each send, with no answer
-    once: bool  # asks on a connection of its own and keeps that open, unused
+    tenant: str = ""  # of the scenario
+    caller: str = ""  # what it calls itself
+    harm: int | None = None  # the fault by which it harms the server it comes to
+    once: bool = False  # asks on a connection of its own and keeps that open, unused
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +146,22 @@
         index += 1
 
 
+def _tenant(scenario: Scenario, index: int, at: float) -> tuple[str, str, int | None]:
+    """Who sends a request, under which name, and the fault by which it does harm. Draws of its own."""
+    if not scenario.tenants:
+        return "", "", None
+    draw = _source(scenario, "tenant", index)
+    tenant = caller = draw.choices(scenario.tenants, [t.share for t in scenario.tenants])[0].name
+    harm, struck = None, draw.random()
+    for number, fault in enumerate(scenario.faults):
+        if isinstance(fault, f.Poison) and fault.tenant == tenant and fault.at_s <= at < fault.at_s + fault.for_s:
+            if fault.renamed_s is not None:
+                caller = f"{tenant}-{int((at - fault.at_s) / fault.renamed_s)}"
+            if struck < fault.share:
+                harm = number
+    return tenant, caller, harm
+
+
 def _first_try(
     kind: Class, *, clients_draw: Random, index: int, at: float, tails: list[f.HeavyTail], scenario: Scenario
 ) -> FirstTry:
@@ -152,6 +171,7 @@
         struck = draw.random() < tail.share
         if struck and tail.class_name == kind.name and tail.at_s <= at < tail.at_s + tail.for_s:
             work *= tail.factor
+    tenant, caller, harm = _tenant(scenario, index, at)
     return FirstTry(
         index=index,
         at_s=at,
@@ -161,6 +181,9 @@
         subject=f"{draw.getrandbits(52):x}",
         honours=draw.random() < clients.honour,
         leaves_s=draw.uniform(0.02, 0.5) * kind.aim_ms / 1000 if draw.random() < clients.impatient else None,
+        tenant=tenant,
+        caller=caller,
+        harm=harm,
         once=draw.random() < clients.ask_once,
     )
 
@@ -194,6 +217,7 @@
     f.NodeKill: ("node_kill", "node_start"),
     f.NodeTerm: ("node_term", "node_start"),
     f.ReloadBroken: ("reload_broken", "reload_mended"),
+    f.Reconfigure: ("reconfigure", "reconfigured"),
     f.ReloadMove: ("reload_move", "discovery_old_closes"),
 }
 
--- a/cloverhold/rehearsal/report.py
+++ b/cloverhold/rehearsal/report.py
@@ -95,6 +95,8 @@
     table.add_row("whole run", f"{service.whole:.3f}", "", "")
     table.add_row(f"worst 10 s (from {service.worst_window_at_s:.0f} s)", f"{service.worst_window:.3f}", "", "")
     table.add_row("worst class", f"{service.worst_class:.3f}", "", "")
+    if service.tenants:
+        table.add_row("worst tenant", f"{service.worst_tenant:.3f}", "", "")
     table.add_row("prices", f"-{sum(service.prices.values()):.3f}", "", "")
     table.add_row("service", f"[bold]{service.service:.3f}", "", "")
     table.caption = (
--- a/cloverhold/rehearsal/scenario.py
+++ b/cloverhold/rehearsal/scenario.py
@@ -98,6 +98,7 @@
     max_retry_after_ms: NotNegative = 2000.0
     max_attempts: Annotated[int, Field(ge=1, le=16)] = 4
     dial_timeout_ms: Positive = 250.0
+    operator: dict[str, Any] = {}  # the operator's own file; "{own}" in a string is a path of the node's own
 
 
 class Rules(Table):
@@ -140,6 +141,14 @@
         return self
 
 
+class Tenant(Table):
+    """One of those that send requests."""
+
+    name: Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,63}$")]
+    share: Positive = 1.0
+    known: bool = True  # the platform names it to the nodes
+
+
 class Clients(Table):
     """The usual clients: open loop, each try's time counted from when it was meant to be sent."""
 
@@ -173,6 +182,7 @@
 
     service: Part = 0.0  # least service, prices taken off
     worst_class: Part = 0.0
+    worst_tenant: Part = 0.0  # of those that no fault poisons
 
 
 class Bounds(Table):
@@ -200,6 +210,7 @@
     goals: Goals = Goals()
     bounds: Bounds = Bounds()
     classes: Annotated[tuple[Class, ...], Field(alias="class", min_length=1, strict=False)]
+    tenants: Annotated[tuple[Tenant, ...], Field(alias="tenant", strict=False)] = ()
     faults: Annotated[tuple[Fault, ...], Field(alias="fault", strict=False)] = ()
 
     @model_validator(mode="after")
@@ -207,6 +218,9 @@
         names = [c.name for c in self.classes]
         if len(set(names)) != len(names):
             raise ValueError("class: two classes have one name")
+        tenants = [t.name for t in self.tenants]
+        if len(set(tenants)) != len(tenants):
+            raise ValueError("tenant: two tenants have one name")
         servers = {server_name(i) for i in range(self.fleet.servers)}
         for at, fault in enumerate(self.faults):
             where = f"fault.{at}"
@@ -215,6 +229,9 @@
             named = getattr(fault, "class_name", None)
             if named is not None and named not in names:
                 raise ValueError(f"{where}.class: one of {', '.join(names)} is allowed, got {named!r}")
+            poisoned = getattr(fault, "tenant", None)
+            if poisoned is not None and poisoned not in tenants:
+                raise ValueError(f"{where}.tenant: one of {', '.join(tenants)} is allowed, got {poisoned!r}")
             for node in getattr(fault, "nodes", ()):
                 if node >= self.nodes.count:
                     raise ValueError(f"{where}.nodes: 0 to {self.nodes.count - 1} are allowed, got {node}")
--- a/cloverhold/rehearsal/servers.py
+++ b/cloverhold/rehearsal/servers.py
@@ -92,6 +92,7 @@
         self.causes: set[int] = set()  # faults that keep it down
         self.wrong: dict[int, f.Fault] = {}  # behaviours, by their fault
         self.silent = self.leaving = False
+        self.poisoned: Callable[[Server, f.Poison], None] = lambda server, harm: None  # the stage's part of it
         self.samples: deque[Sample] = deque(maxlen=64)
         self.done: deque[float] = deque()
         self.runs = 0
@@ -238,6 +239,15 @@
                 return wrong.how
         return None
 
+    def harmed(self, fault: int, error: Callable[[], None]) -> None:
+        """A request that has begun does what a poisoned one does; `error` answers it with an error."""
+        harm = self.world.scenario.faults[fault]
+        assert isinstance(harm, f.Poison)
+        if harm.how == "error":
+            error()
+        else:
+            self.poisoned(self, harm)
+
     def spoils(self) -> str | None:
         """How this answer is spoilt; None if it is not."""
         for wrong in self.wrong.values():
--- a/cloverhold/rehearsal/service.py
+++ b/cloverhold/rehearsal/service.py
@@ -9,6 +9,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from cloverhold.rehearsal.faults import Poison
 from cloverhold.rehearsal.ledger import Arrival, Dial, Ledger, Life, Probes, Try
 from cloverhold.rehearsal.plan import FirstTry, Plan
 from cloverhold.rehearsal.scenario import Scenario
@@ -41,7 +42,9 @@
     worst_window: float = 0.0
     worst_window_at_s: float = 0.0
     worst_class: float = 0.0
+    worst_tenant: float = 1.0  # of those that no fault poisons
     classes: dict[str, float] = field(default_factory=dict)
+    tenants: dict[str, float] = field(default_factory=dict)
     latency_ms: dict[str, tuple[float, float, float]] = field(default_factory=dict)  # p50, p99, most
     prices: dict[str, float] = field(default_factory=dict)
     asked: int = 0
@@ -148,6 +151,11 @@
         took = sorted(1000 * f.served_s for f in part if f.served_s is not None)
         most = took[-1] if took else 0.0
         service.latency_ms[kind.name] = (percentile(took, 0.5), percentile(took, 0.99), most)
+    for tenant in scenario.tenants:
+        service.tenants[tenant.name] = _ratio([f for f in every if f.first.tenant == tenant.name])
+    poisoned = {fault.tenant for fault in scenario.faults if isinstance(fault, Poison)}
+    well = [ratio for name, ratio in service.tenants.items() if name not in poisoned]
+    service.worst_tenant = min(well, default=1.0)
     service.worst_class = min(service.classes.values())
     service.prices = _prices(scenario, ledger, every)
     whole = WHOLE * service.whole + WORST_WINDOW * service.worst_window + WORST_CLASS * service.worst_class
--- a/cloverhold/rehearsal/stage.py
+++ b/cloverhold/rehearsal/stage.py
@@ -26,6 +26,7 @@
 from cloverhold.rehearsal.world import World
 
 LEAD_S = 0.2  # between the last node's readiness and the load
+POISONED = -2  # the cause of what a poisoned request did to a server, beside the numbers of faults
 TAIL_S = 1.0  # after the last deadline, for what is late
 
 
@@ -72,6 +73,7 @@
         self.meter = LagMeter(world)
         self.stopped = asyncio.Event()
         self.why = ""
+        self.timers: set[asyncio.TimerHandle] = set()
         self.tasks: list[asyncio.Task[None]] = []
         for plan in world.plan.servers:
             self._add(plan)
@@ -82,6 +84,7 @@
         self.addresses[plan.uid] = address
         group = self.groups.setdefault(plan.cell, Group())
         server = self.servers[plan.uid] = Server(self.world, plan, address, group, replaces=at)
+        server.poisoned = self._poisoned
         return server
 
     # ---------------------------------------------------------------------------------------------- running
@@ -177,6 +180,8 @@
 
     async def close(self) -> None:
         """End every child and give back every port, whatever state they are in."""
+        for timer in self.timers:
+            timer.cancel()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -230,6 +235,26 @@
         notice = self.scenario.discovery.notice_s
         self.roster.list_after(notice, server.plan, "left", lambda: server.life == life)
 
+    def _poisoned(self, server: Server, harm: f.Poison) -> None:
+        """A request has harmed its server: it crashes and comes back cold, or hangs, for as long as the fault says."""
+        if server.machine is None or POISONED in server.causes or POISONED in server.wrong:
+            return
+        step = Step(self.world.now(), "", server.plan.uid, POISONED)
+        if harm.how == "crash":
+            self._die(server, step)
+            self._in(harm.down_s, lambda: self._return(server, step))
+        else:
+            server.behave(POISONED, f.Hang(kind="hang", at_s=0.0, for_s=harm.down_s, servers=(server.plan.uid,)))
+            self._in(harm.down_s, lambda: server.behave_again(POISONED))
+
+    def _in(self, delay_s: float, call: Callable[[], None]) -> None:
+        def fire() -> None:
+            self.timers.discard(handle)
+            call()
+
+        handle = self.world.loop.call_later(delay_s, fire)
+        self.timers.add(handle)
+
     def _die_for_good(self, server: Server, step: Step) -> None:
         server.causes.add(step.fault)
         server.end("replaced")
@@ -307,6 +332,12 @@
             case "reload_broken":
                 node.write('{"listen": ')
                 node.hup()
+            case "reconfigure":
+                fault = self.scenario.faults[step.fault]
+                assert isinstance(fault, f.Reconfigure)
+                node.reconfigure(fault.operator)
+            case "reconfigured":
+                pass
             case "reload_mended":
                 node.write()
                 node.hup()
