--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -11,6 +11,7 @@
 
 from cloverhold import ClassSettings, Group, Repeat, Settings
 from cloverhold.__main__ import Config, Node
+from cloverhold.cells.table import CellsTable
 from cloverhold.net.clock import Clock
 from cloverhold.net.http1 import Response, ResponseParser
 
@@ -201,13 +202,15 @@
 
 
 @asynccontextmanager
-async def running(*servers: Server, sockets: int = 256, **changes: Any) -> AsyncIterator[Running]:
+async def running(
+    *servers: Server, sockets: int = 256, cells: CellsTable | None = None, **changes: Any
+) -> AsyncIterator[Running]:
     """A node before these servers, ready to serve."""
     for server in servers:
         await server.start()
     catalog = Catalog([target(f"s{i}", server.port) for i, server in enumerate(servers)])
     await catalog.start()
-    settings = Settings(**{"classes": CLASSES, "max_attempts": 4, **changes})
+    settings = Settings(**{"classes": CLASSES, "max_attempts": 4, "pools": cells is not None, **changes})
     config = Config(
         listen=("127.0.0.1", 0),
         discovery=("127.0.0.1", catalog.port),
@@ -217,6 +220,7 @@
         sockets=sockets,
         seed=1,
         known=None,
+        cells=cells,
     )
     node, stop = Node(config, Clock()), asyncio.Event()
     task = asyncio.create_task(node.run(stop))
