--- a/cloverhold/cells/evidence.py
+++ b/cloverhold/cells/evidence.py
@@ -69,9 +69,10 @@
 class Count:
     """Requests that ended and those of them that failed, lately: old ones fade with time, at each count alike."""
 
-    __slots__ = ("all", "at", "failed")
+    __slots__ = ("all", "at", "failed", "spoke_at")
 
     def __init__(self) -> None:
+        self.spoke_at = -math.inf  # when a failure last counted as evidence
         self.all = self.failed = 0.0
         self.at = -math.inf
 
--- a/cloverhold/cells/poison.py
+++ b/cloverhold/cells/poison.py
@@ -91,7 +91,7 @@
             place.out.pop(ref, None)
         if failed or status is Status.OK:
             tenancy.occupancy.add(min(spent, USUAL_MOST * usual), now)
-            self._outcome(tenancy, server, failed, now)
+            self._outcome(tenancy, server, failed, place.answered_at if place is not None else now, now)
         return failed
 
     def _crash_or_hang(
@@ -133,7 +133,7 @@
         own = tenancy.count.lately(now)[0] / max(1, servers)
         return max(tenancy.occupancy.part(servers, now), own / (seen + 1) if seen else 0.0)
 
-    def _outcome(self, tenancy: Tenancy, server: str, failed: bool, now: float) -> None:
+    def _outcome(self, tenancy: Tenancy, server: str, failed: bool, answered_at: float, now: float) -> None:
         self.bench.tell(server, now, failed=failed)
         tenancy.count.tell(now, failed=failed)
         if failed and tenancy.at is None:
@@ -144,6 +144,10 @@
         if own is None:
             own = tenancy.at[server] = Count()
         own.tell(now, failed=failed)
+        if failed and answered_at < own.spoke_at:
+            return  # one cause is one observation: all that a key had there when the server died
+        if failed:
+            own.spoke_at = now
         if failed or tenancy.own.sum:
             others = self.bench.others(server, now, own, tenancy.count)
             tenancy.own.tell(outcome(others, failed=failed), server)
