--- a/cloverhold/cells/command.py
+++ b/cloverhold/cells/command.py
@@ -23,6 +23,7 @@
 from cloverhold.cells.table import CellsTable
 from cloverhold.cells.tenancy import Tenancies
 from cloverhold.config.reading import ConfigFaults, read_tables, read_text
+from cloverhold.store.table import StoreTable
 
 DRAWS = 4  # further draws of a key that a rebalancing looks at
 
@@ -34,7 +35,7 @@
 
 def _table(path: str) -> CellsTable:
     try:
-        table = read_tables(path, {"cells": CellsTable}).get("cells")
+        table = read_tables(path, {"cells": CellsTable, "store": StoreTable}).get("cells")
     except ConfigFaults as error:
         raise click.ClickException("\n".join(error.lines)) from None
     if not isinstance(table, CellsTable):
--- a/cloverhold/cells/core.py
+++ b/cloverhold/cells/core.py
@@ -102,7 +102,7 @@
         """Whether a request goes to the key's second draw: only while its cell is down, only so many, none of a
         suspect. Guards against a poison that would walk through the fleet.
         """
-        if cell.place.cell or self.serves(cell.pool) or tenancy.suspect():
+        if cell.place.cell or self.serves(cell.pool) or tenancy.doubtful(self.rules.false_alarms):
             return False
         tenancy.trials += 1
         if tenancy.trials % TRIAL == 0:
--- a/cloverhold/cells/tenancy.py
+++ b/cloverhold/cells/tenancy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 
 from cloverhold.cells.draw import Roster, partition, score
@@ -55,6 +56,12 @@
         """Whether anything speaks against it."""
         return self.presence.sum > 0 or self.own.sum > 0
 
+    def doubtful(self, false_alarms: float) -> bool:
+        """Whether half of what would prove it speaks against it. One failure, as each neighbour of a poison has, is
+        less.
+        """
+        return max(self.presence.sum, self.own.sum) > 0.5 * math.log(1 / false_alarms)
+
 
 class Tenancies:
     """The keys that are remembered: the last used ones, so many at most."""
@@ -139,7 +146,8 @@
         done = sum(member.capacity(now) for member in members)
         warm = [member.warm_from for member in members if member.warm_from > now]
         servers = cell.drawn
-        if done < least and warm and not cell.tenancy.suspect():  # warm ones short of it are small: that is its draw
+        # Warm ones that are short of it are small: that is its draw.
+        if done < least and warm and not cell.tenancy.doubtful(self.rules.false_alarms):
             for name in roster.next_best(cell.key, self.rules.extra, cell.drawn):
                 if done >= least:
                     break
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from cloverhold.cells.shell import Router
     from cloverhold.cells.tenancy import Cell
+    from cloverhold.store.shell import Store
 
 log = logging.getLogger(__name__)
 
@@ -56,6 +57,7 @@
     guard: asyncio.TimerHandle
     sent: int = 0
     cell: Cell | None = None  # where it is confined to
+    record: bytes | None = None  # its identity in the store
     out: dict[int, Attempt] = field(default_factory=dict)
 
 
@@ -70,10 +72,15 @@
         pool: Pool,
         watch: Callable[[bool], None],
         router: Router | None = None,
+        store: Store | None = None,
+        *,
+        unsafe: bool = True,
     ) -> None:
+        """unsafe: whether requests that must not run twice are taken."""
         self.balancer = Balancer(settings, seed)
         self.classes = {c.name: c for c in settings.classes}
         self.settings, self.clock, self.pool, self.watch, self.router = settings, clock, pool, watch, router
+        self.store, self.unsafe = store, unsafe
         if router is not None:
             router.serves, router.warm = self.balancer.serves, self._warm
         self.loop = pool.loop
@@ -153,20 +160,47 @@
             return
         cell = self.router.route(asked.tenant, asked.key, asked.kind.name) if self.router is not None else None
         if isinstance(cell, io.Refuse):
-            wait = min(cell.retry_after_ms, self.settings.max_retry_after_ms)
-            exchange.answer(503, headers=retry_after(wait if self.settings.retry_after else 0.0))
+            exchange.answer(503, headers=self._come_back(cell.retry_after_ms))
+            return
+        if asked.kind.repeat is io.Repeat.UNSAFE and not self.unsafe:
+            exchange.answer(503, headers=self._come_back(self.settings.max_retry_after_ms))
             return
         self.call_ids.add(call_id)
         self.requests += 1
         ref = self.requests
         exchange.ref = ref
         guard = self.loop.call_later(left / 1000, self._expired, ref)
-        self.open[ref] = Open(exchange, now + left, guard, cell=cell)
+        opened = self.open[ref] = Open(exchange, now + left, guard, cell=cell)
+        if self.store is not None and asked.kind.repeat is io.Repeat.UNSAFE:
+            key = exchange.request.fields.get(b"idempotency-key", b"")
+            opened.record = self.store.record(call_id, key, lambda how: self._recorded(ref, how))
+            if opened.record is None:  # it may have run, in this life of the node or the one before
+                self._final(ref, 409)
+            return
+        self._begin(ref, opened)
+
+    def _come_back(self, wait_ms: float) -> tuple[bytes, ...]:
+        """When to come back, where the settings let a node say so."""
+        return retry_after(min(wait_ms, self.settings.max_retry_after_ms) if self.settings.retry_after else 0.0)
+
+    def _recorded(self, ref: int, how: str) -> None:
+        """What became of a request's record. Only what is durable goes on; the rest never ran."""
+        opened = self.open.get(ref)
+        if opened is None:
+            return
+        if how == "durable":
+            self._begin(ref, opened)
+        else:
+            self._final(ref, 503, headers=self._come_back(self.settings.max_retry_after_ms))
+
+    def _begin(self, ref: int, opened: Open) -> None:
+        """Hand a request to the module."""
+        asked, cell = opened.exchange.asked, opened.cell
         self.tell(
             io.Request(
                 id=ref,
                 class_name=asked.kind.name,
-                expires_ms=left,
+                expires_ms=max(0.0, opened.expires_at - self.clock.now()),
                 tenant=asked.tenant,
                 key=asked.key,
                 cost_ms=asked.cost_ms,
@@ -203,6 +237,8 @@
             opened.guard.cancel()
             if self.router is not None and opened.cell is not None:
                 self.router.left(opened.cell)
+            if self.store is not None and opened.record is not None:
+                self.store.over(opened.record, sent=opened.sent > 0)
             self.call_ids.discard(opened.exchange.request.fields[b"x-call-id"])
         return opened
 
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -17,6 +17,7 @@
     *(f"cloverhold/cells/{name}.py" for name in (
         "core", "draw", "evidence", "moves", "poison", "rebalance", "rules", "tenancy", "ward",
     )),
+    *(f"cloverhold/store/{name}.py" for name in ("codec", "disk", "log", "recovery", "sent", "simulated")),
     "cloverhold/settings.py",
     "cloverhold/supervise/core.py",
     *(f"cloverhold/rehearsal/{name}.py" for name in (
@@ -27,6 +28,7 @@
 NODE = (
     *("cloverhold/__main__.py", "cloverhold/benchlink.py"),
     *("cloverhold/net", "cloverhold/decision", "cloverhold/supervise", "cloverhold/cells", "cloverhold/config"),
+    "cloverhold/store",
 )
 
 
