--- a/cloverhold/cli.py
+++ b/cloverhold/cli.py
@@ -4,14 +4,16 @@
 
 import sys
 from collections.abc import Sequence
+from importlib import import_module
 
 USAGE = """usage: cloverhold run                       one node, configured by PROXY_CONFIG
        cloverhold run --workers N           the same as N processes behind one port
        cloverhold rehearse [SCENARIO] ...   real nodes before a stand-in fleet that fails on a script
        cloverhold cells plan|move|undo|status ...
+       cloverhold store check|dump|compact|adopt|salvage DIR
        cloverhold --version
 
-`cloverhold rehearse --help` and `cloverhold cells --help` tell more. CLOVERHOLD_CONFIG names the operator's file,
+`--help` behind each tells more. CLOVERHOLD_CONFIG names the operator's file,
 where there is one (docs/cells.md)."""
 
 
@@ -37,13 +39,13 @@
                 )
                 return 2
             return kit(rest)
-        case ["cells", *rest]:
+        case ["cells" | "store" as name, *rest]:
             try:
-                from cloverhold.cells.command import main as cells
+                command = import_module(f"cloverhold.{name}.command").main
             except ModuleNotFoundError as error:
-                print(f"cells need {error.name}: pip install 'cloverhold[cells]'", file=sys.stderr)
+                print(f"{name} needs {error.name}: pip install 'cloverhold[{name}]'", file=sys.stderr)
                 return 2
-            cells(rest, prog_name="cloverhold cells")
+            command(rest, prog_name=f"cloverhold {name}")
         case ["--version"]:
             from cloverhold import __version__
 
--- a/cloverhold/store/codec.py
+++ b/cloverhold/store/codec.py
@@ -103,6 +103,16 @@
         sequence += 1
 
 
+def later_record(data: bytes, seed: int, at: int) -> tuple[int, int] | None:
+    """Offset and sequence of the first whole record at or behind an offset: for salvage; None where there is none."""
+    for start in range(at, len(data) - RECORD.size + 1):
+        checksum, after, kind, number, of_key = RECORD.unpack_from(data, start)
+        if kind in (1, 2) and AFTER + of_key <= after <= len(data) - start - 8:
+            if google_crc32c.extend(seed, data[start + 4 : start + 8 + after]) == checksum:
+                return start, number
+    return None
+
+
 @dataclass(frozen=True, slots=True)
 class Sealed:
     """A segment that is written no more. end: bytes of it that count; last: the sequence of its last record, or of the
--- a/cloverhold/store/recovery.py
+++ b/cloverhold/store/recovery.py
@@ -12,7 +12,8 @@
 from dataclasses import dataclass, field
 
 from cloverhold.store.codec import (
-    HEAD_SIZE, Kind, Manifest, Record, StoreError, read_head, read_manifest, read_mark, records, seed_of, segment_name,
+    HEAD_SIZE, Kind, Manifest, Record, StoreError, later_record, read_head, read_manifest, read_mark, records, seed_of,
+    segment_name,
 )  # fmt: skip
 from cloverhold.store.disk import MANIFEST, MARK, Disk
 
@@ -86,6 +87,36 @@
     return at, len(data)
 
 
+def salvage(disk: Disk) -> tuple[dict[bytes, bytes], list[str]]:
+    """All whole records of a store that cannot be used, by key, the last of each; and what is damaged, a line each.
+
+    What was deleted or replaced by a record that is lost comes back: for sent requests that errs on the safe side.
+    """
+    live: dict[bytes, tuple[int, bytes, int]] = {}
+    lines: list[str] = []
+    for name in sorted(name for name in disk.names() if name.endswith(".log")):
+        data = disk.read(name)
+        try:
+            store, number, sequence = read_head(data, name)
+        except StoreError as error:
+            lines.append(str(error))
+            continue
+        at, seed = HEAD_SIZE, seed_of(store, number)
+        while True:
+            for record in records(data, seed, at, sequence, len(data)):
+                apply(live, record, number)
+                at, sequence = record.offset + record.size, record.sequence + 1
+            if at >= len(data):
+                break
+            later = later_record(data, seed, at)
+            until = later[0] if later is not None else len(data)
+            lines.append(f"{name}: offset {at}: {until - at} bytes are no records")
+            if later is None:
+                break
+            at, sequence = later
+    return {key: value for key, (_, value, _) in live.items()}, lines
+
+
 def apply(live: dict[bytes, tuple[int, bytes, int]], record: Record, segment: int) -> None:
     """What a record does to the live ones."""
     if record.kind is Kind.PUT:
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 import errno
+import json
 from collections.abc import Callable, Iterator
 from contextlib import suppress
+from pathlib import Path
 from random import Random
 
 import pytest
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from cloverhold.store.codec import HEAD_SIZE, Kind, Manifest, NewerFormat, StoreError, encode, head, segment_name
+from cloverhold.store.command import main
 from cloverhold.store.disk import LOCK, MANIFEST, MARK
 from cloverhold.store.log import Log
+from cloverhold.store.real import RealDisk
 from cloverhold.store.recovery import recover
 from cloverhold.store.simulated import Cut, File, SimulatedDisk
 
@@ -306,3 +311,33 @@
         most = max(most, log.size())
     assert len(log.index) == 50 and most < 2 * log.live + 3 * 4000
     assert len(disk.names()) < 8
+
+
+def test_the_commands_check_dump_compact_adopt_and_salvage(tmp_path: Path) -> None:
+    run, path, out = CliRunner(), tmp_path / "store", tmp_path / "new"
+    disk = RealDisk(str(path))
+    log = Log(disk, STORE, segment_bytes=300)
+    for n in range(60):
+        log.put(b"k%d" % (n % 9), b"v%d" % n)
+        log.flush()
+    assert "keys 9" in run.invoke(main, ["check", str(path)]).output, "also while it is held"
+    assert run.invoke(main, ["compact", str(path)]).exit_code == 1, "a node holds it"
+    disk.close()
+    assert len(run.invoke(main, ["dump", str(path)]).output.splitlines()) == 9
+    assert run.invoke(main, ["compact", str(path)]).exit_code == 0
+    assert json.loads(run.invoke(main, ["check", str(path), "--json"]).output)["keys"] == 9
+    (path / "LOCK").rename(path / "was")
+    (path / "LOCK").touch()
+    assert "adopt" in run.invoke(main, ["check", str(path)]).output
+    with pytest.raises(StoreError, match="copy"):
+        recover(RealDisk(str(path), write=False))
+    assert run.invoke(main, ["adopt", str(path)]).exit_code == 0
+    assert recover(RealDisk(str(path), write=False)).live
+    largest = max(path.glob("*.log"), key=lambda file: file.stat().st_size)
+    data = largest.read_bytes()
+    largest.write_bytes(data[:80] + b"\xff" * 8 + data[88:])
+    said = run.invoke(main, ["check", str(path)])
+    assert said.exit_code == 1 and largest.name in said.output and "Traceback" not in said.output
+    said = run.invoke(main, ["salvage", str(path), str(out)])
+    assert said.exit_code == 0 and "1 places damaged" in said.output
+    assert "keys 8" in run.invoke(main, ["check", str(out)]).output
