Keep the moves of cells in the store where there is one

Need: a move's state must last; its file was a second store beside the first. Change: with [store] and no cells.state, moves are a record of the store, resumed before the node listens.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -122,14 +122,14 @@
     return cells, store
 
 
-def _router(config: Config, clock: Clock) -> Router | None:
+def _router(config: Config, clock: Clock, store: Store | None) -> Router | None:
     if config.cells is None:
         return None
     from cloverhold.cells.keep import KeepError
     from cloverhold.cells.shell import Router
 
     try:
-        return Router(config.cells, config.settings, clock.now)
+        return Router(config.cells, config.settings, clock.now, store)
     except KeepError as error:
         raise ConfigError(str(error)) from None
 
@@ -169,8 +169,8 @@
         most_servers = max(8, int(SERVER_PART * config.sockets))
         self.config, self.clock, self.worker = config, clock, worker
         self.pool = Pool(loop, config.dial_ms / 1000, config.idle_ms / 1000, most_servers)
-        self.router = _router(config, clock)
         self.store = _store(config, clock, str(worker.number) if worker is not None else "")
+        self.router = _router(config, clock, self.store)
         self.host = Host(
             config.settings, config.seed, clock, self.pool, lambda on: self.discovery.watch(on), self.router,
             self.store, unsafe=config.store is None or self.store is not None,
--- a/cloverhold/cells/shell.py
+++ b/cloverhold/cells/shell.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, Protocol
 
 from cloverhold.cells.core import TICK_MS, Cells
 from cloverhold.cells.draw import Member
@@ -19,10 +20,19 @@
 STATUS_TICKS = 50  # ticks between two states written for the operator
 
 
+class Keeping(Protocol):
+    """Where moves last, in place of a file: the store."""
+
+    def moves(self) -> list[Any]: ...
+    def keep_moves(self, moves: Sequence[Any]) -> None: ...
+
+
 class Router:
     """Where each request may go, by the operator's cells. Raises KeepError where the kept moves cannot be read."""
 
-    def __init__(self, table: CellsTable, settings: Settings, now: Callable[[], float]) -> None:
+    def __init__(
+        self, table: CellsTable, settings: Settings, now: Callable[[], float], store: Keeping | None = None
+    ) -> None:
         self.table, self.settings, self.now = table, settings, now
         self.cells = Cells(table.rules((t.name for t in settings.tenants), settings.nodes), self._serves)
         self.serves: Callable[[Pool], bool] = lambda pool: True  # until there is a host
@@ -31,11 +41,12 @@
         self._loop: asyncio.AbstractEventLoop | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._ticks = 0
-        if table.state:
+        self.store = store
+        if table.state or store is not None:
             try:
-                self.cells.resume(read_moves(table.state), now())
+                self.cells.resume(read_moves(table.state) if table.state else store.moves() if store else (), now())
             except ValueError as error:
-                raise KeepError(f"{table.state}: {error}") from None
+                raise KeepError(f"{table.state or 'store'}: {error}") from None
 
     def _serves(self, pool: Pool) -> bool:
         return self.serves(pool)
@@ -127,5 +138,7 @@
                         write_moves(self.table.state, moves)
                     except OSError as error:  # the moves go on; what was kept before still stands
                         log.error("cells: moves are not kept: %s", error)
+                case Keep(moves=moves) if self.store is not None:
+                    self.store.keep_moves(moves)
                 case Keep():
                     pass
--- a/cloverhold/store/shell.py
+++ b/cloverhold/store/shell.py
@@ -7,7 +7,7 @@
 import logging
 import os
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from queue import Empty, SimpleQueue
 from typing import Any
 
@@ -18,7 +18,7 @@
 from cloverhold.store.table import StoreTable
 
 log = logging.getLogger(__name__)
-LIST = b"list"
+LIST, MOVES = b"list", b"moves"
 EXPIRE_S = 1.0
 LIST_MS = 5000.0  # between two lists that are written: weights change every second
 CLOSE_S = 0.5
@@ -53,8 +53,15 @@
         self._rev, self._dirty, self._listed_at = 0, False, -LIST_MS
 
     def known(self) -> Any:
-        """The last list that was kept, in discovery's form; None where there is none."""
-        text = self.log.get(LIST)
+        """The last list that was kept, in discovery's form; None where there is none. Before `start`."""
+        return self._kept(LIST)
+
+    def moves(self) -> list[Any]:
+        """The moves of cells that were kept. Before `start`."""
+        return list(self._kept(MOVES) or ())
+
+    def _kept(self, key: bytes) -> Any:
+        text = self.log.get(key)
         return json.loads(text) if text is not None else None
 
     def start(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -87,6 +94,10 @@
                 self._list[target["uid"]] = target
         self._rev, self._dirty = value["rev"], True
 
+    def keep_moves(self, moves: Sequence[Any]) -> None:
+        """Keep the moves of cells, all of them each time."""
+        self._queue.put((MOVES, json.dumps(list(moves)).encode(), None))
+
     def _put_list(self) -> None:
         if self._dirty:
             self._dirty, self._listed_at = False, self.now()
--- a/tests/store/test_store_node.py
+++ b/tests/store/test_store_node.py
@@ -19,6 +19,10 @@
 from loopback import OK, Server, free_ports, play, read_answer, request, target, until
 from test_process import ROOT, SETTINGS, config, environment
 
+from cloverhold import ClassSettings, ServerEntry, Settings
+from cloverhold.cells.moves import Stage
+from cloverhold.cells.shell import Router
+from cloverhold.cells.table import CellsTable, MoveTable
 from cloverhold.store.codec import StoreError
 from cloverhold.store.log import Log
 from cloverhold.store.real import RealDisk
@@ -118,6 +122,27 @@
     play(test)
 
 
+def test_moves_of_cells_last_in_the_store(tmp_path: Path) -> None:
+    async def test() -> None:
+        now = 0.0
+        store = Store(StoreTable(str(tmp_path / "store")), lambda: now)
+        cells = CellsTable(newcomers=0, move=(MoveTable("m", "acme", draw=1),))
+        settings = Settings(classes=(ClassSettings("any", 400, 1000),))
+        router = Router(cells, settings, lambda: now, store)
+        store.start(asyncio.get_running_loop())
+        router.members([ServerEntry(f"s{n}") for n in range(8)], full=True)
+        router.start(asyncio.get_running_loop())
+        await until(lambda: router.cells.moves["m"].stage is Stage.WATCHED)
+        router.close()
+        store.close()
+        again = Store(StoreTable(str(tmp_path / "store")), lambda: now)
+        resumed = Router(cells, settings, lambda: now, again)
+        assert resumed.cells.moves["m"].stage is Stage.WATCHED
+        again.close()
+
+    play(test)
+
+
 def test_a_damaged_store_stops_the_start_or_refuses_unsafe_classes_alone(tmp_path: Path) -> None:
     async def test() -> None:
         server = Server()
