--- a/benchmarks/store_kills.py
+++ b/benchmarks/store_kills.py
@@ -57,7 +57,7 @@
                 self.runs[fields[b"x-call-id"].decode()] += 1
                 await asyncio.sleep(self.random.uniform(0.0, 0.06))
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-        except (asyncio.IncompleteReadError, OSError):
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
             writer.close()
 
     async def node(self) -> asyncio.subprocess.Process:
