--- a/cloverhold/store/codec.py
+++ b/cloverhold/store/codec.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import IntEnum
-from typing import Any
+from typing import Any, NamedTuple
 
 import google_crc32c
 
@@ -42,11 +42,10 @@
     """A file of a version that this program does not read."""
 
 
-@dataclass(frozen=True, slots=True)
-class Record:
+class Record(NamedTuple):
     """One record as it stands in a segment. offset, size: in bytes, of the whole record."""
 
-    kind: Kind
+    kind: int  # a Kind
     sequence: int
     key: bytes
     value: bytes
@@ -98,7 +97,7 @@
         if extend(seed, data[at + 4 : at + size]) != checksum:
             return
         body = at + fixed
-        yield Record(Kind(kind), number, data[body : body + of_key], data[body + of_key : at + size], at, size)
+        yield Record(kind, number, data[body : body + of_key], data[body + of_key : at + size], at, size)
         at += size
         sequence += 1
 
--- a/cloverhold/store/command.py
+++ b/cloverhold/store/command.py
@@ -80,9 +80,8 @@
     """
     with plainly(path):
         found = read(path)
-    for key, (sequence, value, segment) in found.live.items():
-        said = {"key": key.hex(), "value": value.hex(), "sequence": sequence, "segment": segment}
-        click.echo(json.dumps(said))
+    for key, record in found.live.items():
+        click.echo(json.dumps({"key": key.hex(), "value": record.value.hex(), "sequence": record.sequence}))
 
 
 @main.command()
--- a/cloverhold/store/log.py
+++ b/cloverhold/store/log.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from cloverhold.store.codec import (
-    HEAD_SIZE, RECORD, Kind, Manifest, Record, Sealed, encode, head, mark, read_head, records, seed_of, segment_name,
+    HEAD_SIZE, Kind, Manifest, Record, Sealed, encode, head, mark, read_head, records, seed_of, segment_name,
 )  # fmt: skip
 from cloverhold.store.disk import MANIFEST, MARK, SPARE, Disk
 from cloverhold.store.recovery import exists, recover
@@ -21,32 +21,23 @@
 SLICE = 256  # records that one step of a compaction looks at
 
 
-@dataclass(slots=True)
-class Entry:
-    """The last record of a key. size: of the record, in bytes."""
-
-    sequence: int
-    value: bytes
-    size: int
-
-
 class Log:
     """A store on a disk. Raises StoreError where there is one that cannot be used, and OSError."""
 
     def __init__(self, disk: Disk, identity: bytes, *, segment_bytes: int = SEGMENT_BYTES) -> None:
         """Open the store of this disk, or begin one. identity: 16 random bytes, used where one is begun."""
         self.disk, self.segment_bytes = disk, segment_bytes
-        self.index: dict[bytes, Entry] = {}
+        self.index: dict[bytes, Record] = {}  # the last record of each key
         self.live = 0  # bytes of the records in the index
         self._buffer: list[bytes] = []
-        self._undo: list[tuple[bytes, Entry | None]] = []
+        self._undo: list[tuple[bytes, Record | None]] = []
         self._broken = False
         self._compacting: Iterator[Record] | None = None
         self._oldest: Sealed | None = None
         if exists(disk):
             found = recover(disk)
-            for key, (sequence, value, _) in found.live.items():
-                self._set(key, Entry(sequence, value, _size(key, value)))
+            self.index = found.live
+            self.live = sum(record.size for record in found.live.values())
             self.sequence = self.durable = found.sequence
             self.dropped = found.dropped
             self.manifest, self.end = found.manifest, found.end
@@ -81,9 +72,9 @@
         self.sequence += 1
         self._buffer.append(data)
         self._undo.append((key, self.index.get(key)))
-        self._set(key, Entry(self.sequence, value, len(data)) if kind is Kind.PUT else None)
+        self._set(key, Record(kind, self.sequence, key, value, 0, len(data)) if kind is Kind.PUT else None)
 
-    def _set(self, key: bytes, entry: Entry | None) -> None:
+    def _set(self, key: bytes, entry: Record | None) -> None:
         old = self.index.pop(key, None)
         if old is not None:
             self.live -= old.size
@@ -141,13 +132,13 @@
         self._undo = undo
         self._broken = False
 
-    def _rewrite(self, key: bytes, entry: Entry | None) -> None:
+    def _rewrite(self, key: bytes, entry: Record | None) -> None:
         kind, value = (Kind.DELETE, b"") if entry is None else (Kind.PUT, entry.value)
         seed = seed_of(self.manifest.store, self.manifest.active)
         self.sequence += 1
         self._buffer.append(encode(seed, kind, self.sequence, key, value))
         if entry is not None:
-            entry.sequence = self.sequence
+            self.index[key] = entry._replace(sequence=self.sequence)
 
     def _roll(self) -> None:
         """Seal the active segment where it is known to be durable, and begin another.
@@ -212,7 +203,7 @@
             if record is None:
                 return self._compacted()
             entry = self.index.get(record.key)
-            if record.kind is Kind.PUT and entry is not None and entry.sequence == record.sequence:
+            if record.kind == Kind.PUT and entry is not None and entry.sequence == record.sequence:
                 self.put(record.key, record.value)
         self.flush()
         return True
@@ -229,7 +220,3 @@
     def size(self) -> int:
         """Bytes of all segments."""
         return sum(s.end for s in self.manifest.sealed) + self.end
-
-
-def _size(key: bytes, value: bytes) -> int:
-    return RECORD.size + len(key) + len(value)
--- a/cloverhold/store/recovery.py
+++ b/cloverhold/store/recovery.py
@@ -20,10 +20,10 @@
 
 @dataclass(slots=True)
 class Recovered:
-    """A store as found. live: by key, the sequence, value and segment of its last record."""
+    """A store as found. live: by key, its last record."""
 
     manifest: Manifest
-    live: dict[bytes, tuple[int, bytes, int]] = field(default_factory=dict)
+    live: dict[bytes, Record] = field(default_factory=dict)
     sequence: int = 0  # of the last record
     end: int = 0  # bytes of the active segment that count
     dropped: int = 0  # bytes behind that
@@ -81,8 +81,10 @@
     if first != found.sequence + 1 and found.sequence:
         raise StoreError(f"{name}: offset 0: begins with record {first}, not {found.sequence + 1}; restore the file")
     found.sequence, at = first - 1, HEAD_SIZE
+    record = None
     for record in records(data, seed_of(store, number), HEAD_SIZE, first, len(data) if end is None else end):
-        apply(found.live, record, number)
+        apply(found.live, record)
+    if record is not None:
         found.sequence, at = record.sequence, record.offset + record.size
     return at, len(data)
 
@@ -92,7 +94,7 @@
 
     What was deleted or replaced by a record that is lost comes back: for sent requests that errs on the safe side.
     """
-    live: dict[bytes, tuple[int, bytes, int]] = {}
+    live: dict[bytes, Record] = {}
     lines: list[str] = []
     for name in sorted(name for name in disk.names() if name.endswith(".log")):
         data = disk.read(name)
@@ -104,7 +106,7 @@
         at, seed = HEAD_SIZE, seed_of(store, number)
         while True:
             for record in records(data, seed, at, sequence, len(data)):
-                apply(live, record, number)
+                apply(live, record)
                 at, sequence = record.offset + record.size, record.sequence + 1
             if at >= len(data):
                 break
@@ -114,12 +116,12 @@
             if later is None:
                 break
             at, sequence = later
-    return {key: value for key, (_, value, _) in live.items()}, lines
+    return {key: record.value for key, record in live.items()}, lines
 
 
-def apply(live: dict[bytes, tuple[int, bytes, int]], record: Record, segment: int) -> None:
+def apply(live: dict[bytes, Record], record: Record) -> None:
     """What a record does to the live ones."""
-    if record.kind is Kind.PUT:
-        live[record.key] = (record.sequence, record.value, segment)
+    if record.kind == Kind.PUT:
+        live[record.key] = record
     else:
         live.pop(record.key, None)
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -83,7 +83,7 @@
                 assert "\n" not in str(error) and (".log" in str(error) or MANIFEST in str(error)), (name, what)
                 continue
             good += 1
-            state = {key: value for key, (_, value, _) in found.live.items()}
+            state = {key: record.value for key, record in found.live.items()}
             assert state == states[-1], f"{name}: {what}: neither all of it nor a refusal"
     assert refused > 1000 and good > 50, "the mark alone may be spoilt and harm nothing"
 
@@ -99,7 +99,7 @@
             found = recover(disk)
         except StoreError:
             continue
-        assert {key: value for key, (_, value, _) in found.live.items()} in states, what
+        assert {key: record.value for key, record in found.live.items()} in states, what
 
 
 @pytest.mark.parametrize("names", [[MANIFEST], ["0000000000000001.log"], [MANIFEST, MARK, LOCK]])
