Judge only the keys that something was said of; bound suspects; a worker's own files

Cause: found by reading: each outcome of a suspect looked at all suspects, quadratic in an outage of many tenants, and suspects whose names never come again were kept for good. Change: evidence notes whom it touched, and those alone are judged; at most 2,048 suspects, the oldest let go. Workers keep moves each in a file of its own; a changed [store] is named as waiting for a restart.

--- a/benchmarks/store_latency.py
+++ b/benchmarks/store_latency.py
@@ -39,6 +39,8 @@
 
         async def one(number: int, meant: float) -> None:
             nonlocal bad
+            while free and free[-1][0].at_eof():  # the node closes what rests
+                free.pop()[1].close()
             reader, writer = free.pop() if free else await asyncio.open_connection("127.0.0.1", self.port)
             writer.write(
                 b"POST /alerta-umbral?sid=1 HTTP/1.1\r\nHost: x\r\nX-Call-Class: alerta-umbral\r\nX-Budget: 900m\r\n"
--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -122,14 +122,21 @@
     return cells, store
 
 
-def _router(config: Config, clock: Clock, store: Store | None) -> Router | None:
+def _own(cells: CellsTable, part: str) -> CellsTable:
+    """The table of one worker: each moves by itself and keeps that in a file of its own."""
+    import msgspec
+
+    return msgspec.structs.replace(cells, state=f"{cells.state}.{part}") if part and cells.state else cells
+
+
+def _router(config: Config, clock: Clock, store: Store | None, part: str) -> Router | None:
     if config.cells is None:
         return None
     from cloverhold.cells.keep import KeepError
     from cloverhold.cells.shell import Router
 
     try:
-        return Router(config.cells, config.settings, clock.now, store)
+        return Router(_own(config.cells, part), config.settings, clock.now, store)
     except KeepError as error:
         raise ConfigError(str(error)) from None
 
@@ -169,8 +176,9 @@
         most_servers = max(8, int(SERVER_PART * config.sockets))
         self.config, self.clock, self.worker = config, clock, worker
         self.pool = Pool(loop, config.dial_ms / 1000, config.idle_ms / 1000, most_servers)
-        self.store = _store(config, clock, str(worker.number) if worker is not None else "")
-        self.router = _router(config, clock, self.store)
+        self.part = str(worker.number) if worker is not None else ""  # of the operator's files
+        self.store = _store(config, clock, self.part)
+        self.router = _router(config, clock, self.store, self.part)
         self.host = Host(
             config.settings, config.seed, clock, self.pool, lambda on: self.discovery.watch(on), self.router,
             self.store, unsafe=config.store is None or self.store is not None,
@@ -223,14 +231,15 @@
         except ConfigError as error:
             log.error("configuration: %s; the old one stays", error)
             return
-        if (config.listen, config.settings, config.sockets) != (
+        if (config.listen, config.settings, config.sockets, config.store) != (
             self.config.listen,
             self.config.settings,
             self.config.sockets,
+            self.config.store,
         ):
             log.warning("configuration: of what changed, only discovery takes effect before a restart")
         if self.router is not None and config.cells is not None:
-            if waits := self.router.reload(config.cells):
+            if waits := self.router.reload(_own(config.cells, self.part)):
                 log.warning("configuration: cells: %s take effect at a restart", ", ".join(waits))
         self.discovery.follow(config.discovery)
 
--- a/cloverhold/cells/core.py
+++ b/cloverhold/cells/core.py
@@ -131,8 +131,7 @@
             if tenancy.ward is not None:
                 if failed and tenancy.ward.confined():
                     tenancy.ward.harm(now)
-            if tenancy.ward is None or not tenancy.ward.confined():
-                self._judge(tenancy, now)
+            self._judge(now)
         else:
             tenancy.count.tell(now, failed=failed)
         move = tenancy.move
@@ -146,10 +145,10 @@
 
     # ---------------------------------------------------------------- poison
 
-    def _judge(self, tenancy: Tenancy, now: float) -> None:
-        if not tenancy.suspect():
-            return
-        for suspect in list(self.poison.suspects):
+    def _judge(self, now: float) -> None:
+        """Look at those that something was said of since the last time: never at all suspects."""
+        touched, self.poison.touched = self.poison.touched, {}
+        for suspect in touched:
             ward = suspect.ward
             if ward is not None and ward.confined():
                 continue
@@ -192,9 +191,7 @@
                 self.absent[name] = now + self.rules.linger_ms, old.absent()
         self.ready = dict(members)
         self._settle(now)
-        for suspect in list(self.poison.suspects):
-            if suspect.ward is None:
-                self._judge(suspect, now)
+        self._judge(now)
 
     def _settle(self, now: float) -> None:
         """Draw from the servers that are ready, and from those that were a while ago.
--- a/cloverhold/cells/poison.py
+++ b/cloverhold/cells/poison.py
@@ -19,6 +19,7 @@
 SILENT = 6.0  # of the usual time: as long as the module waits before a server counts as stalled
 USUAL_MOST = 3.0  # what an attempt counts for at most, in usual times
 FIRST_MS = 50.0  # the usual time until answers tell
+MOST_SUSPECTS = 2048
 RECENT_MS = 2000.0  # attempts that ended with a crash count as there, found by a refused connection this much later
 FAILED = (Status.ERROR, Status.RESET, Status.TIMEOUT)
 
@@ -61,7 +62,7 @@
         self.servers: dict[str, Place] = {}
         self.suspects: dict[Tenancy, None] = {}
         self.usual: dict[str, float] = {}  # time of an answer, by class
-        self.observed = 0  # observations so far
+        self.touched: dict[Tenancy, None] = {}  # those that something was said of since they were last judged
 
     def keep(self, names: Iterable[str]) -> None:
         """Forget servers that are no longer listed, once nothing is out there."""
@@ -114,7 +115,6 @@
 
     def failure(self, server: str, there: list[Tenancy], now: float) -> None:
         """One failure of a server: it speaks against those that were there, and for those that were not."""
-        self.observed += 1
         for tenancy in there:
             ratio = presence(self._chance(tenancy, server, now), self.present, there=True)
             tenancy.presence.tell(ratio, server)
@@ -154,8 +154,11 @@
             self._note(tenancy)
 
     def _note(self, tenancy: Tenancy) -> None:
+        self.touched[tenancy] = None
         if tenancy.suspect():
             self.suspects[tenancy] = None
+            if len(self.suspects) > MOST_SUSPECTS:  # names are what clients send: the first to be suspected is let go
+                self.clear(next(iter(self.suspects)))
         else:
             self.suspects.pop(tenancy, None)
             tenancy.at = None
--- a/tests/cells/test_evidence.py
+++ b/tests/cells/test_evidence.py
@@ -172,3 +172,13 @@
     again.harm(250.0)
     assert again.step is Step.HELD and not again.rest(449.0) and again.rest(450.0), "the quiet time is doubled"
     assert falls <= 4
+
+
+def test_suspects_are_bounded_whatever_names_come() -> None:
+    fleet = Fleet(1, most_keys=200)
+    for turn in range(6000):
+        fleet.wait(1.0)
+        fleet.ask(f"name-{turn}", fails=1.0)
+    poison = fleet.cells.poison
+    assert len(poison.suspects) <= 2048 and len(fleet.cells.tenancies.known) <= 200
+    assert len(poison.touched) < 100 and sum(len(place.out) for place in poison.servers.values()) < 400
