Write what a killed life left unsynced once more before a manifest seals without it

Ruled out: the order of switch and names (their guards hold), the simulated disk (it keeps what was synced). Change: the active segment is sealed at the mark; whole records behind it go, under their sequences, into the new segment, which is synced before the switch. A sync of the old file is not trusted: the one before may have failed.

--- a/cloverhold/store/log.py
+++ b/cloverhold/store/log.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import replace
 
 from cloverhold.store.codec import (
@@ -38,13 +38,14 @@
             found = recover(disk)
             self.index = found.live
             self.live = sum(record.size for record in found.live.values())
-            self.sequence = self.durable = found.sequence
-            self.dropped = found.dropped
+            self.sequence = self.durable = found.sequence - len(found.tail)
+            self.dropped, tail = found.dropped, found.tail
             self.manifest, self.end = found.manifest, found.end
         else:
             self.sequence = self.durable = self.dropped = 0
             self.manifest, self.end = Manifest(identity, 0, (), 0, disk.place()), 0
-        self._roll()
+            tail = []
+        self._roll(tail)
         self._clean()
 
     # ---------------------------------------------------------------- records
@@ -140,9 +141,12 @@
         if entry is not None:
             self.index[key] = entry._replace(sequence=self.sequence)
 
-    def _roll(self) -> None:
+    def _roll(self, tail: Sequence[Record] = ()) -> None:
         """Seal the active segment where it is known to be durable, and begin another.
 
+        tail: what was read behind that. A life that was killed may have written it and never synced it: it would be
+        lost with the next cut of power, so it is written once more, before the manifest seals without it.
+
         The new one lasts, under its name, before the manifest says so: its entry and the manifest's may reach the disk
         in either order.
         """
@@ -152,11 +156,14 @@
             sealed = (*sealed, Sealed(old.active, self.end, self.durable))
         name = segment_name(number)
         self.disk.create(name)
-        self.disk.append(name, head(old.store, number, self.durable + 1))
+        seed, begin = seed_of(old.store, number), head(old.store, number, self.durable + 1)
+        data = begin + b"".join(encode(seed, Kind(r.kind), r.sequence, r.key, r.value) for r in tail)
+        self.disk.append(name, data)
         self.disk.sync(name)
         self.disk.sync_names()
         self._switch(replace(old, epoch=old.epoch + 1, sealed=sealed, active=number, place=self.disk.place()))
-        self.end = HEAD_SIZE
+        self.end, self.durable = len(data), self.durable + len(tail)
+        self.sequence = max(self.sequence, self.durable)
         if old.active:
             self.disk.release(segment_name(old.active))
 
--- a/cloverhold/store/recovery.py
+++ b/cloverhold/store/recovery.py
@@ -25,8 +25,10 @@
     manifest: Manifest
     live: dict[bytes, Record] = field(default_factory=dict)
     sequence: int = 0  # of the last record
-    end: int = 0  # bytes of the active segment that count
-    dropped: int = 0  # bytes behind that
+    marked: int = 0  # the last sequence that is known to have been synced; 0: nothing is known
+    end: int = 0  # bytes of the active segment up to there
+    tail: list[Record] = field(default_factory=list)  # its whole records behind that: read, and maybe never synced
+    dropped: int = 0  # bytes behind those
 
 
 def exists(disk: Disk) -> bool:
@@ -49,7 +51,7 @@
             f"{MANIFEST}: this is a copy of a store, maybe an old one; `cloverhold store adopt` if none newer is left"
         )
     found = Recovered(manifest)
-    marked = read_mark(disk.read(MARK), manifest.store) if MARK in names else 0
+    found.marked = marked = read_mark(disk.read(MARK), manifest.store) if MARK in names else 0
     for sealed in manifest.sealed:
         end, _ = _segment(disk, names, found, sealed.number, sealed.end)
         if end != sealed.end or found.sequence != sealed.last:
@@ -57,11 +59,11 @@
                 f"{segment_name(sealed.number)}: offset {end}: record {found.sequence + 1} is damaged; restore the "
                 "file or salvage the store"
             )
-    found.end, size = _segment(disk, names, found, manifest.active, None)
-    found.dropped = size - found.end
+    whole, size = _segment(disk, names, found, manifest.active, None)
+    found.dropped = size - whole
     if marked > found.sequence:
         raise StoreError(
-            f"{segment_name(manifest.active)}: offset {found.end}: record {found.sequence + 1} is damaged or gone, "
+            f"{segment_name(manifest.active)}: offset {whole}: record {found.sequence + 1} is damaged or gone, "
             f"and up to {marked} was durable; restore the file or salvage the store"
         )
     return found
@@ -81,9 +83,13 @@
     if first != found.sequence + 1 and found.sequence:
         raise StoreError(f"{name}: offset 0: begins with record {first}, not {found.sequence + 1}; restore the file")
     found.sequence, at = first - 1, HEAD_SIZE
-    record = None
+    record, found.end = None, HEAD_SIZE
     for record in records(data, seed_of(store, number), HEAD_SIZE, first, len(data) if end is None else end):
         apply(found.live, record)
+        if end is None and record.sequence > found.marked:
+            found.tail.append(record)
+        elif end is None:
+            found.end = record.offset + record.size
     if record is not None:
         found.sequence, at = record.sequence, record.offset + record.size
     return at, len(data)
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -341,3 +341,21 @@
     said = run.invoke(main, ["salvage", str(path), str(out)])
     assert said.exit_code == 0 and "1 places damaged" in said.output
     assert "keys 8" in run.invoke(main, ["check", str(out)]).output
+
+
+def test_what_a_killed_life_wrote_and_never_synced_is_made_durable_before_it_counts() -> None:
+    """Found by cuts at length: read from the cache, sealed as durable, and then lost with the power."""
+    for seed in range(20):
+        disk = SimulatedDisk(seed)
+        log = opened(disk)
+        log.put(b"a", b"1")
+        log.flush()
+        disk.before = failing(disk.steps + 2, Cut)
+        log.put(b"b", b"2")
+        with suppress(Cut):
+            log.flush()  # it dies in the sync
+        disk.before = lambda number, what: None
+        disk.crash()
+        assert contents(opened(disk)) == {b"a": b"1", b"b": b"2"}
+        disk.cut()
+        assert contents(opened(disk)) == {b"a": b"1", b"b": b"2"}, seed
