Cells by tenant and class; the operator's file under deploy, with nothing on; a store begun anew says so

Need: the evidence against one class of a tenant should not take its other classes along; an installation needs a file to start from; a store on a folder that was not mounted began from nothing without a word. Change: by = tenant-class; deploy/node.toml, every table commented out, its examples checked by a test; a warning.

--- a/cloverhold/cells/core.py
+++ b/cloverhold/cells/core.py
@@ -63,6 +63,9 @@
                 return "" if sid is None else f"{sid:x}"
             case By.CLASS:
                 return kind
+            case By.TENANT_CLASS:
+                name = tenant or ""
+                return f"{name if len(name) <= NAME_MOST else digest(name)}/{kind}"
 
     def route(self, key: str, now: float) -> Cell | Refuse:
         """Where a new request of a key may go; a cell counts it as open until `left`. Or a refusal, which has no id:
@@ -96,7 +99,8 @@
         rules = self.rules
         if not rules.newcomers or tenancy.answers >= rules.newcomer_answers or rules.by is By.CLASS:
             return False
-        return tenancy.key not in rules.known and tenancy.move is None and tenancy.key not in self.tenancies.places
+        name = tenancy.key.rpartition("/")[0] if rules.by is By.TENANT_CLASS else tenancy.key
+        return name not in rules.known and tenancy.move is None and tenancy.key not in self.tenancies.places
 
     def _spills(self, tenancy: Tenancy, cell: Cell, now: float) -> bool:
         """Whether a request goes to the key's second draw: only while its cell is down, only so many, none of a
--- a/cloverhold/cells/rules.py
+++ b/cloverhold/cells/rules.py
@@ -17,6 +17,7 @@
     TENANT = "tenant"
     SID = "sid"
     CLASS = "class"
+    TENANT_CLASS = "tenant-class"  # each class of each tenant by itself
 
 
 class Down(Enum):
--- a/cloverhold/cells/table.py
+++ b/cloverhold/cells/table.py
@@ -39,7 +39,7 @@
 class CellsTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The table `[cells]`; where it stands in the file, cells are on."""
 
-    by: Literal["tenant", "sid", "class"] = "tenant"
+    by: Literal["tenant", "sid", "class", "tenant-class"] = "tenant"
     servers: Count = 4
     fixed: tuple[Name, ...] = ()
     sizes: dict[str, Count] = {}
--- a/cloverhold/store/shell.py
+++ b/cloverhold/store/shell.py
@@ -39,6 +39,8 @@
         except (StoreError, OSError):
             self.disk.close()
             raise
+        if not self.log.durable:
+            log.warning("store: %s had none: begun anew, nothing is remembered", path)
         if self.log.dropped:
             log.warning("store: %d bytes of a torn tail dropped; none of it was acknowledged", self.log.dropped)
         self.sent = Sent(table.keep_s * 1000)
--- a/tests/cells/test_moves.py
+++ b/tests/cells/test_moves.py
@@ -293,6 +293,10 @@
     assert cells(Rules(by=By.SID)).key("acme", 255, "safe") == "ff"
     assert cells(Rules(by=By.CLASS)).key("acme", 255, "safe") == "safe"
     assert cells(Rules(by=By.TENANT)).key(None, 255, "safe") == ""
+    held = cells(Rules(by=By.TENANT_CLASS, known=frozenset({"acme"})))
+    assert held.key("acme", 255, "safe") == "acme/safe"
+    assert routed(held, "acme/safe", 0.0).key == "0:acme/safe", "its tenant is known"
+    assert routed(held, "new/safe", 0.0).key == "shared:newcomers"
 
 
 ORDERS = st.tuples(st.sampled_from(["order", "undo", "tick", "ask", "answer", "fail", "roster", "restart"]),
--- a/tests/cells/test_table.py
+++ b/tests/cells/test_table.py
@@ -17,6 +17,7 @@
 from cloverhold.cells.moves import Place
 from cloverhold.cells.rebalance import loads_of, rebalance
 from cloverhold.cells.table import CellsTable
+from cloverhold.store.table import StoreTable
 from cloverhold.config.reading import MOST_BYTES, ConfigFaults, parse, read_tables, read_text
 
 TABLES = {"cells": CellsTable}
@@ -77,6 +78,15 @@
         read_text(str(tmp_path / "pipe"))
 
 
+def test_the_file_that_is_shipped_turns_nothing_on_and_its_examples_hold(tmp_path: Path) -> None:
+    text = (Path(__file__).parents[2] / "deploy" / "node.toml").read_text()
+    path, tables = tmp_path / "node.toml", {**TABLES, "store": StoreTable}
+    path.write_text(text)
+    assert read_tables(str(path), tables) == {}
+    path.write_text("\n".join(line[2:] for line in text.splitlines() if line.startswith(("# [", "# se", "# path"))))
+    assert set(read_tables(str(path), tables)) == {"cells", "store"}
+
+
 VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=6),
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=6), inner, max_size=3),
