--- a/tests/cells/test_moves.py
+++ b/tests/cells/test_moves.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from random import Random
 
 import pytest
@@ -289,6 +290,24 @@
         assert len(mine ^ theirs) <= 2 * 4, "four servers are known to one alone"
 
 
+def test_two_nodes_that_hear_of_a_move_a_minute_apart_agree_before_and_after() -> None:
+    one, two = cells(), cells()
+    order, places = [Order("m", "acme", Place(draw=1))], []
+    for now in range(0, 140_000, 1000):
+        if now == 10_000:
+            one.orders(order, float(now))
+        if now == 70_000:
+            two.orders(order, float(now))
+        routes = [routed(node, "acme", float(now)) for node in (one, two)]
+        places.append(tuple(cell.place.draw for cell in routes))
+        for node, cell in zip((one, two), routes, strict=True):
+            node.tick(float(now))
+            node.left(cell)
+    assert list(dict.fromkeys(places)) == [(0, 0), (1, 0), (1, 1)], "between the two it is in these cells alone"
+    assert routed(one, "acme", 141_000.0).servers == routed(two, "acme", 141_000.0).servers
+    assert one.moves["m"].stage is two.moves["m"].stage is Stage.DONE
+
+
 def test_a_key_is_what_the_rules_say() -> None:
     assert cells(Rules(by=By.SID)).key("acme", 255, "safe") == "ff"
     assert cells(Rules(by=By.CLASS)).key("acme", 255, "safe") == "safe"
@@ -304,12 +323,12 @@
 
 
 @given(st.lists(ORDERS, max_size=80))
-def test_in_any_history_each_request_keeps_its_pool_and_open_ones_are_counted(
+def test_in_any_history_one_move_of_a_key_is_under_way_and_open_requests_are_counted(
     history: list[tuple[str, int, int]],
 ) -> None:
     held, now, ref = cells(), 0.0, 0
     orders: dict[str, Order] = {}
-    flying: dict[int, tuple[Cell, tuple[str, ...] | None]] = {}
+    flying: dict[int, Cell] = {}
     kept: tuple[object, ...] = ()
     for what, which, other in history:
         now += 130.0
@@ -324,10 +343,10 @@
         elif what == "ask":
             cell = routed(held, f"t{which % 3}", now)
             held.sent(ref, cell, cell.servers[0], now)
-            flying[ref] = (cell, cell.pool.servers)
+            flying[ref] = cell
         elif what in ("answer", "fail") and flying:
             done = next(iter(flying))
-            cell, _ = flying.pop(done)
+            cell = flying.pop(done)
             status = Status.OK if what == "answer" else Status.RESET
             held.ended(done, cell, "safe", cell.servers[0], status, 5.0, now)
             held.left(cell)
@@ -341,10 +360,8 @@
         for action in held.take():
             if isinstance(action, Keep):
                 kept = action.moves
-        open_now = {id(cell): 0 for cell, _ in flying.values()}
-        for cell, _ in flying.values():
-            open_now[id(cell)] += 1
-        assert all(cell.open == open_now[id(cell)] for cell, _ in flying.values())
+        open_now = Counter(id(cell) for cell in flying.values())
+        assert all(cell.open == open_now[id(cell)] for cell in flying.values())
         by_key: dict[str, int] = {}
         for move in held.moves.values():
             by_key[move.key] = by_key.get(move.key, 0) + (not move.over())
