End the node of a latency run that fails

Cause: the first run of the script failed on a closed connection and left its node running. Change: the node is ended whatever becomes of the run. Result: no process is left behind.

--- a/benchmarks/store_latency.py
+++ b/benchmarks/store_latency.py
@@ -74,10 +74,12 @@
         servers = [await asyncio.start_server(world.serve, "127.0.0.1", 0) for _ in world.ports]
         world.ports = [server.sockets[0].getsockname()[1] for server in servers]
         process = await world.node()
-        await world.load(rate, 1.0)  # warms up
-        took, bad = await world.load(rate, seconds)
-        process.terminate()
-        await process.wait()
+        try:
+            await world.load(rate, 1.0)  # warms up
+            took, bad = await world.load(rate, seconds)
+        finally:
+            process.terminate()
+            await process.wait()
         for server in servers:
             server.close()
         p50, p99 = (took[int(part * (len(took) - 1))] for part in (0.5, 0.99))
