Say three things of cells and store once: manifest switch, checksum seed, short names

Cause: a second reading: adopt wrote the manifest's switch again, each put worked out the segment's checksum seed anew, key() shortened names in two places and core listed the failed outcomes that poison names. Change: log.switch serves both, the seed is kept with the active segment, one place each for the others.

--- a/cloverhold/cells/core.py
+++ b/cloverhold/cells/core.py
@@ -12,7 +12,7 @@
 
 from cloverhold.cells.draw import Member, digest
 from cloverhold.cells.moves import ENDS, Move, Order, Place, Stage, Word
-from cloverhold.cells.poison import Poison
+from cloverhold.cells.poison import FAILED, Poison
 from cloverhold.cells.rules import Action, By, Down, Keep, Note, Rules, Warm
 from cloverhold.cells.tenancy import Cell, Tenancies, Tenancy
 from cloverhold.cells.ward import Step, Ward
@@ -55,17 +55,18 @@
 
     def key(self, tenant: str | None, sid: int | None, kind: str) -> str:
         """What a request's cell goes by; empty where it does not say: such requests share a cell."""
+        name = tenant or ""
+        if len(name) > NAME_MOST:  # names are what clients send
+            name = digest(name)
         match self.rules.by:
             case By.TENANT:
-                name = tenant or ""
-                return name if len(name) <= NAME_MOST else digest(name)  # names are what clients send
+                return name
             case By.SID:
                 return "" if sid is None else f"{sid:x}"
             case By.CLASS:
                 return kind
             case By.TENANT_CLASS:
-                name = tenant or ""
-                return f"{name if len(name) <= NAME_MOST else digest(name)}/{kind}"
+                return f"{name}/{kind}"
 
     def route(self, key: str, now: float) -> Cell | Refuse:
         """Where a new request of a key may go; a cell counts it as open until `left`. Or a refusal, which has no id:
@@ -129,14 +130,13 @@
         tenancy = cell.tenancy
         if status is Status.OK:
             tenancy.answers += 1
-        failed = status in (Status.ERROR, Status.RESET, Status.TIMEOUT)
         if self.rules.poison:
             failed = self.poison.ended(ref, cell, kind, server, status, spent, now)
-            if tenancy.ward is not None:
-                if failed and tenancy.ward.confined():
-                    tenancy.ward.harm(now)
+            if failed and tenancy.ward is not None and tenancy.ward.confined():
+                tenancy.ward.harm(now)
             self._judge(now)
         else:
+            failed = status in FAILED
             tenancy.count.tell(now, failed=failed)
         move = tenancy.move
         if move is not None and (failed or status is Status.OK) and cell.place == move.new:
--- a/cloverhold/store/command.py
+++ b/cloverhold/store/command.py
@@ -12,7 +12,7 @@
 
 from cloverhold.store.codec import StoreError
 from cloverhold.store.disk import MANIFEST
-from cloverhold.store.log import Log
+from cloverhold.store.log import Log, switch
 from cloverhold.store.real import RealDisk
 from cloverhold.store.recovery import Recovered, recover, salvage
 
@@ -108,13 +108,7 @@
     """
     with plainly(path), _held(path) as disk:
         manifest = recover(disk, copied=True).manifest
-        data = replace(manifest, place=disk.place()).encode()
-        spare = f"{MANIFEST}.new"
-        disk.create(spare)
-        disk.append(spare, data)
-        disk.sync(spare)
-        disk.rename(spare, MANIFEST)
-        disk.sync_names()
+        switch(disk, replace(manifest, place=disk.place()))
     click.echo("adopted")
 
 
--- a/cloverhold/store/log.py
+++ b/cloverhold/store/log.py
@@ -21,6 +21,16 @@
 SLICE = 256  # records that one step of a compaction looks at
 
 
+def switch(disk: Disk, manifest: Manifest) -> None:
+    """Put another manifest in the place of a disk's, in one step. Raises OSError; either may then be there."""
+    disk.create(SPARE)
+    disk.append(SPARE, manifest.encode())
+    disk.sync(SPARE)
+    disk.release(SPARE)
+    disk.rename(SPARE, MANIFEST)
+    disk.sync_names()
+
+
 class Log:
     """A store on a disk. Raises StoreError where there is one that cannot be used, and OSError."""
 
@@ -32,6 +42,7 @@
         self._buffer: list[bytes] = []
         self._undo: list[tuple[bytes, Record | None]] = []
         self._broken = False
+        self._seed = 0  # of the active segment's checksums
         self._compacting: Iterator[Record] | None = None
         self._oldest: Sealed | None = None
         if exists(disk):
@@ -69,7 +80,7 @@
         self._set(key, None)
 
     def _write(self, kind: Kind, key: bytes, value: bytes) -> None:
-        data = encode(seed_of(self.manifest.store, self.manifest.active), kind, self.sequence + 1, key, value)
+        data = encode(self._seed, kind, self.sequence + 1, key, value)
         self.sequence += 1
         self._buffer.append(data)
         self._undo.append((key, self.index.get(key)))
@@ -135,9 +146,8 @@
 
     def _rewrite(self, key: bytes, entry: Record | None) -> None:
         kind, value = (Kind.DELETE, b"") if entry is None else (Kind.PUT, entry.value)
-        seed = seed_of(self.manifest.store, self.manifest.active)
         self.sequence += 1
-        self._buffer.append(encode(seed, kind, self.sequence, key, value))
+        self._buffer.append(encode(self._seed, kind, self.sequence, key, value))
         if entry is not None:
             self.index[key] = entry._replace(sequence=self.sequence)
 
@@ -162,19 +172,14 @@
         self.disk.sync(name)
         self.disk.sync_names()
         self._switch(replace(old, epoch=old.epoch + 1, sealed=sealed, active=number, place=self.disk.place()))
-        self.end, self.durable = len(data), self.durable + len(tail)
+        self._seed, self.end, self.durable = seed, len(data), self.durable + len(tail)
         self.sequence = max(self.sequence, self.durable)
         if old.active:
             self.disk.release(segment_name(old.active))
 
     def _switch(self, manifest: Manifest) -> None:
         """Put another manifest in the place of the last, in one step."""
-        self.disk.create(SPARE)
-        self.disk.append(SPARE, manifest.encode())
-        self.disk.sync(SPARE)
-        self.disk.release(SPARE)
-        self.disk.rename(SPARE, MANIFEST)
-        self.disk.sync_names()
+        switch(self.disk, manifest)
         self.manifest = manifest
 
     def _clean(self) -> None:
