--- a/cloverhold/cells/core.py
+++ b/cloverhold/cells/core.py
@@ -112,13 +112,7 @@
         tenancy.trials += 1
         if tenancy.trials % TRIAL == 0:
             return False
-        rate = self.rules.spill_per_s / 1000
-        tenancy.spills = min(max(1.0, 1000 * rate), tenancy.spills + rate * (now - tenancy.spills_at))
-        tenancy.spills_at = now
-        if tenancy.spills < 1:
-            return False
-        tenancy.spills -= 1
-        return True
+        return tenancy.spills.take(self.rules.spill_per_s / 1000, now)
 
     def sent(self, ref: int, cell: Cell, server: str, now: float) -> None:
         """An attempt of a request goes to a server."""
--- a/cloverhold/cells/tenancy.py
+++ b/cloverhold/cells/tenancy.py
@@ -9,7 +9,7 @@
 from cloverhold.cells.evidence import Count, Cusum, Occupancy
 from cloverhold.cells.moves import Move, Place
 from cloverhold.cells.rules import Rules
-from cloverhold.cells.ward import Ward
+from cloverhold.cells.ward import Bucket, Ward
 from cloverhold.decision.pools import Pool
 
 LOOKS = 16  # keys that are looked at for one to forget
@@ -34,7 +34,7 @@
     """One key: where it is, what it does, and what speaks against it."""
 
     __slots__ = ("answers", "at", "cells", "count", "key", "move", "occupancy", "own", "place", "presence", "spills",
-                 "spills_at", "trials", "ward")  # fmt: skip
+                 "trials", "ward")  # fmt: skip
 
     def __init__(self, key: str, place: Place, now: float) -> None:
         self.key, self.place = key, place
@@ -46,7 +46,7 @@
         self.presence, self.own = Cusum(), Cusum()
         self.ward: Ward | None = None
         self.move: Move | None = None
-        self.spills, self.spills_at, self.trials = 1.0, now, 0
+        self.spills, self.trials = Bucket(now), 0
 
     def idle(self) -> bool:
         """Whether nothing is lost by forgetting it."""
--- a/cloverhold/cells/ward.py
+++ b/cloverhold/cells/ward.py
@@ -39,6 +39,24 @@
 }
 
 
+class Bucket:
+    """A token bucket: so many a ms, a second's worth at once, at least one."""
+
+    __slots__ = ("at", "saved")
+
+    def __init__(self, now: float) -> None:
+        self.saved, self.at = 1.0, now
+
+    def take(self, rate: float, now: float) -> bool:
+        """Take one, if there is one. rate: a ms."""
+        self.saved = min(max(1.0, 1000 * rate), self.saved + rate * (now - self.at))
+        self.at = now
+        if self.saved < 1:
+            return False
+        self.saved -= 1
+        return True
+
+
 @dataclass(frozen=True, slots=True)
 class Terms:
     """How wards are held: how much one may send at the first two steps (0: nothing), the quiet time of each step."""
@@ -51,12 +69,12 @@
 class Ward:
     """One key in quarantine or on its way out."""
 
-    __slots__ = ("falls", "filled_at", "since", "step", "terms", "tokens")
+    __slots__ = ("bucket", "falls", "since", "step", "terms")
 
     def __init__(self, terms: Terms, now: float) -> None:
         self.terms = terms
         self.step, self.since, self.falls = Step.HELD, now, 0
-        self.tokens, self.filled_at = 1.0, now
+        self.bucket = Bucket(now)
 
     def confined(self) -> bool:
         """Whether its requests go to the quarantine's servers and not to its cell."""
@@ -70,7 +88,7 @@
         """It harms again."""
         self.step = NEXT[self.step, Sign.HARM]
         self.since, self.falls = now, min(self.falls + 1, MOST_DOUBLINGS)
-        self.tokens = min(self.tokens, 1.0)
+        self.bucket.saved = min(self.bucket.saved, 1.0)
 
     def rest(self, now: float) -> bool:
         """Take the next step if it is time; whether it was."""
@@ -84,9 +102,4 @@
         rate = (self.terms.held_per_s if self.step is Step.HELD else self.terms.eased_per_s) / 1000
         if not rate:
             return max(1.0, self.since + self.quiet_ms() - now)
-        self.tokens = min(max(1.0, 1000 * rate), self.tokens + rate * (now - self.filled_at))
-        self.filled_at = now
-        if self.tokens >= 1:
-            self.tokens -= 1
-            return 0.0
-        return (1 - self.tokens) / rate
+        return 0.0 if self.bucket.take(rate, now) else (1 - self.bucket.saved) / rate
