Keep probes within their spend where they are dear: d below one on average

Table.d was max(1, round(0.01 / price)), so the spend of 0.01 was passed eightfold. Ruled out: that the replies are worth it. A server's report stays the same for some 740 ms (one server's replies to 40 nodes, logged: 6.801 six times from 3.1 to 3.5 s, 0.0 six times after), while a request takes 25 to 55 ms there.

Change: d is the spend over the price, a part below one by a draw for each request. At a price of 0.01 it is 1 as before.

--- a/cloverhold/decision/table.py
+++ b/cloverhold/decision/table.py
@@ -16,7 +16,9 @@
 from cloverhold.decision.pools import Pool
 from cloverhold.decision.state import Profile, RequestState, Server
 
-PROBE_SPEND = 0.01  # part of all service that a node may spend on probes; with their price this gives d
+# Part of all service that a node may spend on probes; with their price this gives d, on average. Guards against
+# a fleet that pays more for what it asks than the answers are worth: a probe a request at a price of 0.08 cost 0.08.
+PROBE_SPEND = 0.01
 MOST_PROBES = 5  # d is never more: further replies would bring next to nothing new
 # Servers that a node keeps to: at least so many, and so many that each server is shared by this many nodes.
 SUBSET_LEAST, SUBSET_SHARED = 4, 10
@@ -64,7 +66,7 @@
         self.sizes = 0.0  # likewise
         self.stale = 2 * STALE  # part of the reports that this node knows to be old; at first, till shown
         price = settings.probe_price
-        self.d = MOST_PROBES if price * MOST_PROBES <= PROBE_SPEND else max(1, round(PROBE_SPEND / price))
+        self.d = PROBE_SPEND / price if price * MOST_PROBES > PROBE_SPEND else MOST_PROBES
         self.rtt: float | None = None  # how long a probe takes, on average
         self.full = 0.0  # part of the last attempts that were turned away as full
         self.level = 0.0  # mean of the last reports
@@ -218,13 +220,16 @@
         return max(0.0, self.usual() + server.surplus) if self.shared else 0.0
 
     def probes(self, pool: Pool | None = None) -> list[Server]:
-        """D distinct random ones of the servers that this node keeps to, of the pool if it has one; one
-        probe at a time each, as servers take only a few.
+        """D distinct random ones, on average, of the servers that this node keeps to, of the pool if it has one;
+        one probe at a time each, as servers take only a few.
         """
+        count, part = int(self.d), self.d % 1
+        if part and self.random.random() < part:
+            count += 1
         if pool is None:
-            return self.free.sample(self.random, self.d)
+            return self.free.sample(self.random, count)
         free = [server for server in self.members(pool) if server in self.free]
-        return self.random.sample(free, min(self.d, len(free)))
+        return self.random.sample(free, min(count, len(free)))
 
     def blind(self) -> bool:
         """Whether most rows are old (many nodes, few probes each) while servers are not turning work away."""
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -55,6 +55,19 @@
     assert Node(probe_price=0.0).balancer.table.d > 1
 
 
+def test_dear_probes_keep_a_fleet_within_its_spend() -> None:
+    # A probe for each request at a price of 0.08 cost 0.08 of all service: d is 0.01 / 0.08 on average.
+    node = Node(servers=8, probe_price=0.08)
+    for number in range(800):
+        node.now += 1.0
+        node.request(number, settle=False)
+        node.reply_all({})
+        node.outcome(number, Status.OK)
+    asked = [action.server for action in of(node.actions, Probe)]
+    assert 60 <= len(asked) <= 140  # 100 expected, of a deviation of 9
+    assert len(set(asked)) == 8
+
+
 def test_reply_overwrites_the_row_and_the_lowest_row_is_picked() -> None:
     node = Node(servers=3, probe_price=0.0)
     node.balancer.table.stale = 0.0  # fresh reports
