Share a cold server's budget among the nodes that keep to it, not among all

Seen: join+vast refused 200 to 380 of some 900 requests a second from 9 to 17 s, when 36 of 60 servers are new; most of those refused had never been sent (2,200 of them: no server had room). The servers that stayed were full, the new ones idle. Ruled out by the same logs: failed connections (none), X-Rejected (none), the errors of bad servers (34 to 83 a second before the release, 14 in it).

Cause: Warming._share divides a server's budget by all 40 nodes, but Table._resize lets each keep to 15 of 60: ten nodes send there, so three quarters of each budget was nobody's.

Change: the share is that of the nodes that keep to a server, and follows the list.

--- a/cloverhold/decision/learned.py
+++ b/cloverhold/decision/learned.py
@@ -80,13 +80,22 @@
 
     def __init__(self, settings: Settings, learned: Learned, random: Random) -> None:
         self.settings, self.learned, self.random = settings, learned, random
-        self.shares = [self._share(step) for step in range(WARM)]
+        self.keepers = 0.0
+        self.shared_by(float(settings.nodes))
+
+    def shared_by(self, keepers: float) -> None:
+        """How many nodes keep to each server: a budget is theirs alone. Divided by all nodes, of which most never
+        send there, three quarters of what 60 new servers could do went unused while requests were refused.
+        """
+        if keepers != self.keepers:
+            self.keepers = keepers
+            self.shares = [self._share(step) for step in range(WARM)]
 
     def _share(self, step: int) -> float:
         """Work that this node may send in any `fall_ms`, in ms."""
         s = self.settings
         warmth = s.cold_from + (1 - s.cold_from) * step / WARM
-        return s.fall_multiple * warmth / s.nodes * s.fall_ms
+        return s.fall_multiple * warmth / self.keepers * s.fall_ms
 
     def step(self, server: Server, now: float) -> int:
         """How warm a server is at least."""
--- a/cloverhold/decision/table.py
+++ b/cloverhold/decision/table.py
@@ -107,7 +107,9 @@
         """Guards against full connection tables: with many nodes at every server none takes them all."""
         ready = len(self.ready)
         part = 1.0 if self.settings.pools else SUBSET_SHARED / self.settings.nodes  # any may be in a pool
-        self.prefix.resize(max(SUBSET_LEAST, math.ceil(part * ready)))
+        kept = max(SUBSET_LEAST, math.ceil(part * ready))
+        self.prefix.resize(kept)
+        self.warming.shared_by(self.settings.nodes * min(1.0, kept / max(1, ready)))
         self.learned.mean_size = self.sizes / ready if ready and self.sizes > 0 else 1.0
 
     def resized(self, server: Server, size: float) -> None:
