Deal servers evenly to nodes by their number, five nodes to each server

Change: decision/dealing.py ranks a server by the node's number from the settings, evenly over the nodes; five to a server; a cold server's budget is divided by the nodes that really reach it, also where failures make them reach further.

--- a/cloverhold/decision/checks.py
+++ b/cloverhold/decision/checks.py
@@ -37,6 +37,10 @@
     for tenant in settings.tenants:
         _check_tenant(tenant)
     _number("nodes", settings.nodes, 1, whole=True)
+    if settings.me is not None:
+        _number("me", settings.me, 0, whole=True)
+        if settings.me >= settings.nodes:
+            raise ValueError(f"me: must be under nodes, {settings.nodes!r}, got {settings.me!r}")
     _number("max_attempts", settings.max_attempts, 1, whole=True)
     _number("max_held", settings.max_held, 1, whole=True)
     for key in ("tick_ms", "fall_multiple", "fall_ms", "cold_from"):
--- a/cloverhold/decision/decide.py
+++ b/cloverhold/decision/decide.py
@@ -13,6 +13,7 @@
 
 from cloverhold.decision.admission import Admission
 from cloverhold.decision.checks import check_settings
+from cloverhold.decision.dealing import rank
 from cloverhold.decision.health import Health
 from cloverhold.decision.index import Agenda
 from cloverhold.decision.interface import (
@@ -378,7 +379,7 @@
             self._drop(entry.server)
             server = None
         if server is None:
-            server = self.table.servers[entry.server] = Server(entry, now, self.random.random())
+            server = self.table.servers[entry.server] = Server(entry, now, self._rank(entry.server))
         old, server.entry, ready = server.entry, entry, entry.lifecycle is Lifecycle.READY
         largest = self.settings.weight_source is WeightSource.LIVE
         size = max(server.size, entry.weight) if largest else entry.weight
@@ -399,6 +400,10 @@
             health.enter(server, now)
         return server
 
+    def _rank(self, server: str) -> float:
+        s = self.settings
+        return self.random.random() if s.me is None else rank(server, s.me, s.nodes)
+
     def _drop(self, name: str) -> None:
         server = self.table.servers.pop(name, None)
         if server is not None and server.ready:
--- a/cloverhold/decision/health.py
+++ b/cloverhold/decision/health.py
@@ -110,7 +110,7 @@
         profile = (table.most(server.pace), in_steps(4 * octaves, 4), figures, server.warm, aged, zone)
         if profile != server.profile:  # else the same one: keys that are identical compare at once
             server.profile = profile
-        table.prefix.turn(server, well=self.usable(server, now))
+        table.turn(server, well=self.usable(server, now))
         table.place(server)
         self.agenda.set(server, due)
 
--- a/cloverhold/decision/interface.py
+++ b/cloverhold/decision/interface.py
@@ -80,6 +80,7 @@
     tenants: tuple[TenantSettings, ...] = ()
     zone: str = ""
     nodes: int = 1  # how many nodes share the servers
+    me: int | None = None  # this one's number among them, from 0; None where it is not told
     tick_ms: float = 1.0  # the least time between two calls of `handle`
     answer_slack_ms: float = 5.0
     drain_grace_ms: float = 1000.0
--- a/cloverhold/decision/learned.py
+++ b/cloverhold/decision/learned.py
@@ -84,11 +84,11 @@
         self.shared_by(float(settings.nodes))
 
     def shared_by(self, keepers: float) -> None:
-        """How many nodes keep to each server: a budget is theirs alone. Divided by all nodes, of which most never
-        send there, three quarters of what 60 new servers could do went unused while requests were refused.
+        """How many nodes keep to each server: a budget is theirs alone. Divided by all nodes, of which most
+        never send there, three quarters of what new servers could do went unused while requests were refused.
         """
         if keepers != self.keepers:
-            self.keepers = keepers
+            self.keepers = max(1.0, keepers)
             self.shares = [self._share(step) for step in range(WARM)]
 
     def _share(self, step: int) -> float:
--- a/cloverhold/decision/table.py
+++ b/cloverhold/decision/table.py
@@ -16,12 +16,14 @@
 from cloverhold.decision.pools import Pool
 from cloverhold.decision.state import Profile, RequestState, Server
 
-# Part of all service that a node may spend on probes; with their price this gives d, on average. Guards against
-# a fleet that pays more for what it asks than the answers are worth: a probe a request at a price of 0.08 cost 0.08.
+# Part of all service that a node may spend on probes; with their price this gives d, on average. Guards
+# against a fleet that pays more for what it asks than it is worth: a probe a request at 0.08 cost 0.08.
 PROBE_SPEND = 0.01
 MOST_PROBES = 5  # d is never more: further replies would bring next to nothing new
 # Servers that a node keeps to: at least so many, and so many that each server is shared by this many nodes.
-SUBSET_LEAST, SUBSET_SHARED = 4, 10
+# Of 40 nodes at 60 servers 3 to 6 do as well, 7, 10 and 14 less and less: each further one takes connections,
+# each a handshake as dear as a third of a request, and each knows less of what the others hold there.
+SUBSET_LEAST, SUBSET_SHARED = 4, 5
 # Times are multiples of the tightest aim: where all goes faster, a fixed one outlasts what it was made for.
 AVERAGE = 60.0  # time over which a server's surplus in old reports is averaged
 STALE = 0.03  # part of the reports that may miss what is known to be out before all are taken for old
@@ -107,11 +109,21 @@
         """Guards against full connection tables: with many nodes at every server none takes them all."""
         ready = len(self.ready)
         part = 1.0 if self.settings.pools else SUBSET_SHARED / self.settings.nodes  # any may be in a pool
-        kept = max(SUBSET_LEAST, math.ceil(part * ready))
-        self.prefix.resize(kept)
-        self.warming.shared_by(self.settings.nodes * min(1.0, kept / max(1, ready)))
+        self.prefix.resize(max(SUBSET_LEAST, math.ceil(part * ready)))
+        self._shared_by()
         self.learned.mean_size = self.sizes / ready if ready and self.sizes > 0 else 1.0
 
+    def _shared_by(self) -> None:
+        """Where servers fail, every node reaches further, and more of them come to each that is left."""
+        self.warming.shared_by(self.settings.nodes * self.prefix.edge / max(1, len(self.ready)))
+
+    def turn(self, server: Server, *, well: bool) -> None:
+        """A ready server looks well from now on, or no longer."""
+        edge = self.prefix.edge
+        self.prefix.turn(server, well=well)
+        if self.prefix.edge != edge:
+            self._shared_by()
+
     def resized(self, server: Server, size: float) -> None:
         """A ready server's stated size has changed."""
         self.sizes += size - server.size
@@ -222,8 +234,8 @@
         return max(0.0, self.usual() + server.surplus) if self.shared else 0.0
 
     def probes(self, pool: Pool | None = None) -> list[Server]:
-        """D distinct random ones, on average, of the servers that this node keeps to, of the pool if it has one;
-        one probe at a time each, as servers take only a few.
+        """D distinct random ones, on average, of the servers that this node keeps to, of the pool if it has
+        one; one probe at a time each, as servers take only a few.
         """
         count, part = int(self.d), self.d % 1
         if part and self.random.random() < part:
--- a/cloverhold/settings.py
+++ b/cloverhold/settings.py
@@ -83,6 +83,7 @@
         tenants=tenants,
         zone=_get(info, "Zone", str),
         nodes=_get(info, "GroupSize", int),
+        me=_get(info, "Me", int) if "Me" in info else None,
         tick_ms=float(_get(info, "ResolutionMs", _NUM)),
         answer_slack_ms=float(_get(rules, "AnswerSlackMs", _NUM, "Guarantees.")),
         drain_grace_ms=float(_get(rules, "DrainGraceMs", _NUM, "Guarantees.")),
--- a/cloverhold/supervise/worker.py
+++ b/cloverhold/supervise/worker.py
@@ -39,9 +39,11 @@
 
     def share(self, config: Config) -> Config:
         """The part of a worker in what the node was given: it counts as a node of its own."""
+        settings, workers = config.settings, self.workers
+        me = settings.me * workers + self.number if settings.me is not None else None
         return replace(
             config,
-            settings=replace(config.settings, nodes=config.settings.nodes * self.workers),
+            settings=replace(settings, nodes=settings.nodes * workers, me=me),
             sockets=max(64, config.sockets // self.workers),
             seed=Random(f"{config.seed}/{self.life}").getrandbits(63),
         )
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -246,7 +246,7 @@
     # stallkeep big-1: 396 nodes with a connection to each of 83 servers, which take 75: 86% found no room.
     used = []
     for seed in range(2):
-        node = Node(servers=60, nodes=400, seed=seed)
+        node = Node(servers=60, nodes=400, me=seed)
         for ref in range(200):
             node.request(ref)
             node.reply_all({})
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -13,6 +13,8 @@
     [
         ("nodes", 0),
         ("nodes", 1.5),
+        ("me", -1),
+        ("me", 2),  # of two nodes
         ("max_attempts", 0),
         ("tick_ms", 0.0),
         ("tick_ms", "1"),
