Follow a remembered list by its changes instead of asking for the whole list at start

Counted over all nodes: 79 whole lists at the start (40 from disk, 39 of revision 0, which told nothing new), 56 failed calls in the first second and some 7 a second from there on, all 503; only 4 of 40 nodes ever had a change (at 7.1 s and 13.0 s).

Cause: Discovery.version was None at start (cloverhold/net/discovery.py), so every node asked for 60 lines that it held, and the watches behind those 2,400 lines waited too long. A watch that fails loses the news for good where calls go on failing.

Change: the watch goes on from the version that the node remembers. A service that has counted from anew, or says that it does not know the version (4xx), is asked for the whole list. The network code's own back-off is jittered too.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -206,6 +206,7 @@
                 known = _known({"known": self.store.known()}, self.clock)
         if known is not None:
             self.host.members(known, remembered=True)
+            self.discovery.resume(known.version)
             if self.store is not None:
                 self.store.keep_list(members_value(known, self.clock))
         if self.router is not None:
--- a/cloverhold/net/discovery.py
+++ b/cloverhold/net/discovery.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import math
+import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -39,6 +40,14 @@
     return host, int(port)
 
 
+class Refused(ListError):
+    """Discovery answered a call with a status of failure."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"status {status}")
+        self.status = status
+
+
 @dataclass(frozen=True, slots=True)
 class Members:
     """One answer: entries, and where their servers listen as seen from this node."""
@@ -136,7 +145,7 @@
         if not response.keep_alive:
             self.close()
         if response.status != 200:
-            raise ListError(f"status {response.status}")
+            raise Refused(response.status)
         try:
             value: object = json.loads(response.body)
         except (ValueError, RecursionError):  # the latter where brackets are nested without end
@@ -171,6 +180,12 @@
         self.version: int | None = None  # None: the whole list is fetched first
         self.task: asyncio.Task[None] | None = None
 
+    def resume(self, version: int) -> None:
+        """Go on from a list that is held already: only what has changed since is asked for. Guards against a fleet
+        that starts at once: each whole list is work for the one service, and the watches behind them then failed.
+        """
+        self.version = version
+
     def watch(self, on: bool = True) -> None:
         """Begin to watch, or end it. Where discovery is asked, a failure ends it until it is begun anew."""
         if on and (self.task is None or self.task.done()):
@@ -208,7 +223,8 @@
                 if self.asked:
                     self.failed()
                     return
-                await asyncio.sleep(min(BACKOFF_MOST_S, BACKOFF_S * 2.0 ** min(failures - 1, 6)))
+                wait = min(BACKOFF_MOST_S, BACKOFF_S * 2.0 ** min(failures - 1, 6))
+                await asyncio.sleep(wait * random.uniform(0.5, 1.0))  # no two nodes in step
                 continue
             if failures:
                 log.info("discovery is back")
@@ -221,9 +237,16 @@
         if self.version is not None:
             target += f"?from={self.version}&hold_ms={HOLD_MS}"
             timeout += HOLD_MS / 1000
-        members = read_members(await self.link.get(target, timeout), self.clock)
+        try:
+            members = read_members(await self.link.get(target, timeout), self.clock)
+        except Refused as error:
+            if 400 <= error.status < 500:  # it may not know that version
+                self.version = None
+            raise
         changed = members.full or bool(members.entries)
-        self.version = members.version
+        # One that counts from anew, and so knows nothing of what this node holds, tells the whole list next.
+        reset = self.version is not None and not members.full and members.version < self.version
+        self.version = None if reset else members.version
         if changed:
             self.told(members)
         return changed
--- /dev/null
+++ b/tests/fleet/test_first_call.py
@@ -0,0 +1,62 @@
+"""What a node that remembers a list asks of discovery when it starts."""
+
+from __future__ import annotations
+
+import asyncio
+
+from loopback import Catalog, Server, play, running, target, until
+
+from cloverhold import ListMode
+from cloverhold.net.clock import Clock
+from cloverhold.net.discovery import Discovery
+
+
+def test_a_remembered_list_is_followed_by_its_changes_and_not_told_whole_again() -> None:
+    # Forty nodes that each asked for sixty lines at start kept the one service so busy that their watches failed:
+    # most had no news of drains for the whole day, and sent a third of all requests to servers that turned them away.
+    async def test() -> None:
+        async with running(Server(), known=1, list_mode=ListMode.ASK, must_ask_ms=10000.0) as run:
+            await until(lambda: run.catalog.requests)
+            assert "from=1&" in run.catalog.requests[0][0]
+            gone = [{**line, "state": "left"} for line in run.catalog.targets]
+            run.catalog.change(gone)
+            await until(lambda: not run.node.host.ready())
+
+    play(test)
+
+
+def test_a_service_that_counts_from_anew_is_asked_for_the_whole_list() -> None:
+    async def test() -> None:
+        async with running(Server(), known=41) as run:
+            await until(lambda: any("from=" not in asked for asked, _, _ in run.catalog.requests))
+
+    play(test)
+
+
+class Forgetful(Catalog):
+    """Discovery that knows no version of before."""
+
+    async def serve(self, asked: str, head: bytes, body: bytes, writer: asyncio.StreamWriter) -> bool:
+        if "from=41" in asked:
+            self.requests.append((asked, head, body))
+            writer.write(b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n")
+            return True
+        return await super().serve(asked, head, body, writer)
+
+
+def test_a_service_that_does_not_know_the_version_is_asked_for_the_whole_list() -> None:
+    async def test() -> None:
+        service, told = Forgetful([target("s0", 9)]), asyncio.Event()
+        await service.start()
+        clock = Clock()
+        discovery = Discovery(
+            ("127.0.0.1", service.port), clock, lambda members: told.set(), lambda: None, asked=False
+        )
+        discovery.resume(41)
+        discovery.watch()
+        await told.wait()
+        discovery.stop()
+        service.stop()
+        assert ["from=" in asked for asked, _, _ in service.requests[:2]] == [True, False]
+
+    play(test)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -14,6 +14,7 @@
 from cloverhold.cells.table import CellsTable
 from cloverhold.store.table import StoreTable
 from cloverhold.net.clock import Clock
+from cloverhold.net.discovery import read_members
 from cloverhold.net.http1 import Response, ResponseParser
 
 WAIT_S = 20.0  # for what must come; machines are slow at times
@@ -135,6 +136,11 @@
     }
 
 
+def list_value(rev: int, targets: list[dict[str, Any]], *, full: bool = True) -> dict[str, Any]:
+    """An answer of discovery."""
+    return {"rev": rev, "all": full, "targets": targets}
+
+
 class Catalog(Listening):
     """Discovery: the whole list, and a watch that waits for the next version."""
 
@@ -154,7 +160,7 @@
         if not full and f"from={self.rev}&" in target:
             self.news.clear()
             await self.news.wait()
-        said = {"rev": self.rev, "all": full, "targets": self.targets}
+        said = list_value(self.rev, self.targets, full=full)
         text = self.raw if self.raw is not None else json.dumps(said).encode()
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
         return True
@@ -208,9 +214,10 @@
     sockets: int = 256,
     cells: CellsTable | None = None,
     store: StoreTable | None = None,
+    known: int | None = None,
     **changes: Any,
 ) -> AsyncIterator[Running]:
-    """A node before these servers, ready to serve."""
+    """A node before these servers, ready to serve; known: the version of the list that it remembers of them."""
     for server in servers:
         await server.start()
     catalog = Catalog([target(f"s{i}", server.port) for i, server in enumerate(servers)])
@@ -224,7 +231,7 @@
         dial_ms=5000.0,
         sockets=sockets,
         seed=1,
-        known=None,
+        known=read_members(list_value(known, catalog.targets), Clock()) if known is not None else None,
         cells=cells,
         store=store,
     )
