--- a/cloverhold/net/discovery.py
+++ b/cloverhold/net/discovery.py
@@ -75,7 +75,12 @@
 
 
 def read_members(value: object, clock: Clock) -> Members:
-    """Discovery's form of a list. A line that can't be read voids it: what it hid might be a drain."""
+    """Discovery's form of a list; ListError for one that is not that.
+
+    A line that can't be read voids it: what it hid might be a drain. So does a name that stands twice, as one of the
+    two lines would be passed over, and a whole list of nothing: a fleet has servers, a discovery that lost its store
+    has none. A list whose servers all drain is taken at its word.
+    """
     try:
         if not isinstance(value, dict):
             raise ValueError("not an object")
@@ -84,6 +89,10 @@
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ListError(f"list of servers: {type(error).__name__}: {error}") from None
     addresses = {entry.server: address for entry, address in pairs}
+    if len(addresses) < len(pairs):
+        raise ListError("list of servers: a name stands twice")
+    if full and not pairs:
+        raise ListError("list of servers: names none")
     return Members(version, full, tuple(entry for entry, _ in pairs), addresses)
 
 
--- a/tests/fleet/test_cold_fleet.py
+++ b/tests/fleet/test_cold_fleet.py
@@ -11,13 +11,13 @@
 
 from cloverhold import Send, Status
 
-NODES, SERVERS, COLD = 40, 60, 20
+NODES, SERVERS = 40, 60
 SPAN_MS, WORK_MS = 1500.0, 40.0
 
 
-def cold_work(nodes: list[Node]) -> Counter[str]:
+def cold_work(nodes: list[Node], cold: int) -> Counter[str]:
     """What each cold server gets within the time of the rule, in ms of work, where all nodes have more than enough."""
-    back = {f"s{number}" for number in range(COLD)}
+    back = {f"s{number}" for number in range(cold)}
     work: Counter[str] = Counter()
     started = nodes[0].now
     for node in nodes:
@@ -41,12 +41,19 @@
 
 
 @pytest.mark.parametrize("alive", [NODES, NODES // 2])
-def test_a_third_returns_cold_and_is_used_within_its_budget(alive: int) -> None:
-    # Shares of a fortieth left three quarters of what a cold server could do unused: ten of forty nodes keep to it.
-    settings = make_settings(nodes=NODES, probe_price=0.08, fall_multiple=2.5, fall_ms=SPAN_MS)
-    nodes = [Node(settings=settings, servers=0, seed=seed) for seed in range(alive)]
-    work = cold_work(nodes)
-    can = settings.cold_from * SPAN_MS  # what a cold server does in this time, of one core
+@pytest.mark.parametrize("cold", [SERVERS // 3, SERVERS])
+def test_what_returns_cold_is_used_within_its_budget(cold: int, alive: int) -> None:
+    # Shares of a fortieth left three quarters of what a cold server could do unused: five of forty nodes keep to it.
+    nodes = [
+        Node(
+            settings=make_settings(nodes=NODES, me=me, probe_price=0.08, fall_multiple=2.5, fall_ms=SPAN_MS),
+            servers=0,
+            seed=me,
+        )
+        for me in range(alive)
+    ]
+    work = cold_work(nodes, cold)
+    can = nodes[0].settings.cold_from * SPAN_MS  # what a cold server does in this time, of one core
     assert max(work.values()) < 2.5 * can, "none is pushed over"
-    used = sum(work[f"s{number}"] for number in range(COLD)) / COLD
+    used = sum(work[f"s{number}"] for number in range(cold)) / cold
     assert used > 0.3 * can * alive / NODES, "nor left idle while others have more than they can do"
