One store for all workers of a node, in their supervisor; the kit sends open ids again

Need: with a folder for each worker an id that came to another worker after a restart, or after one worker's death, was not known there and could run twice. And the kit's clients sent no id again, so its rule on repeats could not fail there.

Change: the supervisor opens the store (store/service.py); each worker has a socket to it (remote.py, wire.py). Who holds which record is a pure core of its own (desk.py): what a dead worker held counts as sent, and a worker's word on what it does not hold changes nothing. Waiting no longer than is set is one class for both ends (patience.py), and lists from several followers go into one roster (roster.py): a follower that is behind puts nothing back, which matters since a node goes on from the version it remembers.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -9,8 +9,9 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import uvloop
 
@@ -26,11 +27,14 @@
 if TYPE_CHECKING:
     from cloverhold.cells.shell import Router
     from cloverhold.cells.table import CellsTable
+    from cloverhold.store.remote import RemoteStore
+    from cloverhold.store.service import StoreService
     from cloverhold.store.shell import Store
     from cloverhold.store.table import StoreTable
     from cloverhold.supervise.worker import Attached
 
 log = logging.getLogger(__name__)
+Opened = TypeVar("Opened")
 
 WORKER = "CLOVERHOLD_WORKER"  # what a supervisor tells a worker
 OPERATOR = "CLOVERHOLD_CONFIG"  # names the operator's own file; without it nothing of that is loaded
@@ -129,7 +133,7 @@
     return msgspec.structs.replace(cells, state=f"{cells.state}.{part}") if part and cells.state else cells
 
 
-def _router(config: Config, clock: Clock, store: Store | None, part: str) -> Router | None:
+def _router(config: Config, clock: Clock, store: Store | RemoteStore | None, part: str) -> Router | None:
     if config.cells is None:
         return None
     from cloverhold.cells.keep import KeepError
@@ -152,20 +156,43 @@
         return None
 
 
-def _store(config: Config, clock: Clock, part: str) -> Store | None:
-    """The open store; None where it is off, or cannot be used and the operator says to serve all the same."""
+def _store(config: Config, clock: Clock, worker: Attached | None = None) -> Store | RemoteStore | None:
+    """The open store, a worker's at its supervisor; None where it is off, or cannot be used and the operator says to
+    serve all the same.
+    """
     if config.store is None:
         return None
-    from cloverhold.store.codec import StoreError
+    if worker is not None:
+        if worker.store is None:
+            return None
+        from cloverhold.store.remote import RemoteStore
+
+        return RemoteStore(worker.store, config.store.most_delay_ms)
     from cloverhold.store.shell import Store
 
+    return _opened(config.store, lambda table: Store(table, clock.now))
+
+
+def _opened(table: StoreTable, opens: Callable[[StoreTable], Opened]) -> Opened | None:
+    """What opens a store; ConfigError where it cannot be used and the operator says to stop then."""
+    from cloverhold.store.codec import StoreError
+
     try:
-        return Store(config.store, clock.now, part=part)
+        return opens(table)
     except (StoreError, OSError) as error:
-        if config.store.unreadable == "stop":
-            raise ConfigError(f"store: {config.store.path}: {error}") from None
-        log.error("store: %s: %s; unsafe requests are refused", config.store.path, error)
+        if table.unreadable == "stop":
+            raise ConfigError(f"store: {table.path}: {error}") from None
+        log.error("store: %s: %s; unsafe requests are refused", table.path, error)
+        return None
+
+
+def _service(config: Config, clock: Clock) -> StoreService | None:
+    """The one store of all workers."""
+    if config.store is None:
         return None
+    from cloverhold.store.service import StoreService
+
+    return _opened(config.store, lambda table: StoreService(table, clock.now))
 
 
 class Node:
@@ -177,7 +204,7 @@
         self.config, self.clock, self.worker = config, clock, worker
         self.pool = Pool(loop, config.dial_ms / 1000, config.idle_ms / 1000, most_servers)
         self.part = str(worker.number) if worker is not None else ""  # of the operator's files
-        self.store = _store(config, clock, self.part)
+        self.store = _store(config, clock, worker)
         self.router = _router(config, clock, self.store, self.part)
         self.host = Host(
             config.settings, config.seed, clock, self.pool, lambda on: self.discovery.watch(on), self.router,
@@ -296,7 +323,9 @@
         if workers > 1:
             from cloverhold.supervise.shell import supervise
 
-            return supervise(workers, read_config(Clock()).listen)
+            clock = Clock()
+            config = read_config(clock)
+            return supervise(workers, config.listen, _service(config, clock))
         uvloop.run(serve())
     except ConfigError as error:
         print(f"configuration: {error}", file=sys.stderr)
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -24,6 +24,8 @@
 if TYPE_CHECKING:
     from cloverhold.cells.shell import Router
     from cloverhold.cells.tenancy import Cell
+    from cloverhold.store.sent import How
+    from cloverhold.store.remote import RemoteStore
     from cloverhold.store.shell import Store
 
 log = logging.getLogger(__name__)
@@ -57,7 +59,7 @@
     guard: asyncio.TimerHandle
     sent: int = 0
     cell: Cell | None = None  # where it is confined to
-    record: bytes | None = None  # its identity in the store
+    record: int | None = None  # the store's ticket
     out: dict[int, Attempt] = field(default_factory=dict)
 
 
@@ -72,7 +74,7 @@
         pool: Pool,
         watch: Callable[[bool], None],
         router: Router | None = None,
-        store: Store | None = None,
+        store: Store | RemoteStore | None = None,
         *,
         unsafe: bool = True,
     ) -> None:
@@ -183,13 +185,15 @@
         """When to come back, where the settings let a node say so."""
         return retry_after(min(wait_ms, self.settings.max_retry_after_ms) if self.settings.retry_after else 0.0)
 
-    def _recorded(self, ref: int, how: str) -> None:
+    def _recorded(self, ref: int, how: How) -> None:
         """What became of a request's record. Only what is durable goes on; the rest never ran."""
         opened = self.open.get(ref)
         if opened is None:
             return
         if how == "durable":
             self._begin(ref, opened)
+        elif how == "known":  # it may have run at another worker
+            self._final(ref, 409)
         else:
             self._final(ref, 503, headers=self._come_back(self.settings.max_retry_after_ms))
 
--- a/cloverhold/rehearsal/clients.py
+++ b/cloverhold/rehearsal/clients.py
@@ -21,6 +21,7 @@
 from cloverhold.rehearsal.world import World
 
 WATCH_S = 0.25  # past a try's limit its connection is watched for this long
+REPEATS_S = 10.0  # for so long a client sends an unsafe request again under its own id, where the scenario has that
 
 
 @dataclass(slots=True)
@@ -192,13 +193,18 @@
         row = Try(name, first.index, number, kind.name, first.key, -1, 0, False, intended_s, budget)
         self._start(Pending(first, kind, known, row))
 
-    def _start(self, pending: Pending) -> None:
+    def _start(self, pending: Pending, node: int | None = None) -> None:
+        """Send a try; node: to that one alone, on a connection of its own."""
         row = pending.row
         self.world.ledger.rows.append(row)
         self.pending[row.id] = pending
         self._later(row.intended_s + row.budget_s - self.world.now(), self._gives_up, pending)
         if pending.first.leaves_s is not None:
             self._later(pending.first.leaves_s, self._leaves, pending)
+        if node is not None:
+            row.node = node
+            self._task(self._dial(pending, node))
+            return
         if self.idle and not pending.first.once:
             connection = self.idle.pop(self.random.randrange(len(self.idle)))
             row.node = connection.node
@@ -301,8 +307,21 @@
             if left > 0:
                 self._start(Pending(pending.first, pending.kind, pending.known, again))
                 return
+        again_s = self.world.scenario.clients.again_s
+        if again_s and pending.kind.repeats == "unsafe" and not row.answers and (row.sent_s is not None or row.again):
+            self._later(again_s, self._again, pending)
+            return
         self._next(pending, row.answers[0] if row.answers else None)
 
+    def _again(self, pending: Pending) -> None:
+        """Send an unsafe request that had no answer to the node's next life, under the id that it had."""
+        row, now = pending.row, self.world.now()
+        if now - pending.first.at_s > REPEATS_S:
+            return
+        budget = self.world.scenario.clients.try_share * pending.kind.deadline_ms / 1000
+        again = Try(row.id, row.first, row.number, row.class_name, row.key, -1, 0, False, now, budget, again=True)
+        self._start(Pending(pending.first, pending.kind, pending.known, again), row.node)
+
     def _next(self, pending: Pending, answer: Answer | None) -> None:
         """Whether and when the client tries again."""
         clients, row, first = self.world.scenario.clients, pending.row, pending.first
--- a/cloverhold/rehearsal/scenario.py
+++ b/cloverhold/rehearsal/scenario.py
@@ -163,6 +163,7 @@
     honour: Part = 0.85  # part of the clients that come back when Retry-After says
     try_share: Annotated[float, Field(gt=0, le=1)] = 0.65  # of the deadline, after which a try is given up
     impatient: Part = 0.0  # part of the tries whose client leaves early
+    again_s: NotNegative = 0.0  # an unsafe request without an answer goes to its node again, under its id, after this
     ask_once: Part = 0.0  # part of the connections that ask once and stay open, unused
     idle_s: Positive = 10.0  # a client closes a connection unused for this long
 
--- a/cloverhold/store/sent.py
+++ b/cloverhold/store/sent.py
@@ -11,11 +11,15 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import Enum
 from hashlib import blake2b
+from typing import Literal
 
 PREFIX = b"s"
+# What became of a record: it is durable; it is not and will not be; nobody knows in time; the request may have run.
+How = Literal["durable", "failed", "late", "known"]
+Told = Callable[[How], None]
 
 
 class Taken(Enum):
--- a/cloverhold/store/shell.py
+++ b/cloverhold/store/shell.py
@@ -11,10 +11,12 @@
 from queue import Empty, SimpleQueue
 from typing import Any
 
+from cloverhold.roster import Roster
 from cloverhold.store.codec import StoreError
 from cloverhold.store.log import Log
+from cloverhold.store.patience import Patience
 from cloverhold.store.real import RealDisk
-from cloverhold.store.sent import Sent, Taken, identity
+from cloverhold.store.sent import Sent, Taken, Told, identity
 from cloverhold.store.table import StoreTable
 
 log = logging.getLogger(__name__)
@@ -23,44 +25,48 @@
 LIST_MS = 5000.0  # between two lists that are written: weights change every second
 CLOSE_S = 0.5
 
-Told = Callable[[bool], None]
+Done = Callable[[bool], None]
 
 
 class Store:
     """A node's store: open from the start, closed with `close`. Raises StoreError and OSError where it cannot be."""
 
-    def __init__(self, table: StoreTable, now: Callable[[], float], *, part: str = "") -> None:
-        """now: the node's clock, in ms; part: of a worker, which has a folder of its own below."""
+    def __init__(self, table: StoreTable, now: Callable[[], float]) -> None:
+        """now: the node's clock, in ms."""
         self.table, self.now = table, now
-        path = os.path.join(table.path, part) if part else table.path
-        self.disk = RealDisk(path)
+        self.disk = RealDisk(table.path)
         try:
             self.log = Log(self.disk, os.urandom(16), segment_bytes=table.segment_kb * 1024)
         except (StoreError, OSError):
             self.disk.close()
             raise
         if not self.log.durable:
-            log.warning("store: %s had none: begun anew, nothing is remembered", path)
+            log.warning("store: %s had none: begun anew, nothing is remembered", table.path)
         if self.log.dropped:
             log.warning("store: %d bytes of a torn tail dropped; none of it was acknowledged", self.log.dropped)
         self.sent = Sent(table.keep_s * 1000)
         self.sent.restored(self.log.index, now())
-        self.late = 0  # records that were not durable in time and still are not
-        self._queue: SimpleQueue[tuple[bytes, bytes | None, Told | None] | None] = SimpleQueue()
+        self._tickets, self._open = 0, dict[int, bytes]()  # records under way, by ticket
+        self._patience: Patience | None = None
+        self._queue: SimpleQueue[tuple[bytes, bytes | None, Done | None] | None] = SimpleQueue()
         self._loop: asyncio.AbstractEventLoop | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._thread = threading.Thread(target=self._write, name="store", daemon=True)
         self._failing = False
-        self._list: dict[str, Any] = {}  # the last list, by server
-        self._rev, self._dirty, self._listed_at = 0, False, -LIST_MS
+        self._roster, self._dirty, self._listed_at = Roster(), False, -LIST_MS
+        if (kept := self._kept(LIST)) is not None:
+            self._roster.take(kept)
+        self._moves: dict[bytes, list[Any]] = {
+            key: self._kept(key) for key in self.log.index if key.startswith(MOVES)
+        }
 
     def known(self) -> Any:
-        """The last list that was kept, in discovery's form; None where there is none. Before `start`."""
-        return self._kept(LIST)
+        """The last list that was kept, in discovery's form; None where there is none."""
+        return self._roster.value()
 
-    def moves(self) -> list[Any]:
-        """The moves of cells that were kept. Before `start`."""
-        return list(self._kept(MOVES) or ())
+    def moves(self, part: str = "") -> list[Any]:
+        """The moves of cells that were kept; part: of a worker."""
+        return self._moves.get(MOVES + part.encode(), [])
 
     def _kept(self, key: bytes) -> Any:
         text = self.log.get(key)
@@ -68,7 +74,7 @@
 
     def start(self, loop: asyncio.AbstractEventLoop) -> None:
         """Begin to write."""
-        self._loop = loop
+        self._loop, self._patience = loop, Patience(loop, self.table.most_delay_ms)
         self._thread.start()
         self._timer = loop.call_later(EXPIRE_S, self._expire)
 
@@ -87,60 +93,47 @@
 
     def keep_list(self, value: dict[str, Any]) -> None:
         """Keep a list, or changes of it, for a start without discovery; written now and then."""
-        if value["all"]:
-            self._list.clear()
-        for target in value["targets"]:
-            if target["state"] == "left":
-                self._list.pop(target["uid"], None)
-            else:
-                self._list[target["uid"]] = target
-        self._rev, self._dirty = value["rev"], True
-
-    def keep_moves(self, moves: Sequence[Any]) -> None:
-        """Keep the moves of cells, all of them each time."""
-        self._queue.put((MOVES, json.dumps(list(moves)).encode(), None))
+        self._dirty |= self._roster.take(value)
+
+    def keep_moves(self, moves: Sequence[Any], part: str = "") -> None:
+        """Keep the moves of cells, all of them each time; part: of a worker."""
+        key = MOVES + part.encode()
+        self._moves[key] = list(moves)
+        self._queue.put((key, json.dumps(self._moves[key]).encode(), None))
 
     def _put_list(self) -> None:
         if self._dirty:
             self._dirty, self._listed_at = False, self.now()
-            said = {"rev": self._rev, "all": True, "targets": list(self._list.values())}
-            self._queue.put((LIST, json.dumps(said).encode(), None))
+            self._queue.put((LIST, json.dumps(self._roster.value()).encode(), None))
 
-    def record(self, call_id: bytes, key: bytes, told: Callable[[str], None]) -> bytes | None:
-        """Record a request that may run; its identity, None where it may have run before.
+    def record(self, call_id: bytes, key: bytes, told: Told) -> int | None:
+        """Record a request that may run; a ticket for `over`, None where it may have run before.
 
         `told` is called once, later: "durable", "failed" (it is not, and will not be) or "late" (nobody knows yet).
         """
-        assert self._loop is not None
-        name = identity(call_id, key)
+        return self.take(identity(call_id, key), told)
+
+    def take(self, name: bytes, told: Told) -> int | None:
+        """Record a request by its identity, as `record` does."""
+        assert self._loop is not None and self._patience is not None
         if self.sent.take(name) is Taken.KNOWN:
             return None
-        if self.late:  # the disk hangs: no use to wait once more
+        self._tickets += 1
+        self._open[self._tickets] = name
+        if self.hangs():  # no use to wait once more
             self._loop.call_soon(told, "failed")
-            return name
-        waiting = True
-
-        def done(good: bool) -> None:
-            nonlocal waiting
-            if not waiting:
-                self.late -= 1
-                return
-            waiting = False
-            timer.cancel()
-            told("durable" if good else "failed")
-
-        def late() -> None:
-            nonlocal waiting
-            waiting = False
-            self.late += 1
-            told("late")
+            return self._tickets
+        done = self._patience.wait(told)
+        self._queue.put((name, b"", lambda good: done("durable" if good else "failed")))
+        return self._tickets
 
-        timer = self._loop.call_later(self.table.most_delay_ms / 1000, late)
-        self._queue.put((name, b"", done))
-        return name
+    def hangs(self) -> bool:
+        """Whether the disk has not done in its time what it was asked for."""
+        return self._patience is not None and self._patience.hangs()
 
-    def over(self, name: bytes, *, sent: bool) -> None:
+    def over(self, ticket: int, *, sent: bool) -> None:
         """A recorded request has had its answer."""
+        name = self._open.pop(ticket)
         if self.sent.over(name, self.now(), sent=sent):
             self._queue.put((name, None, None))
 
@@ -162,7 +155,7 @@
                     batch.append(self._queue.get_nowait())
                 except Empty:
                     break
-            told: list[Told] = []
+            told: list[Done] = []
             for item in batch:
                 if item is None:
                     ends = True
@@ -198,7 +191,7 @@
             log.warning("store: compaction: %s", error)
         return True
 
-    def _tell(self, told: list[Told], good: bool) -> None:
+    def _tell(self, told: list[Done], good: bool) -> None:
         assert self._loop is not None
         try:
             self._loop.call_soon_threadsafe(_each, told, good)
@@ -206,6 +199,6 @@
             return
 
 
-def _each(told: list[Told], good: bool) -> None:
+def _each(told: list[Done], good: bool) -> None:
     for done in told:
         done(good)
--- a/cloverhold/supervise/shell.py
+++ b/cloverhold/supervise/shell.py
@@ -11,10 +11,14 @@
 import socket
 import sys
 from contextlib import ExitStack
-from typing import Any
+from typing import TYPE_CHECKING
 
+from cloverhold.roster import Roster
 from cloverhold.supervise.core import Action, Finish, Note, Start, Supervisor, Tell, Word
 
+if TYPE_CHECKING:
+    from cloverhold.store.service import StoreService
+
 log = logging.getLogger(__name__)
 
 SIGNALS = {Word.STOP: signal.SIGTERM, Word.RELOAD: signal.SIGHUP, Word.KILL: signal.SIGKILL}
@@ -35,13 +39,13 @@
 class Shell:
     """One supervisor."""
 
-    def __init__(self, listening: list[socket.socket]) -> None:
+    def __init__(self, listening: list[socket.socket], store: StoreService | None = None) -> None:
+        self.store = store
         self.core, self.workers, self.listening = Supervisor(len(listening)), len(listening), listening
         self.loop = asyncio.get_running_loop()
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.tasks: set[asyncio.Task[None]] = set()
-        self.targets: dict[str, dict[str, Any]] = {}  # the last list, by uid
-        self.version: int | None = None
+        self.roster = Roster()  # the last list that any worker was told
         self.timer: asyncio.TimerHandle | None = None
         self.over: asyncio.Future[int] = self.loop.create_future()
 
@@ -87,18 +91,20 @@
     async def _worker(self, number: int, life: int) -> None:
         """One process from its start to its end."""
         ours, theirs = socket.socketpair()
-        own = self.listening[number].fileno()
-        told = {"number": number, "life": life, "workers": self.workers,
-                "listening": own, "channel": theirs.fileno()}  # fmt: skip
         reader, writer = await asyncio.open_connection(sock=ours, limit=LINE_MOST)
         try:
-            with theirs:
+            with ExitStack() as stack:
+                passed = {"listening": self.listening[number], "channel": stack.enter_context(theirs)}
+                if self.store is not None:
+                    passed["store"] = stack.enter_context(await self.store.connect(number, life))
+                handles = {name: one.fileno() for name, one in passed.items()}
+                told = {"number": number, "life": life, "workers": self.workers, "store": None, **handles}
                 process = await asyncio.create_subprocess_exec(
                     sys.executable, "-m", "cloverhold", env={**os.environ, "CLOVERHOLD_WORKER": json.dumps(told)},
-                    pass_fds=(theirs.fileno(), own), preexec_fn=_outlive_no_supervisor,
+                    pass_fds=tuple(handles.values()), preexec_fn=_outlive_no_supervisor,
                 )  # fmt: skip
             self.processes[life] = process
-            writer.write(json.dumps(self._known()).encode() + b"\n")
+            writer.write(json.dumps(self.roster.value()).encode() + b"\n")
             await self._listen(life, reader)
             status = await process.wait()
         finally:
@@ -114,33 +120,27 @@
                 if "ready" in message:
                     self.act(self.core.ready(life, self.loop.time()))
                 elif "list" in message:
-                    self._listed(message["list"])
+                    self.roster.take(message["list"])
                 else:
                     self.act(self.core.beat(life, self.loop.time()))
         except (ConnectionError, ValueError) as error:
             log.warning("a worker's channel: %s", error)
 
-    def _listed(self, value: dict[str, Any]) -> None:
-        if value["all"]:
-            self.targets = {}
-        for target in value["targets"]:
-            if target["state"] == "left":
-                self.targets.pop(target["uid"], None)
-            else:
-                self.targets[target["uid"]] = target
-        self.version = value["rev"]
-
-    def _known(self) -> dict[str, Any] | None:
-        if self.version is None:
-            return None
-        return {"rev": self.version, "all": True, "targets": list(self.targets.values())}
 
+def supervise(workers: int, address: tuple[str, int], store: StoreService | None = None) -> int:
+    """Run so many workers behind one port, until SIGTERM; the exit status. OSError where the port is taken.
 
-def supervise(workers: int, address: tuple[str, int]) -> int:
-    """Run so many workers behind one port, until SIGTERM; the exit status. OSError where the port is taken."""
+    store: what all workers keep their records in.
+    """
 
     async def run(listening: list[socket.socket]) -> int:
-        return await Shell(listening).run()
+        if store is None:
+            return await Shell(listening).run()
+        store.start(asyncio.get_running_loop())
+        try:
+            return await Shell(listening, store).run()
+        finally:
+            store.close()
 
     # A queue for each number: the kernel deals connections evenly among them. They stay open here, so that what
     # waits in a dead worker's queue is its successor's and is not reset.
--- a/cloverhold/supervise/worker.py
+++ b/cloverhold/supervise/worker.py
@@ -24,6 +24,8 @@
         self.listening = socket.socket(fileno=int(told["listening"]))
         self.listening.setblocking(False)
         self.channel = socket.socket(fileno=int(told["channel"]))
+        # The supervisor's store; None where it has none, or cannot use it.
+        self.store = socket.socket(fileno=int(handle)) if (handle := told.get("store")) is not None else None
         self.unsent = b""
 
     def known(self) -> Any:
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -17,7 +17,10 @@
     *(f"cloverhold/cells/{name}.py" for name in (
         "core", "draw", "evidence", "moves", "poison", "rebalance", "rules", "tenancy", "ward",
     )),
-    *(f"cloverhold/store/{name}.py" for name in ("codec", "disk", "log", "recovery", "sent", "simulated")),
+    *(f"cloverhold/store/{name}.py" for name in (
+        "codec", "desk", "disk", "log", "recovery", "sent", "simulated", "wire",
+    )),
+    "cloverhold/roster.py",
     "cloverhold/settings.py",
     "cloverhold/supervise/core.py",
     *(f"cloverhold/rehearsal/{name}.py" for name in (
@@ -26,7 +29,7 @@
     )),
 )  # fmt: skip
 NODE = (
-    *("cloverhold/__main__.py", "cloverhold/benchlink.py"),
+    *("cloverhold/__main__.py", "cloverhold/benchlink.py", "cloverhold/roster.py"),
     *("cloverhold/net", "cloverhold/decision", "cloverhold/supervise", "cloverhold/cells", "cloverhold/config"),
     "cloverhold/store",
 )
--- a/tests/rehearsal/test_cells_played.py
+++ b/tests/rehearsal/test_cells_played.py
@@ -7,12 +7,12 @@
 from typing import Any
 
 import pytest
-from small import small
+from small import CLASSES, small
 from test_kit import kept, play
 
 from cloverhold.rehearsal import ledger as ledgers
 from cloverhold.rehearsal.judge import judge
-from cloverhold.rehearsal.ledger import Arrival, Life
+from cloverhold.rehearsal.ledger import Arrival, Life, Try
 from cloverhold.rehearsal.plan import make_plan
 from cloverhold.rehearsal.scenario import Scenario, ScenarioError, check
 
@@ -62,14 +62,26 @@
     assert [(m["id"], m["stage"]) for m in moves] == [("m", "done")]
 
 
-def test_a_node_with_a_store_is_killed_and_runs_nothing_twice(tmp_path: Path) -> None:
+@pytest.mark.parametrize("store", [True, False])
+def test_what_a_killed_node_sent_is_asked_for_again_and_runs_once_with_a_store(tmp_path: Path, store: bool) -> None:
+    operator = {"store": {"path": "{own}.store"}} if store else {}
+    classes = [{**kind, "share": 8.0 if kind["repeats"] == "unsafe" else 1.0, "work_ms": 60.0} for kind in CLASSES]
     scenario = small(
-        nodes={"count": 1, "operator": {"store": {"path": "{own}.store"}}},
-        fault=[{"kind": "node_kill", "at_s": at, "for_s": 0.2} for at in (0.7, 1.4, 2.1)],
+        nodes={"count": 1, "operator": operator},
+        clients={"rate_per_s": 150.0, "again_s": 0.05},
+        fleet={"servers": 4, "cell_size": 2, "connection_work_ms": 2.0, "kind": [{"name": "media", "cores": 4}]},
+        fault=[{"kind": "node_kill", "at_s": at, "for_s": 0.05} for at in (0.7, 1.4, 2.1)],
+        **{"class": classes},
     )
     seen = play(scenario, tmp_path)
-    assert kept(judge(scenario, seen))
-    assert list((tmp_path / "n0.store").glob("*.log"))
+    repeats = [row for row in seen.of(Try) if row.again and row.sent_s is not None]
+    assert len(repeats) >= 3, "requests were open when the node was killed"
+    verdict = judge(scenario, seen)
+    if store:
+        assert kept(verdict)
+        assert any(row.answers and row.answers[0].status == 409 for row in repeats)
+    else:
+        assert any("sent again, after it may have run" in v.what for v in verdict.rules["no_repeat"])
 
 
 def test_a_tenant_that_is_not_there_is_named() -> None:
--- a/tests/store/test_store_node.py
+++ b/tests/store/test_store_node.py
@@ -225,7 +225,7 @@
         told.record("e")
         await until(lambda: told.said.get("e") == "failed")
         blocked.set()
-        await until(lambda: not store.late)
+        await until(lambda: not store.hangs())
         monkeypatch.setattr(RealDisk, "sync", good)
         told.record("f")
         await until(lambda: told.said.get("f") == "durable")
