Test that an id is known at every worker after one was killed and after a restart

Two real workers behind one port with one store: each killed while a request is at its server, then the node started again. Seen to fail with what a dead worker held counted as never sent.

--- a/tests/store/test_shared_store.py
+++ b/tests/store/test_shared_store.py
@@ -4,6 +4,10 @@
 
 import asyncio
 import errno
+import json
+import os
+import signal
+import sys
 import threading
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -13,7 +17,10 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from loopback import play, target, until
+from loopback import OK, Server, free_ports, play, request, target, until
+from test_process import ROOT, config, environment
+from test_store_node import BOTH, ask, runs
+from test_supervise import alive, children
 
 from cloverhold.roster import Roster
 from cloverhold.store.desk import Desk
@@ -262,3 +269,70 @@
     assert list(roster.targets) == ["s0"]
     assert roster.take({"rev": 1, "all": True, "targets": [target("s9", 1)]}), "a service that counts from anew"
     assert roster.value() == {"rev": 1, "all": True, "targets": [target("s9", 1)]}
+
+
+def test_an_id_is_known_at_every_worker_after_one_was_killed_and_after_a_restart(tmp_path: Path) -> None:
+    """A supervisor with two workers; each port of the two queues is reached in turn."""
+
+    async def test() -> None:
+        server = Server(lambda target, body: None if "alerta" in target else OK)
+        await server.start()
+        port = free_ports(1)[0]
+        async with supervised(tmp_path, port, server) as process:
+            asking = asyncio.create_task(ask(port, request("alerta", "a", body=b"x")))
+            await until(lambda: runs(server, "a"))
+            for pid in children(process.pid):
+                os.kill(pid, signal.SIGKILL)
+            assert await asking == 0
+            server.reply = lambda target, body: OK
+            # Both workers are new: whichever takes the connection.
+            for _ in range(6):
+                assert await asked_until_there(port, "a") == 409
+            assert await asked_until_there(port, "b") == 200
+        async with supervised(tmp_path, port, server):
+            for name in ("a", "b"):
+                for _ in range(4):
+                    assert await asked_until_there(port, name) == 409
+        assert runs(server, "a") == runs(server, "b") == 1
+        server.stop()
+
+    play(test)
+
+
+async def asked_until_there(port: int, name: str) -> int:
+    """The answer of a worker that serves: one that starts again resets what waits."""
+    async with asyncio.timeout(20):
+        while (status := await ask(port, request("alerta", name, body=b"x"))) == 0:
+            await asyncio.sleep(0.02)
+    return status
+
+
+@asynccontextmanager
+async def supervised(folder: Path, port: int, server: Server) -> AsyncIterator[asyncio.subprocess.Process]:
+    """Two workers with one store, once they listen."""
+    (folder / "node.toml").write_text(f'[store]\npath = "{folder / "store"}"\n')
+    known = {"rev": 1, "all": True, "targets": [target("s0", server.port)]}
+    path, nowhere = folder / "config.json", f"127.0.0.1:{free_ports(1)[0]}"
+    path.write_text(json.dumps(config(listen=f"127.0.0.1:{port}", discovery=nowhere, settings=BOTH, known=known)))
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "cloverhold.cli", "run", "--workers", "2"),
+        cwd=ROOT,
+        env={**environment(path), "CLOVERHOLD_CONFIG": str(folder / "node.toml")},
+        stderr=asyncio.subprocess.DEVNULL,
+    )
+    started: set[int] = set()
+    try:
+        await until(lambda: len(children(process.pid)) == 2)
+        started = children(process.pid)
+        async with asyncio.timeout(20):
+            while await ask(port, request("consulta", "first")) != 200:
+                await asyncio.sleep(0.05)
+        yield process
+    finally:
+        started |= children(process.pid)
+        if process.returncode is None:
+            process.terminate()
+            await process.wait()
+        for pid in started:
+            if alive(pid):
+                os.kill(pid, signal.SIGKILL)
