--- a/benchmarks/store_kills.py
+++ b/benchmarks/store_kills.py
@@ -39,6 +39,8 @@
 class World:
     """The servers' ledger, the node, and the client."""
 
+    command: tuple[str, ...] = ("cloverhold",)
+
     def __init__(self, folder: Path, seed: int, store: bool) -> None:
         self.folder, self.store, self.random = folder, store, Random(seed)
         self.runs: Counter[str] = Counter()
@@ -75,7 +77,7 @@
         }))  # fmt: skip
         env = {**os.environ, "PROXY_CONFIG": str(self.folder / "config.json"), "CLOVERHOLD_CONFIG": str(operator)}
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "cloverhold", env=env, stderr=asyncio.subprocess.PIPE
+            sys.executable, "-m", *self.command, env=env, stderr=asyncio.subprocess.PIPE
         )
         assert process.stderr is not None
         while b"listening" not in (line := await process.stderr.readline()):
--- a/benchmarks/store_latency.py
+++ b/benchmarks/store_latency.py
@@ -1,6 +1,6 @@
 """What the store costs an unsafe request: time to its answer with the store on and off, open loop.
 
-    python benchmarks/store_latency.py [--rates 100,300,1000] [--seconds 8] [--dir DIR]
+    python benchmarks/store_latency.py [--rates 100,300,1000] [--seconds 8] [--dir DIR] [--workers N]
 
 One real node, two stand-in servers that answer at once, kept connections; times count from when a request was meant to
 be sent. On and off in turn, on the same machine.
@@ -67,10 +67,12 @@
         return sorted(took), bad
 
 
-async def play(rate: float, seconds: float, folder: str, store: bool) -> None:
+async def play(rate: float, seconds: float, folder: str, store: bool, workers: int) -> None:
     """One row."""
     with tempfile.TemporaryDirectory(dir=folder or None) as name:
         world = Quick(Path(name), 1, store)
+        if workers > 1:
+            world.command = ("cloverhold.cli", "run", "--workers", str(workers))
         servers = [await asyncio.start_server(world.serve, "127.0.0.1", 0) for _ in world.ports]
         world.ports = [server.sockets[0].getsockname()[1] for server in servers]
         process = await world.node()
@@ -92,11 +94,12 @@
     parser.add_argument("--rates", default="100,300,1000")
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--dir", default="")
+    parser.add_argument("--workers", type=int, default=1)
     options = parser.parse_args()
     print("| requests/s | store | asked | not 200 | p50 ms | p99 ms |\n| --- | --- | --- | --- | --- | --- |")
     for rate in map(float, options.rates.split(",")):
         for store in (False, True, False, True):
-            asyncio.run(play(rate, options.seconds, options.dir, store))
+            asyncio.run(play(rate, options.seconds, options.dir, store, options.workers))
 
 
 if __name__ == "__main__":
--- a/tests/fleet/test_first_call.py
+++ b/tests/fleet/test_first_call.py
@@ -8,7 +8,7 @@
 
 from cloverhold import ListMode
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery import Discovery
+from cloverhold.net.discovery import Discovery, Members
 
 
 def test_a_remembered_list_is_followed_by_its_changes_and_not_told_whole_again() -> None:
@@ -60,3 +60,42 @@
         assert ["from=" in asked for asked, _, _ in service.requests[:2]] == [True, False]
 
     play(test)
+
+
+class Failing(Catalog):
+    """Discovery that turns its first calls away, breaks off the next, and then answers."""
+
+    async def serve(self, asked: str, head: bytes, body: bytes, writer: asyncio.StreamWriter) -> bool:
+        calls = len(self.requests)
+        if calls < 2:
+            self.requests.append((asked, head, body))
+            writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+            return True
+        if calls < 4:
+            self.requests.append((asked, head, body))
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"rev\": 7, \"all\": true, ")
+            writer.close()
+            return False
+        return await super().serve(asked, head, body, writer)
+
+
+def test_calls_that_fail_are_made_again_from_the_same_version() -> None:
+    async def test() -> None:
+        service, told, failed = Failing([target("s0", 9)]), list[Members](), 0
+
+        def fails() -> None:
+            nonlocal failed
+            failed += 1
+            asyncio.get_running_loop().call_soon(discovery.watch)  # the module asks again in its own time
+
+        await service.start()
+        discovery = Discovery(("127.0.0.1", service.port), Clock(), told.append, fails, asked=True)
+        discovery.resume(0)
+        discovery.watch()
+        await until(lambda: told)
+        discovery.stop()
+        service.stop()
+        assert failed == 4 and all("from=0&" in asked for asked, _, _ in service.requests[:5])
+        assert told[0].version == 1 and not told[0].full
+
+    play(test)
