Part the HTTP/1.1 front from requests and exchanges: net/exchange.py, net/fronts/http1.py

Need: further fronts (HTTP/3 first) take the same requests under the same rules; all of it stood in one file that is HTTP/1.1 through and through.

Change: a move. An exchange now knows its connection by one method, not by its class.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -17,9 +17,9 @@
 
 from cloverhold.decision import interface as io
 from cloverhold.decision.checks import check_settings
-from cloverhold.net.client import Listener
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import Discovery, ListError, Members, members_value, parse_address, read_members
+from cloverhold.net.fronts.http1 import Listener
 from cloverhold.net.host import Host
 from cloverhold.net.upstream import Address, Pool
 from cloverhold.settings import SettingsError, module_settings
--- /dev/null
+++ b/cloverhold/net/exchange.py
@@ -0,0 +1,143 @@
+"""Requests as any front takes them, and the exchange that is owed one answer. Nothing of a protocol's bytes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Protocol
+from urllib.parse import parse_qs
+
+from cloverhold.decision.interface import ClassSettings, Repeat
+
+
+@dataclass(slots=True)
+class Incoming:
+    """One request as a client sent it."""
+
+    method: bytes = b""
+    target: bytes = b""
+    fields: dict[bytes, bytes] = field(default_factory=dict)  # by lower-case name, the last value
+    passed: list[bytes] = field(default_factory=list)  # the lines that are passed on, built once
+    head_bytes: int = 0
+    body: bytes = b""
+    keep_alive: bool = True
+    came_at: float = 0.0  # monotonic, in seconds
+
+
+class BadRequest(Exception):
+    """A request that cannot be taken."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Asked:
+    """What the headers of a request say."""
+
+    kind: ClassSettings
+    budget_ms: float
+    tenant: str | None
+    key: int | None
+    cost_ms: float | None
+    is_retry: bool
+
+
+def _number(text: bytes) -> float:
+    """A plain decimal number; float() alone would take 'nan', '1e9' or '1_0'."""
+    if not text or not text.replace(b".", b"", 1).isdigit():
+        raise ValueError(text)
+    return float(text)
+
+
+def read_budget(text: bytes) -> float:
+    """`X-Budget` in ms: a number and a unit."""
+    scale = {b"m": 1.0, b"u": 0.001}.get(text[-1:])
+    if scale is None:
+        raise ValueError(text)
+    budget = _number(text[:-1]) * scale
+    if not 0 < budget < 1e9:
+        raise ValueError(text)
+    return budget
+
+
+def _sid(query: bytes) -> int | None:
+    """The subject of a request, as a number below 2^53."""
+    if b"sid=" not in query:
+        return None
+    text = query.decode("latin-1")
+    if text.startswith("sid=") and not any(mark in text for mark in "&%+;"):  # as nearly always
+        value = text[4:]
+    else:
+        value = next(iter(parse_qs(text).get("sid", ())), "")
+    try:
+        return int(value, 16) & (2**53 - 1) if value else None
+    except ValueError:
+        return None
+
+
+def read_request(request: Incoming, classes: dict[str, ClassSettings]) -> Asked:
+    """Check a request against what is agreed with clients; BadRequest where it is not kept."""
+    headers = request.fields
+    path, _, query = request.target.partition(b"?")
+    coding = headers.get(b"transfer-encoding", b"chunked")
+    if coding.lower() != b"chunked":  # nobody here undoes others: the body would pass on as coded
+        raise BadRequest(501, "Transfer-Encoding other than chunked")
+    name = headers.get(b"x-call-class", b"").decode("latin-1")
+    kind = classes.get(path.lstrip(b"/").partition(b"/")[0].decode("latin-1"))
+    if kind is None:
+        raise BadRequest(404, "unknown class")
+    if name != kind.name:
+        raise BadRequest(400, "X-Call-Class and the path do not agree")
+    if not headers.get(b"x-call-id"):
+        raise BadRequest(400, "X-Call-Id is missing")
+    if request.method != (b"GET" if kind.repeat is Repeat.SAFE else b"POST"):
+        raise BadRequest(400, "the method does not fit the class")
+    if request.body and kind.repeat is Repeat.SAFE:
+        raise BadRequest(400, "a body does not fit the class")
+    if kind.repeat is Repeat.KEYED and not headers.get(b"idempotency-key"):
+        raise BadRequest(400, "Idempotency-Key is missing")
+    try:
+        budget = read_budget(headers.get(b"x-budget", b""))
+        cost = headers.get(b"x-call-cost")
+        cost_ms = _number(cost) / 1000 if cost else None
+    except ValueError:
+        raise BadRequest(400, "X-Budget or X-Call-Cost is no such number") from None
+    tenant = headers.get(b"x-caller", b"").decode("latin-1") or None
+    return Asked(kind, budget, tenant, _sid(query), cost_ms, headers.get(b"x-again") == b"1")
+
+
+class Taker(Protocol):
+    """What takes requests over; it owes each `Exchange` one answer."""
+
+    classes: dict[str, ClassSettings]
+
+    def take(self, exchange: Exchange) -> None: ...
+    def client_gone(self, exchange: Exchange) -> None: ...
+    def ready(self) -> bool: ...
+
+
+class Front(Protocol):
+    """What an exchange came in by, and its answer goes out by."""
+
+    def answer(self, exchange: Exchange, status: int, body: bytes, headers: Iterable[bytes]) -> None: ...
+
+
+class Exchange:
+    """One request and the one answer that it gets."""
+
+    __slots__ = ("asked", "connection", "ref", "request")
+
+    def __init__(self, connection: Front, request: Incoming, asked: Asked) -> None:
+        self.connection, self.request, self.asked = connection, request, asked
+        self.ref = -1  # its number at the host
+
+    def answer(self, status: int, body: bytes = b"", headers: Iterable[bytes] = ()) -> None:
+        """Write the answer. Nothing where the client has gone."""
+        self.connection.answer(self, status, body, headers)
+
+
+def retry_after(ms: float) -> tuple[bytes, ...]:
+    """The line that tells a client when to come back."""
+    return (b"Retry-After: %.3f\r\n" % (ms / 1000),) if ms > 0 else ()
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -14,9 +14,9 @@
 
 from cloverhold.decision import interface as io
 from cloverhold.decision.decide import Balancer
-from cloverhold.net.client import Exchange, retry_after
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import Members
+from cloverhold.net.exchange import Exchange, retry_after
 from cloverhold.net.http1 import read_load
 from cloverhold.net.upstream import Call, Pool, Upstream
 from cloverhold.settings import load_report
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cloverhold.net import client
+from cloverhold.net.fronts import http1 as client
 from loopback import OK, WAIT_S, Peer, Running, Server, play, read_answer, request, running, until
 
 
