--- a/tests/store/test_shared_store.py
+++ b/tests/store/test_shared_store.py
@@ -7,7 +7,6 @@
 import json
 import os
 import signal
-import sys
 import threading
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -18,9 +17,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from loopback import OK, Server, free_ports, play, request, target, until
-from test_process import ROOT, config, environment
+from test_process import config, environment
 from test_store_node import BOTH, ask, runs
-from test_supervise import alive, children
+from test_supervise import children, supervisor
 
 from cloverhold.roster import Roster
 from cloverhold.store.desk import Desk
@@ -314,25 +313,12 @@
     known = {"rev": 1, "all": True, "targets": [target("s0", server.port)]}
     path, nowhere = folder / "config.json", f"127.0.0.1:{free_ports(1)[0]}"
     path.write_text(json.dumps(config(listen=f"127.0.0.1:{port}", discovery=nowhere, settings=BOTH, known=known)))
-    process = await asyncio.create_subprocess_exec(
-        *(sys.executable, "-m", "cloverhold.cli", "run", "--workers", "2"),
-        cwd=ROOT,
-        env={**environment(path), "CLOVERHOLD_CONFIG": str(folder / "node.toml")},
-        stderr=asyncio.subprocess.DEVNULL,
-    )
-    started: set[int] = set()
-    try:
-        await until(lambda: len(children(process.pid)) == 2)
-        started = children(process.pid)
-        async with asyncio.timeout(20):
-            while await ask(port, request("consulta", "first")) != 200:
-                await asyncio.sleep(0.05)
+
+    async def serves() -> bool:
+        return await ask(port, request("consulta", "first")) == 200
+
+    env = {**environment(path), "CLOVERHOLD_CONFIG": str(folder / "node.toml")}
+    async with supervisor(2, env, serves) as process:
         yield process
-    finally:
-        started |= children(process.pid)
-        if process.returncode is None:
-            process.terminate()
-            await process.wait()
-        for pid in started:
-            if alive(pid):
-                os.kill(pid, signal.SIGKILL)
+        process.terminate()
+        await process.wait()
--- a/tests/test_supervise.py
+++ b/tests/test_supervise.py
@@ -210,24 +210,14 @@
 
 
 @asynccontextmanager
-async def workers(
-    tmp_path: Path, count: int, catalog: Catalog | None = None
-) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
-    """A supervisor with so many workers before one server, ready to serve. The list is remembered, or a catalog's."""
-    server = Server(lambda target, body: OK)
-    await server.start()
-    port, down = free_ports(2)
-    known = {"rev": 1, "all": True, "targets": [target("s0", server.port)]}
-    path = tmp_path / "config.json"
-    if catalog is not None:
-        catalog.targets = known["targets"]
-        await catalog.start()
-        down, known = catalog.port, {}
-    path.write_text(json.dumps(config(listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{down}", known=known)))
+async def supervisor(
+    count: int, env: dict[str, str], serves: Callable[[], Awaitable[bool]]
+) -> AsyncIterator[asyncio.subprocess.Process]:
+    """A supervisor with so many workers, from when it serves; nothing of it is left afterwards."""
     process = await asyncio.create_subprocess_exec(
         *(sys.executable, "-m", "cloverhold.cli", "run", "--workers", str(count)),
         cwd=ROOT,
-        env=environment(path),
+        env=env,
         stderr=asyncio.subprocess.DEVNULL,
     )
     started: set[int] = set()
@@ -235,9 +225,9 @@
         await until(lambda: len(children(process.pid)) == count)
         started |= children(process.pid)
         async with asyncio.timeout(20):
-            while await asked(port, f"first{time.monotonic()}") != 200:
+            while not await serves():
                 await asyncio.sleep(0.05)
-        yield process, port
+        yield process
     finally:
         started |= children(process.pid)
         if process.returncode is None:
@@ -246,6 +236,31 @@
         for pid in started:
             if alive(pid):
                 os.kill(pid, signal.SIGKILL)
+
+
+@asynccontextmanager
+async def workers(
+    tmp_path: Path, count: int, catalog: Catalog | None = None
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
+    """A supervisor with so many workers before one server, ready to serve. The list is remembered, or a catalog's."""
+    server = Server(lambda target, body: OK)
+    await server.start()
+    port, down = free_ports(2)
+    known = {"rev": 1, "all": True, "targets": [target("s0", server.port)]}
+    path = tmp_path / "config.json"
+    if catalog is not None:
+        catalog.targets = known["targets"]
+        await catalog.start()
+        down, known = catalog.port, {}
+    path.write_text(json.dumps(config(listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{down}", known=known)))
+
+    async def serves() -> bool:
+        return await asked(port, f"first{time.monotonic()}") == 200
+
+    try:
+        async with supervisor(count, environment(path), serves) as process:
+            yield process, port
+    finally:
         server.stop()
 
 
