--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -18,7 +18,7 @@
 from cloverhold.net.discovery import Members
 from cloverhold.net.exchange import Exchange, retry_after
 from cloverhold.net.http1 import read_load
-from cloverhold.net.upstream import Call, Pool, Upstream
+from cloverhold.net.upstreams.http1 import Call, Pool, Upstream
 from cloverhold.settings import load_report
 
 if TYPE_CHECKING:
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -29,7 +29,7 @@
     )),
 )  # fmt: skip
 NODE = (
-    *("cloverhold/__main__.py", "cloverhold/benchlink.py", "cloverhold/roster.py", "cloverhold/net/fronts"),
+    *("cloverhold/__main__.py", "cloverhold/benchlink.py", "cloverhold/roster.py", "cloverhold/net/fronts", "cloverhold/net/upstreams"),
     *("cloverhold/net", "cloverhold/decision", "cloverhold/supervise", "cloverhold/cells", "cloverhold/config"),
     "cloverhold/store",
 )
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -9,7 +9,7 @@
 import pytest
 
 from cloverhold import Status
-from cloverhold.net.upstream import Call, Pool, Upstream
+from cloverhold.net.upstreams.http1 import Call, Pool, Upstream
 from loopback import OK, WAIT_S, Server, play, until
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
