Give calls to servers one interface: names and values, not lines of HTTP/1.1

A second protocol can only come where the host, requests and answers know nothing of the first. What is passed on is now name and value, in both directions; the lines are built by the front and the upstream that speak HTTP/1.1. The host hands over a request (Outgoing) and learns one of the four outcomes, defined once in net/upstreams/calls.py; bounds and an answer's form stand in net/messages.py.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -21,7 +21,8 @@
 from cloverhold.net.discovery import Discovery, ListError, Members, members_value, parse_address, read_members
 from cloverhold.net.fronts.http1 import Listener
 from cloverhold.net.host import Host
-from cloverhold.net.upstreams.http1 import Address, Pool
+from cloverhold.net.upstreams.calls import Address
+from cloverhold.net.upstreams.http1 import Pool
 from cloverhold.settings import SettingsError, module_settings
 
 if TYPE_CHECKING:
--- a/cloverhold/net/discovery.py
+++ b/cloverhold/net/discovery.py
@@ -15,7 +15,7 @@
 from cloverhold.decision import interface as io
 from cloverhold.net.clock import Clock
 from cloverhold.net.http1 import BadMessage, ResponseParser
-from cloverhold.net.upstreams.http1 import Address
+from cloverhold.net.upstreams.calls import Address
 
 log = logging.getLogger(__name__)
 
--- a/cloverhold/net/exchange.py
+++ b/cloverhold/net/exchange.py
@@ -8,6 +8,7 @@
 from urllib.parse import parse_qs
 
 from cloverhold.decision.interface import ClassSettings, Repeat
+from cloverhold.net.messages import Field
 
 
 @dataclass(slots=True)
@@ -17,7 +18,7 @@
     method: bytes = b""
     target: bytes = b""
     fields: dict[bytes, bytes] = field(default_factory=dict)  # by lower-case name, the last value
-    passed: list[bytes] = field(default_factory=list)  # the lines that are passed on, built once
+    passed: list[Field] = field(default_factory=list)  # the fields that are passed on
     head_bytes: int = 0
     body: bytes = b""
     keep_alive: bool = True
@@ -121,7 +122,7 @@
 class Front(Protocol):
     """What an exchange came in by, and its answer goes out by."""
 
-    def answer(self, exchange: Exchange, status: int, body: bytes, headers: Iterable[bytes]) -> None: ...
+    def answer(self, exchange: Exchange, status: int, body: bytes, headers: Iterable[Field]) -> None: ...
 
 
 class Exchange:
@@ -133,11 +134,11 @@
         self.connection, self.request, self.asked = connection, request, asked
         self.ref = -1  # its number at the host
 
-    def answer(self, status: int, body: bytes = b"", headers: Iterable[bytes] = ()) -> None:
+    def answer(self, status: int, body: bytes = b"", headers: Iterable[Field] = ()) -> None:
         """Write the answer. Nothing where the client has gone."""
         self.connection.answer(self, status, body, headers)
 
 
-def retry_after(ms: float) -> tuple[bytes, ...]:
-    """The line that tells a client when to come back."""
-    return (b"Retry-After: %.3f\r\n" % (ms / 1000),) if ms > 0 else ()
+def retry_after(ms: float) -> tuple[Field, ...]:
+    """The field that tells a client when to come back."""
+    return ((b"Retry-After", b"%.3f" % (ms / 1000)),) if ms > 0 else ()
--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -13,7 +13,7 @@
 import httptools
 
 from cloverhold.net.exchange import BadRequest, Exchange, Incoming, Taker, read_request
-from cloverhold.net.http1 import ANSWER_LIMIT, BODY_LIMIT, HEAD_LIMIT, HOP_BY_HOP
+from cloverhold.net.messages import ANSWER_LIMIT, BODY_LIMIT, HEAD_LIMIT, HOP_BY_HOP, Field
 
 MOST_PIPELINED = 16
 MOST_UNSENT = ANSWER_LIMIT + HEAD_LIMIT  # bytes of answers that a client may leave unread
@@ -137,7 +137,7 @@
         self.incoming.fields[lower] = value
         self.incoming.head_bytes += len(name) + len(value)
         if lower not in HOP_BY_HOP and lower != b"x-budget":  # that one is told anew
-            self.incoming.passed.append(b"%s: %s\r\n" % (name, value))
+            self.incoming.passed.append((name, value))
 
     def on_headers_complete(self) -> None:
         self.in_head = False
@@ -189,7 +189,7 @@
         self.open = Exchange(self, request, asked)
         self.listener.taker.take(self.open)
 
-    def answer(self, exchange: Exchange, status: int, body: bytes, headers: Iterable[bytes]) -> None:
+    def answer(self, exchange: Exchange, status: int, body: bytes, headers: Iterable[Field]) -> None:
         if self.open is not exchange:
             return
         self.open = None
@@ -200,13 +200,13 @@
     def _turn_away(self, error: BadRequest, *, close: bool) -> None:
         self._write(error.status, str(error).encode("latin-1", "replace"), (), close=close)
 
-    def _write(self, status: int, body: bytes, headers: Iterable[bytes], *, close: bool) -> None:
+    def _write(self, status: int, body: bytes, headers: Iterable[Field], *, close: bool) -> None:
         transport = self.transport
         if transport is None or transport.is_closing():
             return
         close = close or (self.listener.draining and not self.queue)
         head = [b"%s%d\r\n" % (_LINES[status], len(body))]
-        head.extend(headers)
+        head.extend([b"%s: %s\r\n" % pair for pair in headers])
         head.append(b"Connection: close\r\n\r\n" if close else b"\r\n")
         if len(body) <= BODY_LIMIT:
             head.append(body)
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -17,8 +17,8 @@
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import Members
 from cloverhold.net.exchange import Exchange, retry_after
-from cloverhold.net.http1 import read_load
-from cloverhold.net.upstreams.http1 import Call, Pool, Upstream
+from cloverhold.net.messages import Field, read_load
+from cloverhold.net.upstreams.calls import Call, Outgoing, Pool, Upstream
 from cloverhold.settings import load_report
 
 if TYPE_CHECKING:
@@ -31,7 +31,7 @@
 log = logging.getLogger(__name__)
 
 PROBE_TIMEOUT_MS = 300.0
-PROBE_PAYLOAD = b"GET /_load HTTP/1.1\r\nHost: api.internal\r\n\r\n"
+PROBE = Outgoing(b"GET", b"/_load", [(b"Host", b"api.internal")])
 # What a request and its answer may spend on the way and in a busy loop: the client counts from its own clock.
 # With 2 ms, timers of 1 ms made answers to silent servers arrive just past the client's time.
 WAY_MS = 10.0
@@ -85,7 +85,7 @@
         self.store, self.unsafe = store, unsafe
         if router is not None:
             router.serves, router.warm = self.balancer.serves, self._warm
-        self.loop = pool.loop
+        self.loop = asyncio.get_running_loop()
         self.upstreams: dict[str, Upstream] = {}
         self.open: dict[int, Open] = {}
         self.call_ids: set[bytes] = set()  # of the open requests
@@ -181,7 +181,7 @@
             return
         self._begin(ref, opened)
 
-    def _come_back(self, wait_ms: float) -> tuple[bytes, ...]:
+    def _come_back(self, wait_ms: float) -> tuple[Field, ...]:
         """When to come back, where the settings let a node say so."""
         return retry_after(min(wait_ms, self.settings.max_retry_after_ms) if self.settings.retry_after else 0.0)
 
@@ -246,7 +246,7 @@
             self.call_ids.discard(opened.exchange.request.fields[b"x-call-id"])
         return opened
 
-    def _final(self, ref: int, status: int, body: bytes = b"", headers: Iterable[bytes] = ()) -> bool:
+    def _final(self, ref: int, status: int, body: bytes = b"", headers: Iterable[Field] = ()) -> bool:
         """Give a request its one answer; False if it has had it."""
         opened = self._close(ref)
         if opened is None:
@@ -270,8 +270,8 @@
         if upstream is None or left <= 0:
             self.tell(io.Outcome(ref, number, server, io.Status.MOOT, 0.0))
             return
-        payload = request_payload(opened.exchange, left)
-        call = self.pool.call(upstream, payload, lambda call, status: self._ended(ref, number, call, status))
+        outgoing = request_to_send(opened.exchange, left)
+        call = self.pool.call(upstream, outgoing, lambda call, status: self._ended(ref, number, call, status))
         attempt = opened.out[number] = Attempt(number, server, call, now)
         if self.router is not None and opened.cell is not None:
             attempt.cell, attempt.kind = opened.cell, opened.exchange.asked.kind.name
@@ -339,14 +339,14 @@
             told(io.Status.TIMEOUT)
 
         timer = self.loop.call_later(PROBE_TIMEOUT_MS / 1000, late)
-        call = self.pool.call(upstream, PROBE_PAYLOAD, done)
+        call = self.pool.call(upstream, PROBE, done)
 
     def _warm(self, server: str) -> None:
         """Open a connection to a server that will soon be sent to; its answer tells the module nothing."""
         upstream = self.upstreams.get(server)
         if upstream is None or not self.settings.probes or upstream.idle:
             return
-        call = self.pool.call(upstream, PROBE_PAYLOAD, lambda call, status: timer.cancel())
+        call = self.pool.call(upstream, PROBE, lambda call, status: timer.cancel())
         timer = self.loop.call_later(PROBE_TIMEOUT_MS / 1000, call.give_up)
 
     # -------------------------------------------------------------- discovery
@@ -391,13 +391,8 @@
     return load_report(values) if values is not None else None
 
 
-def request_payload(exchange: Exchange, left_ms: float) -> bytes:
+def request_to_send(exchange: Exchange, left_ms: float) -> Outgoing:
     """What a server is sent: the request as it came, with the time that this node will wait."""
     request = exchange.request
-    lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target), *request.passed]
-    lines.append(b"X-Budget: %du\r\n" % max(1, int(left_ms * 1000)))
-    if request.body or request.method != b"GET":
-        lines.append(b"Content-Length: %d\r\n" % len(request.body))
-    lines.append(b"\r\n")
-    lines.append(request.body)
-    return b"".join(lines)
+    fields = [*request.passed, (b"X-Budget", b"%du" % max(1, int(left_ms * 1000)))]
+    return Outgoing(request.method, request.target, fields, request.body)
--- a/cloverhold/net/http1.py
+++ b/cloverhold/net/http1.py
@@ -2,50 +2,15 @@
 
 from __future__ import annotations
 
-import json
-from dataclasses import dataclass, field
-
 import httptools
 
-HEAD_LIMIT = 64 * 1024
-BODY_LIMIT = 64 * 1024  # of requests
-ANSWER_LIMIT = 1024 * 1024  # servers answer with more than is agreed: up to 400 KB have been seen
-
-# What concerns one connection only, or is written anew for the next one.
-HOP_BY_HOP = {
-    b"connection",
-    b"content-length",
-    b"expect",
-    b"keep-alive",
-    b"proxy-authenticate",
-    b"proxy-authorization",
-    b"proxy-connection",
-    b"te",
-    b"trailer",
-    b"transfer-encoding",
-    b"upgrade",
-}
+from cloverhold.net.messages import ANSWER_LIMIT, HEAD_LIMIT, HOP_BY_HOP, Response
 
 
 class BadMessage(Exception):
     """What came is no answer that could be used."""
 
 
-@dataclass(slots=True)
-class Response:
-    """One whole answer."""
-
-    status: int = 0
-    fields: dict[bytes, bytes] = field(default_factory=dict)  # by lower-case name, the first value
-    passed: list[bytes] = field(default_factory=list)  # the lines that are passed on, built once
-    body: bytes = b""
-    keep_alive: bool = False
-
-    def header(self, name: bytes) -> bytes:
-        """The first value of a header, by its lower-case name; empty if there is none."""
-        return self.fields.get(name, b"")
-
-
 class ResponseParser:
     """Reads one answer. An answer whose end only a close would show is never whole: it may be cut short."""
 
@@ -85,7 +50,7 @@
         lower = name.lower()
         self._current.fields.setdefault(lower, value)
         if lower not in HOP_BY_HOP:
-            self._current.passed.append(b"%s: %s\r\n" % (name, value))
+            self._current.passed.append((name, value))
 
     def on_headers_complete(self) -> None:
         self._current.status = self._parser.get_status_code()
@@ -109,14 +74,3 @@
         self._whole.body, self._body = bytes(self._body), bytearray()
         self._current = Response()
         self._whole.keep_alive = self._parser.should_keep_alive()
-
-
-def read_load(text: bytes) -> dict[str, float] | None:
-    """A load report's figures; None if it can't be read. Servers are not trusted with what they send."""
-    try:
-        values = json.loads(text.decode())  # told the encoding, it need not look for it
-    except (ValueError, RecursionError):  # the latter where brackets are nested without end
-        return None
-    if not isinstance(values, dict):
-        return None
-    return {k: float(v) for k, v in values.items() if isinstance(v, (int, float)) and 0 <= v < 1e9}
--- /dev/null
+++ b/cloverhold/net/messages.py
@@ -0,0 +1,53 @@
+"""What requests and answers are to any protocol: bounds, fields that concern one connection only, and an answer."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+
+HEAD_LIMIT = 64 * 1024
+BODY_LIMIT = 64 * 1024  # of requests
+ANSWER_LIMIT = 1024 * 1024  # servers answer with more than is agreed: up to 400 KB have been seen
+
+Field = tuple[bytes, bytes]  # name and value
+
+# What concerns one connection only, or is written anew for the next one.
+HOP_BY_HOP = {
+    b"connection",
+    b"content-length",
+    b"expect",
+    b"keep-alive",
+    b"proxy-authenticate",
+    b"proxy-authorization",
+    b"proxy-connection",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+}
+
+
+@dataclass(slots=True)
+class Response:
+    """One whole answer of a server."""
+
+    status: int = 0
+    fields: dict[bytes, bytes] = field(default_factory=dict)  # by lower-case name, the first value
+    passed: list[Field] = field(default_factory=list)  # what is passed on
+    body: bytes = b""
+    keep_alive: bool = False  # whether its connection can serve another request
+
+    def header(self, name: bytes) -> bytes:
+        """The first value of a header, by its lower-case name; empty if there is none."""
+        return self.fields.get(name, b"")
+
+
+def read_load(text: bytes) -> dict[str, float] | None:
+    """A load report's figures; None if it can't be read. Servers are not trusted with what they send."""
+    try:
+        values = json.loads(text.decode())  # told the encoding, it need not look for it
+    except (ValueError, RecursionError):  # the latter where brackets are nested without end
+        return None
+    if not isinstance(values, dict):
+        return None
+    return {k: float(v) for k, v in values.items() if isinstance(v, (int, float)) and 0 <= v < 1e9}
--- /dev/null
+++ b/cloverhold/net/upstreams/calls.py
@@ -0,0 +1,84 @@
+"""A call to a server, whatever protocol carries it, and the four outcomes that it can have.
+
+| what came of it | status | has it run? |
+| --- | --- | --- |
+| its last byte was not written before its connection, or its stream, ended | CONNECT_FAILED | never |
+| a whole answer 503 or 504 with `X-Rejected: 1` | FULL | never |
+| any other whole answer | OK, ERROR | it may have |
+| its connection or stream ended behind its last byte with no whole answer | RESET | it may have |
+
+What the server's protocol itself says was never begun (RFC 9114, sections 4.1.1 and 5.2) is CONNECT_FAILED too.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from cloverhold.decision.interface import Status
+from cloverhold.net.messages import Field, Response
+
+Address = tuple[str, int]
+
+
+@dataclass(slots=True)
+class Outgoing:
+    """One request as a server is sent it."""
+
+    method: bytes
+    target: bytes
+    fields: list[Field] = field(default_factory=list)
+    body: bytes = b""
+
+
+def status_of(response: Response) -> Status:
+    """What an answer says of the attempt."""
+    if response.status == 200:
+        return Status.OK
+    if response.status in (503, 504) and response.header(b"x-rejected") == b"1":
+        return Status.FULL
+    return Status.ERROR
+
+
+class Call(Protocol):
+    """One exchange with a server. Its `Done` is told once how it ended, unless it was given up."""
+
+    response: Response | None
+
+    def give_up(self) -> None:
+        """End it without a word to `Done`. No late byte of it may reach anybody else."""
+
+
+Done = Callable[[Call, Status], None]
+
+
+class Upstream:
+    """One process of a server, and the connections to it that are idle.
+
+    Another uid or start is another one, also at the same address: neither may close the other's connections,
+    or be handed one of them.
+    """
+
+    __slots__ = ("address", "idle", "retired", "started_at")
+
+    def __init__(self, address: Address, started_at: float | None = None) -> None:
+        self.address, self.started_at = address, started_at
+        self.idle: list[Any] = []  # of the protocol that holds them
+        self.retired = False  # nothing new goes there: connections close with the answer they wait for
+
+
+class Pool(Protocol):
+    """What carries calls to all servers."""
+
+    def call(self, upstream: Upstream, outgoing: Outgoing, done: Done) -> Call:
+        """Begin an exchange. `done` is never called before this returns."""
+
+    def close_idle(self, upstream: Upstream) -> None:
+        """Close the connections to a server on which nothing is open: it wants nothing new."""
+
+    def retire(self, upstream: Upstream) -> None:
+        """Its process has ended, or has moved: answers that are still awaited are their connections' last."""
+
+    def close(self) -> None:
+        """Close every socket."""
--- a/cloverhold/net/upstreams/http1.py
+++ b/cloverhold/net/upstreams/http1.py
@@ -10,40 +10,16 @@
 import select
 import socket
 from bisect import bisect_right
-from collections.abc import Callable
 
 from cloverhold.decision.interface import Status
-from cloverhold.net.http1 import BadMessage, Response, ResponseParser
+from cloverhold.net.http1 import BadMessage, ResponseParser
+from cloverhold.net.messages import Response
+from cloverhold.net.upstreams.calls import Done, Outgoing, Upstream, status_of
 
-Address = tuple[str, int]
 IDLE_PART = 0.8  # part of the servers' idle time after which a connection is no longer used
 READ_SIZE = 64 * 1024
 
 
-def status_of(response: Response) -> Status:
-    """What an answer says of the attempt."""
-    if response.status == 200:
-        return Status.OK
-    if response.status in (503, 504) and response.header(b"x-rejected") == b"1":
-        return Status.FULL
-    return Status.ERROR
-
-
-class Upstream:
-    """One process of a server, and the connections to it that are idle.
-
-    Another uid or start is another one, also at the same address: neither may close the other's connections,
-    or be handed one of them.
-    """
-
-    __slots__ = ("address", "idle", "retired", "started_at")
-
-    def __init__(self, address: Address, started_at: float | None = None) -> None:
-        self.address, self.started_at = address, started_at
-        self.idle: list[Connection] = []
-        self.retired = False  # nothing new goes there: connections close with the answer they wait for
-
-
 class IdleLimit:
     """How long idle connections really last, by what became of requests on them.
 
@@ -77,19 +53,30 @@
         self.limit_s = min([age for age, part in aged if part > self.DIED_MOST], default=self.most_s)
 
 
+def payload(outgoing: Outgoing) -> bytes:
+    """The bytes of a request."""
+    head = [b"%s %s HTTP/1.1\r\n" % (outgoing.method, outgoing.target)]
+    head.extend([b"%s: %s\r\n" % pair for pair in outgoing.fields])
+    if outgoing.body or outgoing.method != b"GET":
+        head.append(b"Content-Length: %d\r\n" % len(outgoing.body))
+    head.append(b"\r\n")
+    head.append(outgoing.body)
+    return b"".join(head)
+
+
 class Call:
-    """One exchange with a server. `done` is told once how it ended, unless it was given up."""
+    """One exchange on a connection."""
 
     __slots__ = ("connection", "done", "payload", "response", "written")
 
-    def __init__(self, payload: bytes, done: Callable[[Call, Status], None]) -> None:
+    def __init__(self, payload: bytes, done: Done) -> None:
         self.payload, self.done = payload, done
         self.written = 0
         self.connection: Connection | None = None
         self.response: Response | None = None
 
     def give_up(self) -> None:
-        """End it without a word to `done`. Its connection closes: late bytes must reach nobody else."""
+        """Its connection closes: late bytes must reach nobody else."""
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.call = None
@@ -241,9 +228,9 @@
         self.idle: dict[Connection, None] = {}  # the longest idle first
         self._sweeper = loop.call_later(self._sweep_every(), self._sweep)
 
-    def call(self, upstream: Upstream, payload: bytes, done: Callable[[Call, Status], None]) -> Call:
+    def call(self, upstream: Upstream, outgoing: Outgoing, done: Done) -> Call:
         """Begin an exchange. `done` is never called before this returns."""
-        call = Call(payload, done)
+        call = Call(payload(outgoing), done)
         oldest = self.loop.time() - self.idle_limit.limit_s
         while upstream.idle:
             connection = upstream.idle.pop()
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -29,7 +29,7 @@
     )),
 )  # fmt: skip
 NODE = (
-    *("cloverhold/__main__.py", "cloverhold/benchlink.py", "cloverhold/roster.py", "cloverhold/net/fronts", "cloverhold/net/upstreams"),
+    *("cloverhold/__main__.py", "cloverhold/benchlink.py", "cloverhold/roster.py"),
     *("cloverhold/net", "cloverhold/decision", "cloverhold/supervise", "cloverhold/cells", "cloverhold/config"),
     "cloverhold/store",
 )
@@ -74,7 +74,7 @@
             if module.split(".")[0] in IO_MODULES:
                 yield f"{name} does no I/O, but {path.relative_to(ROOT)} imports {module}"
     for name in NODE:
-        files = sorted((ROOT / name).glob("*.py")) if (ROOT / name).is_dir() else [ROOT / name]
+        files = sorted((ROOT / name).rglob("*.py")) if (ROOT / name).is_dir() else [ROOT / name]
         for file in files:
             for path, module in reached(file, set()):
                 if module.startswith("cloverhold.rehearsal"):
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -15,7 +15,8 @@
 from cloverhold.store.table import StoreTable
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import read_members
-from cloverhold.net.http1 import Response, ResponseParser
+from cloverhold.net.http1 import ResponseParser
+from cloverhold.net.messages import Response
 
 WAIT_S = 20.0  # for what must come; machines are slow at times
 CLASSES = (
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -361,7 +361,7 @@
 
 
 def test_reports_are_read_by_either_name() -> None:
-    from cloverhold.net.http1 import read_load
+    from cloverhold.net.messages import read_load
     from cloverhold.settings import load_report
 
     for names in ({"active": 3, "waiting": 1}, {"inflight": 3, "queue": 1, "other": 5}):
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -9,11 +9,12 @@
 import pytest
 
 from cloverhold import Status
-from cloverhold.net.upstreams.http1 import Call, Pool, Upstream
+from cloverhold.net.upstreams.calls import Call, Outgoing, Upstream
+from cloverhold.net.upstreams.http1 import Pool, payload
 from loopback import OK, WAIT_S, Server, play, until
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-GET = b"GET /consulta HTTP/1.1\r\nHost: api\r\n\r\n"
+GET = Outgoing(b"GET", b"/consulta", [(b"Host", b"api")])
 
 
 _UPSTREAMS: dict[int, Upstream] = {}
@@ -29,9 +30,9 @@
     return _UPSTREAMS.setdefault(port, Upstream(("127.0.0.1", port)))
 
 
-async def ended(pool: Pool, port: int, payload: bytes = GET) -> tuple[Status, Call]:
+async def ended(pool: Pool, port: int, outgoing: Outgoing = GET) -> tuple[Status, Call]:
     future: asyncio.Future[tuple[Status, Call]] = asyncio.get_running_loop().create_future()
-    pool.call(at(port), payload, lambda call, status: future.set_result((status, call)))
+    pool.call(at(port), outgoing, lambda call, status: future.set_result((status, call)))
     return await asyncio.wait_for(future, WAIT_S)
 
 
@@ -115,8 +116,8 @@
         server = await asyncio.start_server(drop, "127.0.0.1", 0)
         pool = make_pool()
         port = server.sockets[0].getsockname()[1]
-        payload = b"POST /x HTTP/1.1\r\nContent-Length: 64000000\r\n\r\n" + b"x" * 64_000_000
-        assert (await ended(pool, port, payload))[0] is Status.CONNECT_FAILED
+        large = Outgoing(b"POST", b"/x", [], b"x" * 64_000_000)
+        assert (await ended(pool, port, large))[0] is Status.CONNECT_FAILED
         assert accepted.is_set()
         pool.close()
         server.close()
@@ -152,7 +153,7 @@
             for _ in range(2):
                 exchange = asyncio.ensure_future(ended(pool, listening.getsockname()[1]))
                 peer, _address = await loop.sock_accept(listening)
-                assert await loop.sock_recv(peer, 1000) == GET
+                assert await loop.sock_recv(peer, 1000) == payload(GET)
                 await loop.sock_sendall(peer, OK)
                 assert (await exchange)[0] is Status.OK
                 peer.close()  # nothing awaited from here to the next call
