HTTP/3 towards clients: streams as a table, held early data, shared keys, drains (off here)

Dashboards on mobile links lose and change their address; HTTP/3 lets a request live through that. An early request that must not run twice is held until the handshake is complete: a replayed first flight never gets there. Retry, stateless resets and tickets come of one secret that nodes may share and that lasts. On by [http3] alone.

Found on the way: qh3's encoder panics on a field of more than some 4 KB (heads are written out by us); its server does not follow a client that moves before the handshake is confirmed; an error of the library now ends that connection alone. The guard taken out, the replay test does see an unsafe request twice.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -28,6 +28,8 @@
 if TYPE_CHECKING:
     from cloverhold.cells.shell import Router
     from cloverhold.cells.table import CellsTable
+    from cloverhold.h3.table import Http3Table
+    from cloverhold.net.fronts.http3 import Http3Front
     from cloverhold.store.remote import RemoteStore
     from cloverhold.store.service import StoreService
     from cloverhold.store.shell import Store
@@ -66,6 +68,16 @@
     known: Members | None
     cells: CellsTable | None = None
     store: StoreTable | None = None
+    http3: Http3Table | None = None
+
+
+@dataclass(frozen=True)
+class Operator:
+    """The tables of the operator's file; None for one that does not stand in it."""
+
+    cells: CellsTable | None = None
+    store: StoreTable | None = None
+    http3: Http3Table | None = None
 
 
 def _address(raw: dict[str, Any], key: str, variable: str, *, file_wins: bool = False) -> Address:
@@ -105,26 +117,41 @@
         seed = int(str(raw.get("seed", "0")), 16)
     except (SettingsError, ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"{path}: {error}") from None
-    cells, store = _operator(os.environ[OPERATOR]) if os.environ.get(OPERATOR) else (None, None)
-    settings = replace(settings, pools=cells is not None)
-    return Config(listen, discovery, settings, idle, dial, sockets, seed, _known(raw, clock), cells, store)
+    said = _operator(os.environ[OPERATOR]) if os.environ.get(OPERATOR) else Operator()
+    settings, known = replace(settings, pools=said.cells is not None), _known(raw, clock)
+    return Config(
+        listen, discovery, settings, idle, dial, sockets, seed, known, said.cells, said.store, said.http3
+    )
 
 
-def _operator(path: str) -> tuple[CellsTable | None, StoreTable | None]:
-    """The tables of the operator's file; None for one that it does not have."""
+def _operator(path: str) -> Operator:
+    """The operator's file; ConfigError in plain words."""
     try:
         from cloverhold.cells.table import CellsTable
         from cloverhold.config.reading import ConfigFaults, read_tables
+        from cloverhold.h3.table import Http3Table
         from cloverhold.store.table import StoreTable
     except ModuleNotFoundError as error:
         raise ConfigError(f"{path}: needs {error.name}: pip install 'cloverhold[cells]'") from None
     try:
-        tables = read_tables(path, {"cells": CellsTable, "store": StoreTable})
+        tables = read_tables(path, {"cells": CellsTable, "store": StoreTable, "http3": Http3Table})
     except ConfigFaults as error:
         raise ConfigError(str(error)) from None
-    cells, store = tables.get("cells"), tables.get("store")
-    assert (cells is None or isinstance(cells, CellsTable)) and (store is None or isinstance(store, StoreTable))
-    return cells, store
+    return Operator(**tables)  # type: ignore[arg-type]  # each of its own type: that is what reading them checked
+
+
+def _http3(config: Config, host: Host) -> Http3Front | None:
+    """The front of HTTP/3, where the operator asks for it."""
+    if config.http3 is None:
+        return None
+    try:
+        from cloverhold.net.fronts.http3 import FrontError, Http3Front
+    except ModuleNotFoundError as error:
+        raise ConfigError(f"http3: needs {error.name}: pip install 'cloverhold[http3]'") from None
+    try:
+        return Http3Front(host, config.http3)
+    except FrontError as error:
+        raise ConfigError(str(error)) from None
 
 
 def _own(cells: CellsTable, part: str) -> CellsTable:
@@ -217,6 +244,7 @@
         )
         clients, resting = (max(8, int(part * config.sockets)) for part in (CLIENT_PART, RESTING_PART))
         self.listener = Listener(self.host, clients, resting)
+        self.http3 = _http3(config, self.host)
 
     def _members(self, members: Members) -> None:
         self.host.members(members)
@@ -241,6 +269,10 @@
             self.router.start(asyncio.get_running_loop())
         self.discovery.watch()
         await self.listener.start(self.config.listen, self.worker.listening if self.worker else None)
+        if self.http3 is not None:
+            await self.http3.start()
+            if self.http3.table.announce:
+                self.listener.announce = b'Alt-Svc: h3=":%d"; ma=86400\r\n' % self.http3.port()
         if self.worker is not None:
             self.worker.begin(stop)
         log.info("listening on %s:%d", *self.config.listen)
@@ -270,24 +302,48 @@
         if self.router is not None and config.cells is not None:
             if waits := self.router.reload(_own(config.cells, self.part)):
                 log.warning("configuration: cells: %s take effect at a restart", ", ".join(waits))
+        self._reload_http3(config)
         self.discovery.follow(config.discovery)
 
+    def _reload_http3(self, config: Config) -> None:
+        """Certificates and bounds of HTTP/3; what cannot be used changes nothing."""
+        if (self.http3 is None) != (config.http3 is None):
+            log.warning("configuration: http3 comes and goes at a restart")
+        elif self.http3 is not None and config.http3 is not None:
+            from cloverhold.net.fronts.http3 import FrontError
+
+            try:
+                waits = self.http3.reload(config.http3)
+            except FrontError as error:
+                log.error("configuration: %s; the old one stays", error)
+                return
+            if waits:
+                log.warning("configuration: http3: %s take effect at a restart", ", ".join(waits))
+
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
         longest = max(c.deadline_ms for c in self.config.settings.classes) / 1000
         until = loop.time() + min(longest, DEADLINE_MOST_S) + STOP_S
         self.listener.draining = True
+        self.listener.announce = b""
+        if self.http3 is not None:
+            self.http3.drain()
         await asyncio.sleep(LINGER_S)
         self.listener.stop_accepting()
-        while self.listener.busy() and loop.time() < until:
+        while self._busy() and loop.time() < until:
             await asyncio.sleep(0.02)
         self.host.fail_all()
         await asyncio.sleep(0.05)  # the last answers leave
         self.close()
 
+    def _busy(self) -> bool:
+        return self.listener.busy() or (self.http3 is not None and self.http3.busy())
+
     def close(self) -> None:
         """Close every socket and end every task."""
         self.listener.close()
+        if self.http3 is not None:
+            self.http3.close()
         if self.router is not None:
             self.router.close()
         self.discovery.stop()
@@ -326,6 +382,8 @@
 
             clock = Clock()
             config = read_config(clock)
+            if config.http3 is not None:  # a datagram of a connection would come to any of them
+                raise ConfigError("http3: is served by one process; --workers is to be 1")
             return supervise(workers, config.listen, _service(config, clock))
         uvloop.run(serve())
     except ConfigError as error:
--- a/cloverhold/net/exchange.py
+++ b/cloverhold/net/exchange.py
@@ -10,6 +10,9 @@
 from cloverhold.decision.interface import ClassSettings, Repeat
 from cloverhold.net.messages import Field
 
+# Fields that a request has once: of two, one reader goes by the first and the next by the last.
+ONCE = (b"x-call-id", b"x-call-class", b"x-budget", b"idempotency-key", b"host", b"transfer-encoding")
+
 
 @dataclass(slots=True)
 class Incoming:
--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from cloverhold.net.exchange import BadRequest, Exchange, Incoming, Taker, read_request
+from cloverhold.net.exchange import ONCE, BadRequest, Exchange, Incoming, Taker, read_request
 from cloverhold.net.messages import ANSWER_LIMIT, BODY_LIMIT, HEAD_LIMIT, HOP_BY_HOP, Field
 
 MOST_PIPELINED = 16
@@ -28,7 +28,6 @@
 # than what comes: requests then lie unseen behind connections that are not accepted.
 ACCEPTS = 8
 _LINES = {int(s): f"HTTP/1.1 {int(s)} {s.phrase}\r\nContent-Length: ".encode() for s in HTTPStatus}
-_ONCE = (b"x-call-id", b"x-call-class", b"x-budget", b"idempotency-key", b"host", b"transfer-encoding")
 
 
 class ClientConnection(asyncio.Protocol):
@@ -132,7 +131,7 @@
         if not self.in_head:
             return  # a trailer: what the head did not say must not come in behind the body
         lower = name.lower()
-        if lower in _ONCE and lower in self.incoming.fields:
+        if lower in ONCE and lower in self.incoming.fields:
             self._fail(400, f"{lower.decode('latin-1')} is given twice")
         self.incoming.fields[lower] = value
         self.incoming.head_bytes += len(name) + len(value)
@@ -207,6 +206,7 @@
         close = close or (self.listener.draining and not self.queue)
         head = [b"%s%d\r\n" % (_LINES[status], len(body))]
         head.extend([b"%s: %s\r\n" % pair for pair in headers])
+        head.append(self.listener.announce)
         head.append(b"Connection: close\r\n\r\n" if close else b"\r\n")
         if len(body) <= BODY_LIMIT:
             head.append(body)
@@ -231,6 +231,7 @@
         self.silent: dict[ClientConnection, None] = {}
         self.resting: dict[ClientConnection, None] = {}
         self.draining = False
+        self.announce = b""  # a line of every answer: that clients may come another way too (RFC 7838)
         self._servers: list[asyncio.Server] = []
         self._sweeper: asyncio.TimerHandle | None = None
 
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -20,6 +20,7 @@
     *(f"cloverhold/store/{name}.py" for name in (
         "codec", "desk", "disk", "log", "recovery", "sent", "simulated", "wire",
     )),
+    *(f"cloverhold/h3/{name}.py" for name in ("door", "keys", "requests", "session", "streams")),
     "cloverhold/roster.py",
     "cloverhold/settings.py",
     "cloverhold/supervise/core.py",
@@ -31,7 +32,7 @@
 NODE = (
     *("cloverhold/__main__.py", "cloverhold/benchlink.py", "cloverhold/roster.py"),
     *("cloverhold/net", "cloverhold/decision", "cloverhold/supervise", "cloverhold/cells", "cloverhold/config"),
-    "cloverhold/store",
+    *("cloverhold/store", "cloverhold/h3"),
 )
 
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -12,6 +12,7 @@
 from cloverhold import ClassSettings, Group, Repeat, Settings
 from cloverhold.__main__ import Config, Node
 from cloverhold.cells.table import CellsTable
+from cloverhold.h3.table import Http3Table
 from cloverhold.store.table import StoreTable
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import read_members
@@ -173,6 +174,7 @@
     def __init__(self, node: Node, catalog: Catalog) -> None:
         self.node, self.catalog = node, catalog
         self.port = node.listener.port()
+        self.h3_port = node.http3.port() if node.http3 is not None else 0
 
     async def connect(self) -> Peer:
         return await asyncio.open_connection("127.0.0.1", self.port)
@@ -209,12 +211,18 @@
     ).encode() + body
 
 
+def up(node: Node) -> bool:
+    """Whether it listens, by every front that it has."""
+    return node.listener.port() > 0 and (node.http3 is None or node.http3.port() > 0)
+
+
 @asynccontextmanager
 async def running(
     *servers: Server,
     sockets: int = 256,
     cells: CellsTable | None = None,
     store: StoreTable | None = None,
+    http3: Http3Table | None = None,
     known: int | None = None,
     **changes: Any,
 ) -> AsyncIterator[Running]:
@@ -235,12 +243,13 @@
         known=read_members(list_value(known, catalog.targets), Clock()) if known is not None else None,
         cells=cells,
         store=store,
+        http3=http3,
     )
     node, stop = Node(config, Clock()), asyncio.Event()
     task = asyncio.create_task(node.run(stop))
     try:
         # The list may come before the node listens, and after.
-        await until(lambda: task.done() or (node.host.ready() and node.listener.port()))
+        await until(lambda: task.done() or (node.host.ready() and up(node)))
         yield Running(node, catalog)
     finally:
         task.cancel()
