--- a/cloverhold/h3/keys.py
+++ b/cloverhold/h3/keys.py
@@ -45,7 +45,7 @@
             raise ValueError(f"a secret has {SECRET_BYTES} bytes")
         self._tickets = [_derived(s, b"cloverhold h3 ticket") for s in secrets]
         self._retries = [_derived(s, b"cloverhold h3 retry") for s in secrets]
-        self._resets = [_derived(s, b"cloverhold h3 reset") for s in secrets]
+        self._reset = _derived(secrets[0], b"cloverhold h3 reset")
 
     def seal(self, ticket: Ticket) -> bytes:
         """A ticket as its client keeps it."""
@@ -82,6 +82,6 @@
     def _retry_mac(key: bytes, address: str, head: bytes, own_cid: bytes) -> bytes:
         return hmac.new(key, b"\x00".join((address.encode(), own_cid.hex().encode(), head)), sha256).digest()[:16]
 
-    def reset_tokens(self, cid: bytes) -> list[bytes]:
-        """The stateless reset tokens of a connection id (RFC 9000, section 10.3.2), that of the secret in use first."""
-        return [hmac.new(key, cid, sha256).digest()[:16] for key in self._resets]
+    def reset_token(self, cid: bytes) -> bytes:
+        """The stateless reset token of a connection id, by the secret in use (RFC 9000, section 10.3.2)."""
+        return hmac.new(self._reset, cid, sha256).digest()[:16]
--- a/cloverhold/h3/session.py
+++ b/cloverhold/h3/session.py
@@ -98,7 +98,7 @@
 
     def _create_tls(self, remote_source_cid: bytes | None) -> Any:
         bridge = super()._create_tls(remote_source_cid)
-        bridge.stateless_reset_token = self._keys.reset_tokens(self.host_cid)[0]
+        bridge.stateless_reset_token = self._keys.reset_token(self.host_cid)
         said = bridge.serialize_transport_parameters()
         bridge.tls.handshake_extensions = [(ExtensionType.QUIC_TRANSPORT_PARAMETERS, said)]
         if not self._early:
--- a/cloverhold/h3/streams.py
+++ b/cloverhold/h3/streams.py
@@ -261,10 +261,9 @@
 
     def said(self, stream: int) -> bool:
         """Its answer is to be written; False if nothing is owed there (any more)."""
-        found = self._all.get(stream)
-        if found is None or found.state is not State.OPEN:
+        if not self.has(stream):
             return False
-        self._step(stream, found, What.SAID)
+        self._step(stream, self._all[stream], What.SAID)
         return True
 
     def sweep(self, now: float) -> Iterator[Action]:
--- a/cloverhold/net/fronts/http3.py
+++ b/cloverhold/net/fronts/http3.py
@@ -33,7 +33,6 @@
 CID_BYTES = 8
 RESET_BYTES = 21, 43  # a stateless reset is as long as a short packet, and shorter than what asked for it
 SWEEP_S = 0.2
-FLUSH_S = 0.3  # at the end, for the last acknowledgements
 
 
 class FrontError(Exception):
@@ -170,7 +169,7 @@
             # Of a life before this one, or of a node whose address this one has: its client is not to wait.
             length = min(RESET_BYTES[1], len(data) - 1) - 16
             noise = os.urandom(length)
-            self._send(bytes([noise[0] & 0x3F | 0x40]) + noise[1:] + self.keys.reset_tokens(cid)[0], addr)
+            self._send(bytes([noise[0] & 0x3F | 0x40]) + noise[1:] + self.keys.reset_token(cid), addr)
 
     def _initial(
         self, data: bytes, addr: Address, version: int, cid: bytes, source: bytes, token: bytes, now: float
--- a/tests/http3/test_core.py
+++ b/tests/http3/test_core.py
@@ -295,8 +295,8 @@
 def test_keys_of_one_secret_differ_from_each_other_and_from_anothers() -> None:
     source = random.Random(1)
     made = [Keys([source.randbytes(32)]) for _ in range(20)]
-    assert len({k.reset_tokens(b"cid")[0] for k in made}) == 20
-    assert made[0].reset_tokens(b"cid") != made[0].reset_tokens(b"cie")
+    assert len({k.reset_token(b"cid") for k in made}) == 20
+    assert made[0].reset_token(b"cid") != made[0].reset_token(b"cie")
     for wrong in ([], [b"short"], [OLD, b""]):
         with pytest.raises(ValueError, match="32 bytes"):
             Keys(wrong)
