Life cycle, management address, lame duck and the inherited listening socket

Cause: nothing answered operators, nothing began or ended a drain, and the second process of an upgrade found the address taken (exit 1). Ruled out in the logs: slow answers, the wording of health. Change: cloverhold/lifecycle.py (a table), net/fronts/management.py, net/inherited.py; connections at rest end spread out and never over unread bytes; descriptors are parted in cloverhold/limits.py with a fixed reserve. The reading of the configuration has a module of its own.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -4,32 +4,35 @@
 
 import asyncio
 import gc
-import json
 import logging
 import os
 import signal
 import sys
+import time
 from collections.abc import Callable
-from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Any, TypeVar
+from dataclasses import replace
+from typing import TYPE_CHECKING, TypeVar
 
 import uvloop
 
 from cloverhold.decision import interface as io
-from cloverhold.decision.checks import check_settings
+from cloverhold.config.platform import LISTEN_FD, Config, ConfigError, read_config, read_known
+from cloverhold.lifecycle import Event, Life
+from cloverhold.limits import descriptors
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery import Discovery, ListError, Members, members_value, parse_address, read_members
+from cloverhold.net.discovery import Discovery, Members, members_value
 from cloverhold.net.fronts.http1 import Listener
 from cloverhold.net.host import Host
-from cloverhold.net.upstreams.calls import Address
+from cloverhold.net.inherited import NotListening, inherited_socket
 from cloverhold.net.upstreams.http1 import Pool
-from cloverhold.settings import SettingsError, module_settings
 
 if TYPE_CHECKING:
+    import socket
+
     from cloverhold.cells.shell import Router
     from cloverhold.cells.table import CellsTable
-    from cloverhold.h3.table import Http3Table
     from cloverhold.net.fronts.http3 import Http3Front
+    from cloverhold.net.fronts.management import ManagementFront
     from cloverhold.store.remote import RemoteStore
     from cloverhold.store.service import StoreService
     from cloverhold.store.shell import Store
@@ -40,106 +43,11 @@
 Opened = TypeVar("Opened")
 
 WORKER = "CLOVERHOLD_WORKER"  # what a supervisor tells a worker
-OPERATOR = "CLOVERHOLD_CONFIG"  # names the operator's own file; without it nothing of that is loaded
-
-# Parts of the descriptors; the rest is for discovery, the listening socket and the interpreter.
-CLIENT_PART, SERVER_PART = 0.5, 0.4
-RESTING_PART = 1 / 6  # of connections between requests: clients hold a third at most
 LINGER_S = 0.5  # after SIGTERM new connections still come for this long
 GC_THRESHOLD = 5000, 20, 20  # by default collections took a twentieth of a busy node's CPU
 DEADLINE_MOST_S, STOP_S = 3.0, 0.4  # SIGKILL comes 0.7 s after the longest deadline, of 3 s at most
 
 
-class ConfigError(Exception):
-    """A configuration on which no node can run."""
-
-
-@dataclass(frozen=True)
-class Config:
-    """What the platform tells a node."""
-
-    listen: Address
-    discovery: Address
-    settings: io.Settings
-    idle_ms: float
-    dial_ms: float
-    sockets: int
-    seed: int
-    known: Members | None
-    cells: CellsTable | None = None
-    store: StoreTable | None = None
-    http3: Http3Table | None = None
-
-
-@dataclass(frozen=True)
-class Operator:
-    """The tables of the operator's file; None for one that does not stand in it."""
-
-    cells: CellsTable | None = None
-    store: StoreTable | None = None
-    http3: Http3Table | None = None
-
-
-def _address(raw: dict[str, Any], key: str, variable: str, *, file_wins: bool = False) -> Address:
-    told = [os.environ.get(variable), raw.get(key)]
-    text = next((t for t in (reversed(told) if file_wins else told) if t), None)
-    if not isinstance(text, str):
-        raise ConfigError(f"{key} is missing")
-    try:
-        return parse_address(text)
-    except ValueError as error:
-        raise ConfigError(f"{key}: {error}") from None
-
-
-def read_config(clock: Clock, *, again: bool = False) -> Config:
-    """The configuration, from the file and the variables; ConfigError in plain words.
-
-    Read again, the file's address of discovery wins: the variable is as old as the process.
-    """
-    path = os.environ.get("PROXY_CONFIG")
-    if not path:
-        raise ConfigError("PROXY_CONFIG is not set")
-    try:
-        with open(path, encoding="utf-8") as file:
-            raw = json.load(file)
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"{path}: {error}") from None
-    if not isinstance(raw, dict):
-        raise ConfigError(f"{path}: an object is needed")
-    listen = _address(raw, "listen", "PROXY_LISTEN")
-    discovery = _address(raw, "discovery", "PROXY_DISCOVERY", file_wins=again)
-    try:
-        settings = module_settings(raw.get("settings"))
-        check_settings(settings)
-        limits = raw["settings"]["Limits"]
-        idle, dial = float(limits.get("ConnIdleMs", 60000)), float(limits.get("DialTimeoutMs", 250))
-        sockets = int((raw.get("limits") or {}).get("sockets", 1024))
-        seed = int(str(raw.get("seed", "0")), 16)
-    except (SettingsError, ValueError, TypeError, AttributeError) as error:
-        raise ConfigError(f"{path}: {error}") from None
-    said = _operator(os.environ[OPERATOR]) if os.environ.get(OPERATOR) else Operator()
-    settings, known = replace(settings, pools=said.cells is not None), _known(raw, clock)
-    return Config(
-        listen, discovery, settings, idle, dial, sockets, seed, known, said.cells, said.store, said.http3
-    )
-
-
-def _operator(path: str) -> Operator:
-    """The operator's file; ConfigError in plain words."""
-    try:
-        from cloverhold.cells.table import CellsTable
-        from cloverhold.config.reading import ConfigFaults, read_tables
-        from cloverhold.h3.table import Http3Table
-        from cloverhold.store.table import StoreTable
-    except ModuleNotFoundError as error:
-        raise ConfigError(f"{path}: needs {error.name}: pip install 'cloverhold[cells]'") from None
-    try:
-        tables = read_tables(path, {"cells": CellsTable, "store": StoreTable, "http3": Http3Table})
-    except ConfigFaults as error:
-        raise ConfigError(str(error)) from None
-    return Operator(**tables)  # type: ignore[arg-type]  # each of its own type: that is what reading them checked
-
-
 def _http3(config: Config, host: Host) -> Http3Front | None:
     """The front of HTTP/3, where the operator asks for it."""
     if config.http3 is None:
@@ -173,17 +81,6 @@
         raise ConfigError(str(error)) from None
 
 
-def _known(raw: dict[str, Any], clock: Clock) -> Members | None:
-    """The remembered list. A bad one is no reason not to start: discovery will tell."""
-    if not raw.get("known"):
-        return None
-    try:
-        return read_members(raw["known"], clock)
-    except ListError as error:
-        log.warning("known: %s", error)
-        return None
-
-
 def _store(config: Config, clock: Clock, worker: Attached | None = None) -> Store | RemoteStore | None:
     """The open store, a worker's at its supervisor; None where it is off, or cannot be used and the operator says to
     serve all the same.
@@ -228,9 +125,10 @@
 
     def __init__(self, config: Config, clock: Clock, worker: Attached | None = None) -> None:
         loop = asyncio.get_running_loop()
-        most_servers = max(8, int(SERVER_PART * config.sockets))
+        shares = descriptors(config.sockets, management=config.mgmt is not None)
+        self.life = Life()
         self.config, self.clock, self.worker = config, clock, worker
-        self.pool = Pool(loop, config.dial_ms / 1000, config.idle_ms / 1000, most_servers)
+        self.pool = Pool(loop, config.dial_ms / 1000, config.idle_ms / 1000, shares.servers)
         self.part = str(worker.number) if worker is not None else ""  # of the operator's files
         self.store = _store(config, clock, worker)
         self.router = _router(config, clock, self.store, self.part)
@@ -242,12 +140,30 @@
         self.discovery = Discovery(
             config.discovery, clock, self._members, self.host.list_failed, asked=asked
         )
-        clients, resting = (max(8, int(part * config.sockets)) for part in (CLIENT_PART, RESTING_PART))
-        self.listener = Listener(self.host, clients, resting)
+        self.listener = Listener(self.host, self.life, shares.clients, shares.resting)
         self.http3 = _http3(config, self.host)
+        self.management = self._management() if config.mgmt is not None else None
+
+    def _management(self) -> ManagementFront:
+        from cloverhold.net.fronts.management import ManagementFront
+
+        return ManagementFront({
+            b"/_ready": (b"GET", lambda: self.life.ready() and self.host.ready()),
+            b"/_lameduck/on": (b"POST", lambda: self._lame_duck(on=True)),
+            b"/_lameduck/off": (b"POST", lambda: self._lame_duck(on=False)),
+        })  # fmt: skip
+
+    def _lame_duck(self, *, on: bool) -> bool:
+        """Drain the node, or take clients again; False where it stops."""
+        if not self.life.lame_duck(on, time.monotonic()):
+            return False
+        if self.http3 is not None:
+            self.http3.drain(on=on)
+        return True
 
     def _members(self, members: Members) -> None:
         self.host.members(members)
+        self.life.tell(Event.LISTED)
         if self.worker is not None:
             self.worker.told(members_value(members, self.clock))
         if self.store is not None:
@@ -255,32 +171,46 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until told to stop, and then answer what was taken."""
+        inherited = self.worker.listening if self.worker else self._inherited()
         known = self.config.known
         if self.store is not None:
             self.store.start(asyncio.get_running_loop())
             if known is None:
-                known = _known({"known": self.store.known()}, self.clock)
+                known = read_known({"known": self.store.known()}, self.clock)
         if known is not None:
             self.host.members(known, remembered=True)
+            self.life.tell(Event.LISTED)
             self.discovery.resume(known.version)
             if self.store is not None:
                 self.store.keep_list(members_value(known, self.clock))
         if self.router is not None:
             self.router.start(asyncio.get_running_loop())
         self.discovery.watch()
-        await self.listener.start(self.config.listen, self.worker.listening if self.worker else None)
+        await self.listener.start(self.config.listen, inherited)
+        if self.management is not None and self.config.mgmt is not None:
+            await self.management.start(self.config.mgmt)
         if self.http3 is not None:
             await self.http3.start()
             if self.http3.table.announce:
                 self.listener.announce = b'Alt-Svc: h3=":%d"; ma=86400\r\n' % self.http3.port()
         if self.worker is not None:
             self.worker.begin(stop)
+        self.life.tell(Event.LISTENING)
         log.info("listening on %s:%d", *self.config.listen)
         gc.freeze()  # what is there now stays: collections need not look at it again
         gc.set_threshold(*GC_THRESHOLD)
         await stop.wait()
         await self._drain()
 
+    def _inherited(self) -> socket.socket | None:
+        """The listening socket that the platform holds, where it does."""
+        if self.config.listen_fd is None:
+            return None
+        try:
+            return inherited_socket(self.config.listen_fd, self.config.listen)
+        except NotListening as error:
+            raise ConfigError(f"{LISTEN_FD}: {error}") from None
+
     def reload(self) -> None:
         """Read the configuration again, also in an outage or while draining; a bad one changes nothing.
 
@@ -324,24 +254,34 @@
         loop = asyncio.get_running_loop()
         longest = max(c.deadline_ms for c in self.config.settings.classes) / 1000
         until = loop.time() + min(longest, DEADLINE_MOST_S) + STOP_S
-        self.listener.draining = True
+        self.life.tell(Event.TERM, time.monotonic())
         self.listener.announce = b""
         if self.http3 is not None:
-            self.http3.drain()
-        await asyncio.sleep(LINGER_S)
-        self.listener.stop_accepting()
+            self.http3.drain(on=True)
+        if self.config.listen_fd is None:
+            await asyncio.sleep(LINGER_S)
+            self.listener.stop_accepting()
+            self.listener.part_all()
+            await asyncio.sleep(0.02)  # what lay unread on one of them is taken
+        else:  # what waits there is another process's; connections here end with an answer, or late
+            self.listener.stop_accepting()
         while self._busy() and loop.time() < until:
             await asyncio.sleep(0.02)
         self.host.fail_all()
         await asyncio.sleep(0.05)  # the last answers leave
+        self.life.tell(Event.EMPTY)
         self.close()
 
     def _busy(self) -> bool:
-        return self.listener.busy() or (self.http3 is not None and self.http3.busy())
+        inherited = self.config.listen_fd is not None
+        held = bool(self.listener.connections) if inherited else self.listener.busy()
+        return held or (self.http3 is not None and self.http3.busy())
 
     def close(self) -> None:
         """Close every socket and end every task."""
         self.listener.close()
+        if self.management is not None:
+            self.management.close()
         if self.http3 is not None:
             self.http3.close()
         if self.router is not None:
@@ -362,7 +302,7 @@
         worker = Attached(os.environ.pop(WORKER))
         config = worker.share(config)
         if (known := worker.known()) is not None:
-            config = replace(config, known=_known({"known": known}, clock))
+            config = replace(config, known=read_known({"known": known}, clock))
     node, stop = Node(config, clock, worker), asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -384,6 +324,8 @@
             config = read_config(clock)
             if config.http3 is not None:  # a datagram of a connection would come to any of them
                 raise ConfigError("http3: is served by one process; --workers is to be 1")
+            if config.mgmt is not None or config.listen_fd is not None:
+                raise ConfigError(f"mgmt and {LISTEN_FD}: are for one process; --workers is to be 1")
             return supervise(workers, config.listen, _service(config, clock))
         uvloop.run(serve())
     except ConfigError as error:
--- /dev/null
+++ b/cloverhold/limits.py
@@ -0,0 +1,29 @@
+"""How a process parts what it may use: descriptors."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# Parts of the descriptors; the rest is for discovery, the listening sockets and the interpreter.
+CLIENT_PART, SERVER_PART = 0.5, 0.4
+RESTING_PART = 1 / 6  # of connections between requests: clients hold a third at most
+OWN = 22  # standard streams, the loop's own, listening handles, discovery, what is accepted and closed in one turn
+MANAGEMENT = 20  # the listening socket of management, its callers, and those that give way
+LEAST = 8
+
+
+@dataclass(frozen=True)
+class Descriptors:
+    """The most connections of each kind."""
+
+    clients: int
+    resting: int
+    servers: int
+
+
+def descriptors(sockets: int, *, management: bool) -> Descriptors:
+    """Part `sockets` descriptors. Guards against limits so low that a tenth is less than the process itself needs."""
+    left = max(0, sockets - OWN - (MANAGEMENT if management else 0)) / (CLIENT_PART + SERVER_PART)
+    base = min(float(sockets), left)
+    clients, servers = (max(LEAST, int(part * base)) for part in (CLIENT_PART, SERVER_PART))
+    return Descriptors(clients, max(LEAST, int(RESTING_PART * sockets)), servers)
--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import time
 from collections import deque
@@ -12,6 +13,7 @@
 
 import httptools
 
+from cloverhold.lifecycle import Life
 from cloverhold.net.exchange import ONCE, BadRequest, Exchange, Incoming, Taker, read_request
 from cloverhold.net.messages import ANSWER_LIMIT, BODY_LIMIT, HEAD_LIMIT, HOP_BY_HOP, Field
 
@@ -27,6 +29,7 @@
 # uvloop takes one connection a turn from each listening handle. In a surge with turns of some ms that is less
 # than what comes: requests then lie unseen behind connections that are not accepted.
 ACCEPTS = 8
+SPREAD = 0.6180339887498949  # of places in a drain: multiples of the golden ratio lie evenly, however many they are
 _LINES = {int(s): f"HTTP/1.1 {int(s)} {s.phrase}\r\nContent-Length: ".encode() for s in HTTPStatus}
 
 
@@ -48,6 +51,7 @@
         self.begun: float | None = time.monotonic()
         self.rested = 0.0  # when it last had nothing open
         self.closing: float | None = None
+        self.place = 0.0  # among those that a drain ends, from 0 to 1
 
     # -------------------------------------------------------------- connection
 
@@ -77,16 +81,32 @@
     def idle(self) -> bool:
         return self.open is None and not self.queue
 
+    def part(self) -> None:
+        """Close while nothing is open, unless something lies unread: that is served first. Guards against requests
+        that cross the end of their connection: closed over, they would be reset unread.
+        """
+        transport = self.transport
+        if transport is None or self.closing is not None:
+            return
+        waits = select.poll()
+        waits.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        if not waits.poll(0):
+            self.close()
+
     def sweep(self, now: float) -> None:
         """End what a client has left unfinished for too long."""
+        life = self.listener.life
         if self.closing is not None:
             if now - self.closing > LINGER_S and self.transport is not None:
                 self.transport.abort()
+        elif life.closing() and self.idle() and self.message_bytes == 0:
+            if now > life.rests_until(self.rested or self.begun or now, self.place):
+                self.part()
         elif self.begun is not None:
             if now - self.begun > PATIENCE_S:
                 self._overdue()
         elif self.idle() and now - self.rested > IDLE_S:
-            self.close()
+            self.part()
 
     def _overdue(self) -> None:
         """End a connection whose request does not become whole, or can't be read, whatever is open before it:
@@ -177,7 +197,7 @@
 
     def _begin(self, request: Incoming) -> None:
         if request.target.partition(b"?")[0] == b"/_health":
-            status = 200 if self.listener.taker.ready() and not self.listener.draining else 503
+            status = 200 if self.listener.taker.ready() and self.listener.life.healthy() else 503
             self._write(status, b"", (), close=not request.keep_alive)
             return
         try:
@@ -203,7 +223,7 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return
-        close = close or (self.listener.draining and not self.queue)
+        close = close or (self.listener.life.closing() and not self.queue)
         head = [b"%s%d\r\n" % (_LINES[status], len(body))]
         head.extend([b"%s: %s\r\n" % pair for pair in headers])
         head.append(self.listener.announce)
@@ -224,19 +244,19 @@
 class Listener:
     """The listening socket and the connections that came in by it."""
 
-    def __init__(self, taker: Taker, most: int, most_resting: int) -> None:
-        self.taker, self.most, self.most_resting = taker, most, most_resting
+    def __init__(self, taker: Taker, life: Life, most: int, most_resting: int) -> None:
+        self.taker, self.life, self.most, self.most_resting = taker, life, most, most_resting
         self.connections: set[ClientConnection] = set()
         # Those that have not asked yet, and those between requests; the longest so first.
         self.silent: dict[ClientConnection, None] = {}
         self.resting: dict[ClientConnection, None] = {}
-        self.draining = False
+        self.came = 0
         self.announce = b""  # a line of every answer: that clients may come another way too (RFC 7838)
         self._servers: list[asyncio.Server] = []
         self._sweeper: asyncio.TimerHandle | None = None
 
     async def start(self, address: tuple[str, int], inherited: socket.socket | None = None) -> None:
-        """Listen there, or on a socket that does already and that is closed with this one."""
+        """Listen there, or on a socket that does already and that others may share: it is closed, never shut down."""
         loop = asyncio.get_running_loop()
         with inherited or socket.create_server(address, backlog=1024) as listening:
             for _ in range(ACCEPTS):
@@ -254,6 +274,8 @@
         Guards against hundreds that connect and say nothing: they go before any that has ever asked.
         """
         self.connections.add(connection)
+        self.came += 1
+        connection.place = self.came * SPREAD % 1
         self.silent[connection] = None
         if len(self.connections) > self.most:
             spare = self.silent if len(self.silent) > 1 or not self.resting else self.resting
@@ -269,7 +291,7 @@
         """
         self.resting[connection] = None
         if len(self.resting) > self.most_resting:
-            next(iter(self.resting)).close()
+            next(iter(self.resting)).part()
 
     def lost(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
@@ -286,12 +308,15 @@
         return any(not c.idle() for c in self.connections)
 
     def stop_accepting(self) -> None:
-        """No new connection; those between requests close, the others with their answer."""
+        """No new connection."""
         for server in self._servers:
             server.close()
+
+    def part_all(self) -> None:
+        """Connections between requests close, the others with their answer."""
         for connection in list(self.connections):
             if connection.idle():
-                connection.close()
+                connection.part()
 
     def close(self) -> None:
         if self._sweeper is not None:
--- a/cloverhold/net/fronts/http3.py
+++ b/cloverhold/net/fronts/http3.py
@@ -274,12 +274,13 @@
 
     # ------------------------------------------------------------------------------------------------- end
 
-    def drain(self) -> None:
-        """No new connection and no new stream; what was taken is answered."""
-        self.door.draining = True
-        for client in list(self.clients):
-            client.session.drain()
-            self.flush_soon(client)
+    def drain(self, *, on: bool) -> None:
+        """No new connection and no new stream; what was taken is answered. Off: new connections come in again."""
+        if on and not self.door.draining:
+            for client in list(self.clients):
+                client.session.drain()
+                self.flush_soon(client)
+        self.door.draining = on
 
     def busy(self) -> bool:
         """Whether a request is owed an answer, or one has not left yet."""
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -10,8 +10,9 @@
 from typing import Any
 
 from cloverhold import ClassSettings, Group, Repeat, Settings
-from cloverhold.__main__ import Config, Node
+from cloverhold.__main__ import Node
 from cloverhold.cells.table import CellsTable
+from cloverhold.config.platform import Config
 from cloverhold.h3.table import Http3Table
 from cloverhold.store.table import StoreTable
 from cloverhold.net.clock import Clock
@@ -175,10 +176,19 @@
         self.node, self.catalog = node, catalog
         self.port = node.listener.port()
         self.h3_port = node.http3.port() if node.http3 is not None else 0
+        self.mgmt_port = node.management.port() if node.management is not None else 0
 
     async def connect(self) -> Peer:
         return await asyncio.open_connection("127.0.0.1", self.port)
 
+    async def manage(self, call: str) -> int:
+        """One call of the operators, as `POST /_lameduck/on`; its status."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.mgmt_port)
+        writer.write(f"{call} HTTP/1.1\r\nHost: n0\r\n\r\n".encode())
+        whole = await asyncio.wait_for(reader.read(), WAIT_S)
+        writer.close()
+        return int(whole.split(b" ")[1])
+
     async def ask(self, raw: bytes) -> Response:
         """Send bytes on a connection of their own and read one answer."""
         reader, writer = await self.connect()
@@ -213,7 +223,8 @@
 
 def up(node: Node) -> bool:
     """Whether it listens, by every front that it has."""
-    return node.listener.port() > 0 and (node.http3 is None or node.http3.port() > 0)
+    fronts = (node.listener, node.http3, node.management)
+    return all(front is None or front.port() > 0 for front in fronts)
 
 
 @asynccontextmanager
@@ -224,6 +235,7 @@
     store: StoreTable | None = None,
     http3: Http3Table | None = None,
     known: int | None = None,
+    mgmt: bool = False,
     **changes: Any,
 ) -> AsyncIterator[Running]:
     """A node before these servers, ready to serve; known: the version of the list that it remembers of them."""
@@ -244,6 +256,7 @@
         cells=cells,
         store=store,
         http3=http3,
+        mgmt=("127.0.0.1", 0) if mgmt else None,
     )
     node, stop = Node(config, Clock()), asyncio.Event()
     task = asyncio.create_task(node.run(stop))
