Move what is kept of servers out of the policy files into decision/records.py

When a server is ejected stands in health.py, beside the figures it goes by. Behaviour unchanged: 449 tests of the module and the node pass.

--- a/cloverhold/decision/decide.py
+++ b/cloverhold/decision/decide.py
@@ -23,7 +23,8 @@
 )  # fmt: skip
 from cloverhold.decision.learned import WARM, Learned, Warming
 from cloverhold.decision.pools import Pool
-from cloverhold.decision.state import NEVER_RAN, Attempt, RequestState, Server
+from cloverhold.decision.records import Server
+from cloverhold.decision.state import NEVER_RAN, Attempt, RequestState
 from cloverhold.decision.table import Table
 from cloverhold.decision.waiting import Waiting
 
--- a/cloverhold/decision/health.py
+++ b/cloverhold/decision/health.py
@@ -9,9 +9,11 @@
 from cloverhold.decision.index import Agenda
 from cloverhold.decision.interface import ClassSettings, Repeat, Status
 from cloverhold.decision.learned import WARM, Learned, Warming
-from cloverhold.decision.state import BACK_AT, EJECT_AT, Attempt, Record, Server
+from cloverhold.decision.records import Record, Server
+from cloverhold.decision.state import Attempt
 from cloverhold.decision.table import POWER, Table, in_steps
 
+EJECT_AT, BACK_AT = 0.6, 0.3  # failure averages at which a server is ejected, and called back for good
 EJECT, EJECT_DOUBLINGS, EJECT_PART = 2.0, 4, 0.5
 # Weight of a failure in its average, of an attempt without any sign of life, and what an answer leaves of it.
 # All are small: where peers spoil some answers of every server alike, two in a row are no sign of a bad one.
@@ -69,14 +71,14 @@
         return max(oldest.sent_at, server.record.answered_at) + oldest.silent
 
     def usable(self, server: Server, now: float) -> bool:
-        return not server.record.ejected(now, len(server.out)) and not self.stalled(server, now)
+        return not _ejected(server.record, now, len(server.out)) and not self.stalled(server, now)
 
     def serves(self, server: Server, kind: str, now: float) -> bool:
         """Whether it answers this class. Guards against a server that fails one and answers the others."""
         record = server.kinds.get(kind)
         if record is None or not record.ejections:
             return True
-        return not record.ejected(now, sum(a.request.kind.name == kind for a in server.out.values()))
+        return not _ejected(record, now, sum(a.request.kind.name == kind for a in server.out.values()))
 
     def cost(self, server: Server, kind: ClassSettings) -> float:
         """How much more a request costs there than at a server that never fails: a part of them is lost, and
@@ -197,6 +199,11 @@
         return len(wholly) + sum(server not in wholly for server in self.away[kind])
 
 
+def _ejected(record: Record, now: float, out: int) -> bool:
+    """Ejected, or back on trial: one attempt at a time until an answer shows that it works again."""
+    return now < record.until or (record.failing >= EJECT_AT and record.ejections > 0 and out > 0)
+
+
 def _records(server: Server) -> Iterator[tuple[str, Record]]:
     """A server's records by name, the one for all classes first."""
     yield ALL, server.record
--- a/cloverhold/decision/table.py
+++ b/cloverhold/decision/table.py
@@ -14,7 +14,8 @@
 from cloverhold.decision.interface import Group, LoadReport, Repeat, Settings
 from cloverhold.decision.learned import WARM, Learned, Warming
 from cloverhold.decision.pools import Pool
-from cloverhold.decision.state import Profile, RequestState, Server
+from cloverhold.decision.records import Profile, Server
+from cloverhold.decision.state import RequestState
 
 # Part of all service that a node may spend on probes; with their price this gives d, on average. Guards
 # against a fleet that pays more for what it asks than it is worth: a probe a request at 0.08 cost 0.08.
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -32,7 +32,8 @@
 )
 from cloverhold.decision.decide import WAIT_PART
 from cloverhold.decision.learned import WARM
-from cloverhold.decision.state import RequestState, Server
+from cloverhold.decision.records import Server
+from cloverhold.decision.state import RequestState
 
 NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)
 CLASSES = (
--- a/tests/test_index.py
+++ b/tests/test_index.py
@@ -15,7 +15,8 @@
 from cloverhold.decision.index import Agenda, Choice, Index, Level, Prefix
 from cloverhold.decision.learned import WARM
 from cloverhold.decision.pools import Lane
-from cloverhold.decision.state import RequestState, Server
+from cloverhold.decision.records import Server
+from cloverhold.decision.state import RequestState
 from cloverhold.decision.table import POWER, SUBSET_LEAST, SUBSET_SHARED, load_key
 
 STATUSES = (Status.ERROR, Status.RESET, Status.CONNECT_FAILED, Status.TIMEOUT, Status.FULL)
