New settings at SIGHUP: read whole or not at all, one event to the module

Cause: reload() passed over all but discovery's address, so that classes of the new file got 404 and those taken out went on. Change: settings.unlike holds a file read again to the keys and kinds of the one in use; NewSettings lets each part of the module carry over what it keeps by class.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -44,6 +44,7 @@
 
 WORKER = "CLOVERHOLD_WORKER"  # what a supervisor tells a worker
 LINGER_S = 0.5  # after SIGTERM new connections still come for this long
+AT_START = ("listen", "mgmt", "sockets", "seed", "store", "listen_fd")  # of the configuration
 GC_THRESHOLD = 5000, 20, 20  # by default collections took a twentieth of a busy node's CPU
 DEADLINE_MOST_S, STOP_S = 3.0, 0.4  # SIGKILL comes 0.7 s after the longest deadline, of 3 s at most
 
@@ -214,21 +215,23 @@
     def reload(self) -> None:
         """Read the configuration again, also in an outage or while draining; a bad one changes nothing.
 
-        Only the address of discovery can change under load: the rest shapes what holds open requests.
+        Settings and the address of discovery change under load, the rest at the next start.
         """
         try:
-            config = read_config(self.clock, again=True)
+            config = read_config(self.clock, self.config)
             config = self.worker.share(config) if self.worker else config
         except ConfigError as error:
             log.error("configuration: %s; the old one stays", error)
             return
-        if (config.listen, config.settings, config.sockets, config.store) != (
-            self.config.listen,
-            self.config.settings,
-            self.config.sockets,
-            self.config.store,
-        ):
-            log.warning("configuration: of what changed, only discovery takes effect before a restart")
+        waiting = [key for key in AT_START if getattr(config, key) != getattr(self.config, key)]
+        if waiting:
+            log.warning("configuration: %s: takes effect at a restart", ", ".join(waiting))
+        if config.settings != self.config.settings:
+            self.host.settle(config.settings)
+            log.info("configuration: new settings, classes %s", ", ".join(c.name for c in config.settings.classes))
+        self.pool.retime(config.dial_ms / 1000, config.idle_ms / 1000)
+        started = {key: getattr(self.config, key) for key in AT_START}
+        self.config = replace(config, **started, cells=self.config.cells, http3=self.config.http3)
         if self.router is not None and config.cells is not None:
             if waits := self.router.reload(_own(config.cells, self.part)):
                 log.warning("configuration: cells: %s take effect at a restart", ", ".join(waits))
@@ -252,7 +255,7 @@
 
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
-        longest = max(c.deadline_ms for c in self.config.settings.classes) / 1000
+        longest = self.host.longest_ms() / 1000
         until = loop.time() + min(longest, DEADLINE_MOST_S) + STOP_S
         self.life.tell(Event.TERM, time.monotonic())
         self.listener.announce = b""
--- a/cloverhold/config/platform.py
+++ b/cloverhold/config/platform.py
@@ -4,8 +4,9 @@
 
 import json
 import logging
+import math
 import os
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
 
 from cloverhold.decision import interface as io
@@ -13,7 +14,7 @@
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import ListError, Members, parse_address, read_members
 from cloverhold.net.upstreams.calls import Address
-from cloverhold.settings import SettingsError, module_settings
+from cloverhold.settings import SettingsError, module_settings, unlike
 
 if TYPE_CHECKING:
     from cloverhold.cells.table import CellsTable
@@ -47,6 +48,7 @@
     http3: Http3Table | None = None
     mgmt: Address | None = None
     listen_fd: int | None = None
+    raw: dict[str, Any] = field(default_factory=dict)  # the file, less the remembered list
 
 
 @dataclass(frozen=True)
@@ -69,10 +71,11 @@
         raise ConfigError(f"{key}: {error}") from None
 
 
-def read_config(clock: Clock, *, again: bool = False) -> Config:
+def read_config(clock: Clock, before: Config | None = None) -> Config:
     """The configuration, from the file and the variables; ConfigError in plain words.
 
-    Read again, the file's address of discovery wins: the variable is as old as the process.
+    Read again, after `before`, it must have all that the file in use has, and the file's address of discovery wins: the
+    variable is as old as the process.
     """
     path = os.environ.get("PROXY_CONFIG")
     if not path:
@@ -80,30 +83,40 @@
     try:
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:  # the latter where brackets are nested without end
         raise ConfigError(f"{path}: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: an object is needed")
+    whole = {key: value for key, value in raw.items() if key != "known"}
+    if before is not None and (fault := unlike(before.raw, whole)) is not None:
+        raise ConfigError(f"{path}: {fault}")
     listen = _address(raw, "listen", "PROXY_LISTEN")
-    discovery = _address(raw, "discovery", "PROXY_DISCOVERY", file_wins=again)
+    discovery = _address(raw, "discovery", "PROXY_DISCOVERY", file_wins=before is not None)
     try:
         settings = module_settings(raw.get("settings"))
         check_settings(settings)
         limits = raw["settings"]["Limits"]
-        idle, dial = float(limits.get("ConnIdleMs", 60000)), float(limits.get("DialTimeoutMs", 250))
+        idle, dial = (_positive(limits, *pair) for pair in (("ConnIdleMs", 60000.0), ("DialTimeoutMs", 250.0)))
         sockets = int((raw.get("limits") or {}).get("sockets", 1024))
         seed = int(str(raw.get("seed", "0")), 16)
-    except (SettingsError, ValueError, TypeError, AttributeError) as error:
+    except (SettingsError, ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ConfigError(f"{path}: {error}") from None
     said = _operator(os.environ[OPERATOR]) if os.environ.get(OPERATOR) else Operator()
     settings, known = replace(settings, pools=said.cells is not None), read_known(raw, clock)
     mgmt = _address(raw, "mgmt", "PROXY_MGMT") if raw.get("mgmt") or os.environ.get("PROXY_MGMT") else None
     return Config(
         listen, discovery, settings, idle, dial, sockets, seed, known, said.cells, said.store, said.http3,
-        mgmt, _listen_fd(),
+        mgmt, _listen_fd(), whole,
     )  # fmt: skip
 
 
+def _positive(limits: dict[str, Any], key: str, default: float) -> float:
+    value = limits.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value < math.inf:
+        raise ValueError(f"settings: Limits.{key}: must be a number above 0, got {value!r}")
+    return float(value)
+
+
 def _listen_fd() -> int | None:
     """The descriptor that the platform holds for clients; ConfigError where the variable names none."""
     text = os.environ.get(LISTEN_FD)
--- a/cloverhold/decision/admission.py
+++ b/cloverhold/decision/admission.py
@@ -17,16 +17,27 @@
     """Ranks and shares."""
 
     def __init__(self, settings: Settings) -> None:
-        self.settings = settings
         self.lane = Lane()  # of requests that may go to any server
-        self.classes: dict[str, ClassSettings] = {c.name: c for c in settings.classes}
-        own = 1000 * settings.nodes
-        self.shares = {t.name: (t.quota_per_s / own, 1.0, -math.inf) for t in settings.tenants}
+        self.shares: dict[str, tuple[float, float, float]] = {}
         self.usual_try: dict[str, float] = {}  # the longest try seen of each class
-        self.share = {c.name: 1 / len(settings.classes) for c in settings.classes}  # of what arrives
-        self.served = {c.name: 1.0 for c in settings.classes}  # part answered in time, lately
+        self.share: dict[str, float] = {}  # of what arrives
+        self.served: dict[str, float] = {}  # part answered in time, lately
+        self.settle(settings)
+
+    def settle(self, settings: Settings) -> None:
+        """New settings: classes and tenants that stay keep what is known of them."""
+        self.settings, classes, own = settings, settings.classes, 1000 * settings.nodes
+        self.classes: dict[str, ClassSettings] = {c.name: c for c in classes}
+        known = {t.name: self.shares.get(t.name, (0.0, 1.0, -math.inf)) for t in settings.tenants}
+        self.shares = {t.name: (t.quota_per_s / own, *known[t.name][1:]) for t in settings.tenants}
+        self.usual_try = {name: usual for name, usual in self.usual_try.items() if name in self.classes}
+        self.share = {c.name: self.share.get(c.name, 1 / len(classes)) for c in classes}
+        whole = sum(self.share.values())
+        self.share = {name: part / whole for name, part in self.share.items()}
+        self.served = {c.name: self.served.get(c.name, 1.0) for c in classes}
         self.pull: dict[str, float] = {}  # weight of each class in the goal: served worst, or near it
         self.until_pull = 0
+        self.lane.lines = {k: line for k, line in self.lane.lines.items() if line.held or k in self.classes}
 
     def over_share(self, tenant: str | None, now: float) -> bool:
         """Whether a tenant has used up its share at this node; a second's worth may come at once."""
@@ -69,5 +80,6 @@
             request.rank *= s.over_share_worth
 
     def ended(self, kind: str, *, served: bool) -> None:
-        """A request has had its answer."""
-        self.served[kind] += 0.02 * (served - self.served[kind])
+        """A request has had its answer; its class may be gone."""
+        if kind in self.served:
+            self.served[kind] += 0.02 * (served - self.served[kind])
--- a/cloverhold/decision/decide.py
+++ b/cloverhold/decision/decide.py
@@ -17,9 +17,9 @@
 from cloverhold.decision.health import Health
 from cloverhold.decision.index import Agenda
 from cloverhold.decision.interface import (
-    Action, Cancel, ClientGone, Event, Fail, Lifecycle, ListKind, ListMode, Log, Outcome, Probe, ProbeReply,
-    Refuse, Request, Send, ServerEntry, ServerList, SetTimer, Settings, Status, Streaming, Timer, Watch,
-    WeightSource,
+    Action, Cancel, ClientGone, Event, Fail, Lifecycle, ListKind, ListMode, Log, NewSettings, Outcome, Probe,
+    ProbeReply, Refuse, Request, Send, ServerEntry, ServerList, SetTimer, Settings, Status, Streaming, Timer,
+    Watch, WeightSource,
 )  # fmt: skip
 from cloverhold.decision.learned import WARM, Learned, Warming
 from cloverhold.decision.pools import Pool
@@ -96,6 +96,8 @@
                 self._timer(event, now)
             case ServerList():
                 self._list(event, now)
+            case NewSettings():
+                self._settle(event.settings, now)
             case ClientGone():
                 if (request := self.requests.get(event.id)) is not None:
                     self._end(request, answer=False)
@@ -112,6 +114,22 @@
         """Whether a ready server of a pool looks well. Changes nothing."""
         return any(self.table.looks_well(server) for server in self.table.members(pool))
 
+    def _settle(self, settings: Settings, now: float) -> None:
+        """New settings, already checked. Classes that are gone stay known while a request of theirs is under way."""
+        check_settings(settings)
+        self.settings = self.follower.settings = settings
+        named = {c.name for c in settings.classes}
+        under_way = [*self.requests.values(), *(attempt.request for attempt in self.attempts.values())]
+        gone = {r.kind.name: r.kind for r in under_way if r.kind.name not in named}
+        classes = (*settings.classes, *gone.values())
+        self.slack = min(1.0, settings.tick_ms / 2)
+        self.learned.settle(settings, classes)
+        self.warming.settle(settings)
+        self.admission.settle(settings)
+        self.table.settle(settings, classes)
+        self.health.settle(classes, now)
+        self._place_waiting(now)
+
     def _log(self, text: str) -> None:
         self.out.append(Log(text))
 
--- a/cloverhold/decision/health.py
+++ b/cloverhold/decision/health.py
@@ -32,21 +32,35 @@
     ) -> None:
         self.table, self.learned, self.warming, self.random, self.log = table, learned, warming, random, log
         self.agenda: Agenda[Server] = Agenda()
-        self.classes = table.settings.classes
+        self.settle(table.settings.classes, -math.inf)
+
+    def settle(self, classes: tuple[ClassSettings, ...], now: float) -> None:
+        """Other classes. What is known of servers in those that are gone is dropped, the rest stays."""
+        self.classes, names = classes, {c.name for c in classes}
         # Over ready servers, by class and in all: the sum of the averages of failures, and who is ejected.
-        self.failing = dict.fromkeys((ALL, *(c.name for c in self.classes)), 0.0)
+        self.failing = dict.fromkeys((ALL, *names), 0.0)
         self.away: dict[str, dict[Server, None]] = {name: {} for name in self.failing}
-        self._alike = {step: (step,) * len(self.classes) for step in POWER}
+        self._alike = {step: (step,) * len(classes) for step in POWER}
+        for server in self.table.servers.values():
+            server.kinds = {name: record for name, record in server.kinds.items() if name in names}
+            server.spoilt, server.profile = True, None  # to be found anew
+            if server.ready:
+                self._count(server, now)
+        for server in self.table.ready:
+            self.review(server, now)
 
     # ------------------------------------------------------------------------------------------- membership
 
     def enter(self, server: Server, now: float) -> None:
         """A server has become ready. It is filed at its first review."""
+        self._count(server, now)
+        self.table.enter(server, well=self.usable(server, now))
+
+    def _count(self, server: Server, now: float) -> None:
         for name, record in _records(server):
             self.failing[name] += record.failing
             if record.until > now:
                 self.away[name][server] = None
-        self.table.enter(server, well=self.usable(server, now))
 
     def leave(self, server: Server) -> None:
         """A server is no longer ready."""
--- a/cloverhold/decision/interface.py
+++ b/cloverhold/decision/interface.py
@@ -243,7 +243,14 @@
     data: bytes
 
 
-Event = Union[ServerList, Request, Streaming, Outcome, ClientGone, Timer, ProbeReply, PeerMessage]
+@dataclass(slots=True)
+class NewSettings:
+    """Other settings from now on. A request under way keeps the class that it came with."""
+
+    settings: Settings
+
+
+Event = Union[NewSettings, ServerList, Request, Streaming, Outcome, ClientGone, Timer, ProbeReply, PeerMessage]
 
 # ----------------------------------------------------------------- actions
 
--- a/cloverhold/decision/learned.py
+++ b/cloverhold/decision/learned.py
@@ -5,7 +5,7 @@
 import math
 from random import Random
 
-from cloverhold.decision.interface import Settings
+from cloverhold.decision.interface import ClassSettings, Settings
 from cloverhold.decision.records import Server
 from cloverhold.decision.state import Attempt, RequestState
 
@@ -18,15 +18,21 @@
     """Service times, from this node's own answers: the work of a class, the pace of a server."""
 
     def __init__(self, settings: Settings) -> None:
-        self.settings = settings
-        # Until answers tell, work is taken for an eighth of the aim, rather too little: a class taken for
-        # heavier than it is ranks low, is held back, and so would never show what it needs.
-        self.factor = {c.name: (1.0, 0) for c in settings.classes}
-        self.usual = {c.name: c.aim_ms / 8 for c in settings.classes}  # mean of what the factor is for
+        self.factor: dict[str, tuple[float, int]] = {}
+        self.usual: dict[str, float] = {}  # mean of what the factor is for
+        self.settle(settings, settings.classes)
         self.typical = 1.0  # mean pace of the servers that answer
         self.mean_size = 1.0  # of ready servers, as the list states it
         self.mix = sum(c.aim_ms for c in settings.classes) / len(settings.classes) / 8
 
+    def settle(self, settings: Settings, classes: tuple[ClassSettings, ...]) -> None:
+        """New settings; `classes` also holds those that are gone and still under way."""
+        # Until answers tell, work is taken for an eighth of the aim, rather too little: a class taken for
+        # heavier than it is ranks low, is held back, and so would never show what it needs.
+        self.settings = settings
+        self.factor = {c.name: self.factor.get(c.name, (1.0, 0)) for c in classes}
+        self.usual = {c.name: self.usual.get(c.name, c.aim_ms / 8) for c in classes}
+
     def work(self, request: RequestState) -> float:
         """Expected work of a request, in ms on a typical server."""
         return request.base * self.factor[request.kind.name][0]
@@ -80,9 +86,13 @@
     """
 
     def __init__(self, settings: Settings, learned: Learned, random: Random) -> None:
-        self.settings, self.learned, self.random = settings, learned, random
-        self.keepers = 0.0
-        self.shared_by(float(settings.nodes))
+        self.learned, self.random, self.keepers = learned, random, float(settings.nodes)
+        self.settle(settings)
+
+    def settle(self, settings: Settings) -> None:
+        """New settings: the shares are worked out anew, what is spent stays spent."""
+        self.settings, keepers, self.keepers = settings, self.keepers, 0.0
+        self.shared_by(keepers)
 
     def shared_by(self, keepers: float) -> None:
         """How many nodes keep to each server: a budget is theirs alone. Divided by all nodes, of which most
--- a/cloverhold/decision/table.py
+++ b/cloverhold/decision/table.py
@@ -11,7 +11,7 @@
 from random import Random
 
 from cloverhold.decision.index import Choice, Index, Level, Prefix
-from cloverhold.decision.interface import Group, LoadReport, Repeat, Settings
+from cloverhold.decision.interface import ClassSettings, Group, LoadReport, Repeat, Settings
 from cloverhold.decision.learned import WARM, Learned, Warming
 from cloverhold.decision.pools import Pool
 from cloverhold.decision.records import Profile, Server
@@ -51,8 +51,7 @@
     """Rows, the servers that this node keeps to, and the pick."""
 
     def __init__(self, settings: Settings, learned: Learned, warming: Warming, random: Random) -> None:
-        self.settings, self.learned, self.warming, self.random = settings, learned, warming, random
-        self.shared = settings.nodes > 1
+        self.learned, self.warming, self.random = learned, warming, random
         self.servers: dict[str, Server] = {}
         self.prefix: Prefix[Server] = Prefix(self.place)
         self.ready = self.prefix.items  # in an order of this node's own
@@ -61,23 +60,35 @@
         self.free: Choice[Server] = Choice()  # that may be probed
         # Members of a group that a keyed repeat keeps to. Zones are few and part of the profile.
         self.cells: dict[tuple[str, int], Choice[Server]] = {}
-        keyed = [c.group for c in settings.classes if c.repeat is Repeat.KEYED]
-        self.by_zone, self.by_cell = Group.ZONE in keyed, Group.CELL in keyed
-        self.kinds = {c.name: at for at, c in enumerate(settings.classes)}
+        self.by_cell = False
         self._many = True
         self.rows = 0  # sum over ready servers
         self.sizes = 0.0  # likewise
         self.stale = 2 * STALE  # part of the reports that this node knows to be old; at first, till shown
-        price = settings.probe_price
-        self.d = PROBE_SPEND / price if price * MOST_PROBES > PROBE_SPEND else MOST_PROBES
         self.rtt: float | None = None  # how long a probe takes, on average
         self.full = 0.0  # part of the last attempts that were turned away as full
         self.level = 0.0  # mean of the last reports
+        self.held = 0  # attempts of this node that are out
+        self.own, self.others = 1.0, settings.nodes - 1.0  # held at a server by it, by others
+        self.settle(settings, settings.classes)
+
+    def settle(self, settings: Settings, classes: tuple[ClassSettings, ...]) -> None:
+        """New settings: all that follows from them alone. Rows stay; servers are to be reviewed."""
+        self.settings, self.shared = settings, settings.nodes > 1
+        keyed = [c.group for c in classes if c.repeat is Repeat.KEYED]
+        self.by_zone, by_cell = Group.ZONE in keyed, Group.CELL in keyed
+        if by_cell and not self.by_cell:
+            for server in self.ready:
+                self.cells.setdefault((server.entry.zone, server.entry.cell), Choice()).add(server)
+        self.by_cell = by_cell or self.by_cell  # kept once it is: what leaves is then taken out as it came in
+        self.kinds = {c.name: at for at, c in enumerate(classes)}
+        price = settings.probe_price
+        self.d = PROBE_SPEND / price if price * MOST_PROBES > PROBE_SPEND else MOST_PROBES
         # Work that takes this long to wait for is a crowd; a row of this age says nothing.
         self.tightest = min(c.aim_ms for c in settings.classes)
         self.crowd_ms = CROWD * self.tightest
-        self.held = 0  # attempts of this node that are out
-        self.own, self.others = 1.0, settings.nodes - 1.0  # held at a server by it, by others
+        if self.ready:
+            self._resize()
 
     # ------------------------------------------------------------------------------------------- membership
 
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -143,6 +143,20 @@
             case _:
                 log.warning("%s is not for this node", type(action).__name__)
 
+    def settle(self, settings: io.Settings) -> None:
+        """Other settings from now on. Whoever holds the classes sees the new ones."""
+        self.settings = settings
+        self.classes.clear()
+        self.classes.update((c.name, c) for c in settings.classes)
+        if self.router is not None:
+            self.router.settings = settings
+        self.tell(io.NewSettings(settings))
+
+    def longest_ms(self) -> float:
+        """The longest deadline, of the settings and of what is open."""
+        kinds = [*self.classes.values(), *(opened.exchange.asked.kind for opened in self.open.values())]
+        return max(kind.deadline_ms for kind in kinds)
+
     # ---------------------------------------------------------------- clients
 
     def ready(self) -> bool:
--- a/cloverhold/net/upstreams/http1.py
+++ b/cloverhold/net/upstreams/http1.py
@@ -228,6 +228,13 @@
         self.idle: dict[Connection, None] = {}  # the longest idle first
         self._sweeper = loop.call_later(self._sweep_every(), self._sweep)
 
+    def retime(self, dial_timeout_s: float, idle_s: float) -> None:
+        """Other times, from the next connection on; what is known of how long idle ones last holds below them."""
+        self.dial_timeout_s = dial_timeout_s
+        if self.idle_limit.most_s != IDLE_PART * idle_s:
+            self.idle_limit.most_s = IDLE_PART * idle_s
+            self.idle_limit.forget(0.0)
+
     def call(self, upstream: Upstream, outgoing: Outgoing, done: Done) -> Call:
         """Begin an exchange. `done` is never called before this returns."""
         call = Call(payload(outgoing), done)
--- a/cloverhold/settings.py
+++ b/cloverhold/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from cloverhold.decision import interface as io
@@ -12,6 +13,7 @@
     "idempotency_key": io.Repeat.KEYED,
     "non_idempotent": io.Repeat.UNSAFE,
 }
+_GROUP = {group.value: group for group in io.Group}
 _MODE = {"automatic": io.ListMode.PUSH, "subscribe": io.ListMode.ASK}
 _WEIGHTS = {"nominal": io.WeightSource.NOMINAL, "rough": io.WeightSource.ROUGH, "live": io.WeightSource.LIVE}
 _LOAD = {
@@ -39,26 +41,67 @@
     return value
 
 
-def _word(table: dict[str, Any], key: str, what: str) -> Any:
-    if key not in table:
+def _number(obj: dict[str, Any], key: str, default: float, where: str = "") -> float:
+    """A number that need not be there."""
+    return float(_get(obj, key, _NUM, where)) if obj.get(key) is not None else default
+
+
+def unlike(before: object, now: object, where: str = "") -> str | None:
+    """What a file read again lacks of the one in use, as one plain line: a key, or a value of its kind; None where it
+    has all. Guards against a file that is half written, or edited in haste: what is missing is no wish for a default.
+
+    Of a list of objects each must have the keys that all of them had. Lists may be of any length.
+    """
+    if isinstance(before, dict):
+        if not isinstance(now, dict):
+            return f"{where or 'the file'}: an object is needed"
+        for key, value in before.items():
+            if key not in now:
+                return f"{where}.{key} is missing".lstrip(".")
+            if (fault := unlike(value, now[key], f"{where}.{key}".lstrip("."))) is not None:
+                return fault
+        return None
+    if isinstance(before, list):
+        if not isinstance(now, list):
+            return f"{where}: a list is needed"
+        if not before or not all(isinstance(item, dict) for item in before):
+            return None
+        common = {key: value for key, value in before[0].items() if all(key in item for item in before)}
+        faults = (unlike(common, item, f"{where}[]") for item in now)
+        return next((fault for fault in faults if fault is not None), None)
+    kinds = (bool, _NUM, str)
+    for kind in kinds if before is not None else ():
+        if isinstance(before, kind):
+            right = isinstance(now, kind) and (kind is bool or not isinstance(now, bool))
+            right = right and (not isinstance(now, float) or math.isfinite(now))
+            return None if right else f"{where}: has the wrong type: {now!r}"
+    return None
+
+
+def _word(table: dict[str, Any], key: object, what: str) -> Any:
+    if not isinstance(key, str) or key not in table:
         raise SettingsError(f"unknown {what} {key!r}")
     return table[key]
 
 
+def _wrong(where: str) -> bool:
+    raise SettingsError(f"settings: {where} has the wrong type")
+
+
 def _class(obj: dict[str, Any]) -> io.ClassSettings:
     where = "Profiles[]."
     if not isinstance(obj, dict):
-        raise SettingsError("settings: Profiles[] has the wrong type")
+        _wrong("Profiles[]")
     return io.ClassSettings(
         name=_get(obj, "Name", str, where),
         aim_ms=float(_get(obj, "AimMs", _NUM, where)),
         deadline_ms=float(_get(obj, "DeadlineMs", _NUM, where)),
         repeat=_word(_REPEAT, _get(obj, "Repeat", str, where), "Repeat"),
-        group=io.Group(obj["Group"]) if obj.get("Group") in ("all", "zone", "cell") else io.Group.CELL,
-        key_ttl_ms=float(obj.get("KeyTtlMs") or 0.0),
-        worth=float(obj.get("Points", 1.0)),
-        late_worth=float(obj.get("LateWorth") or 0.0),
-        aim_stretch=float(obj.get("AimStretch") or 0.0),
+        group=_word(_GROUP, obj.get("Group") or "cell", "Group"),
+        key_ttl_ms=_number(obj, "KeyTtlMs", 0.0, where),
+        worth=_number(obj, "Points", 1.0, where),
+        late_worth=_number(obj, "LateWorth", 0.0, where),
+        aim_stretch=_number(obj, "AimStretch", 0.0, where),
         stream=bool(obj.get("Stream", False)),
     )
 
@@ -68,13 +111,15 @@
     if not isinstance(info, dict):
         raise SettingsError("settings: an object is needed")
     rules, limits = _get(info, "Guarantees", dict), _get(info, "Limits", dict)
-    prices = info.get("Deductions") or {}
-    goal = info.get("Goal") or {}
-    must_ask = rules.get("MustAskInMs")
+    prices, goal = info.get("Deductions") or {}, info.get("Goal") or {}
+    if not isinstance(prices, dict) or not isinstance(goal, dict):
+        raise SettingsError("settings: Deductions and Goal have the wrong type")
+    must_ask = _number(rules, "MustAskInMs", 0.0, "Guarantees.")
     where = "Projects[]."
     tenants = tuple(
         io.TenantSettings(_get(t, "Name", str, where), float(_get(t, "QuotaPerS", _NUM, where)))
         for t in info.get("Projects") or ()
+        if isinstance(t, dict) or _wrong("Projects[]")
     )
     weight = info.get("WeightSource", "none")
     mode = _word(_MODE, _get(info, "RegistryMode", str), "RegistryMode")
@@ -91,22 +136,22 @@
         cold_ms=float(_get(rules, "ColdMs", _NUM, "Guarantees.")),
         fall_multiple=float(_get(rules, "FallMultiple", _NUM, "Guarantees.")),
         fall_ms=float(_get(rules, "FallMs", _NUM, "Guarantees.")),
-        must_ask_ms=float(must_ask) if must_ask and mode is io.ListMode.ASK else None,
+        must_ask_ms=must_ask if must_ask and mode is io.ListMode.ASK else None,
         list_mode=mode,
-        weight_source=_WEIGHTS.get(weight, io.WeightSource.NONE),
+        weight_source=_WEIGHTS.get(str(weight), io.WeightSource.NONE),
         probes=_get(limits, "Probes", bool, "Limits."),
         cancelling=_get(limits, "Cancelling", bool, "Limits."),
         parallel_tries=_get(limits, "ParallelTries", bool, "Limits."),
         retry_after=bool(limits.get("RetryAfter", False)),
         max_attempts=_get(limits, "MaxAttempts", int, "Limits."),
-        max_held=int(limits.get("MostHeld") or 20000),
-        max_retry_after_ms=float(limits.get("MaxRetryAfterMs") or 0.0),
+        max_held=int(_number(limits, "MostHeld", 0.0, "Limits.")) or 20000,
+        max_retry_after_ms=_number(limits, "MaxRetryAfterMs", 0.0, "Limits."),
         worth_by_work=info.get("CountedBy") == "work",
-        over_share_worth=float(info.get("OverShareWorth", 1.0)),
-        goal_whole=float(goal.get("Whole", 1.0)),
-        goal_worst_class=float(goal.get("WorstClass", 0.0)),
-        probe_price=float(prices.get("Probe") or 0.0),
-        cross_zone_price=float(prices.get("CrossZone") or 0.0),
+        over_share_worth=_number(info, "OverShareWorth", 1.0),
+        goal_whole=_number(goal, "Whole", 1.0, "Goal."),
+        goal_worst_class=_number(goal, "WorstClass", 0.0, "Goal."),
+        probe_price=_number(prices, "Probe", 0.0, "Deductions."),
+        cross_zone_price=_number(prices, "CrossZone", 0.0, "Deductions."),
     )
 
 
