Bodies in pieces, the pure part: uploads, the budget, and what the module hears of both

Request.arriving and Whole (time counts from the last byte; until then a server has nothing to do), Outcome.again (whether the body is still held), Streaming (the server's work is done at the first byte). What is data or arithmetic went out of the policy files (records.py, steps.py).

--- a/cloverhold/__init__.py
+++ b/cloverhold/__init__.py
@@ -36,6 +36,7 @@
     Timer,
     Watch,
     WeightSource,
+    Whole,
 )
 
 __version__ = "0.1.0"
@@ -76,5 +77,6 @@
     "Timer",
     "Watch",
     "WeightSource",
+    "Whole",
     "__version__",
 ]
--- a/cloverhold/decision/admission.py
+++ b/cloverhold/decision/admission.py
@@ -51,15 +51,8 @@
     def admit(self, request: RequestState, now: float) -> None:
         """Set until when an answer is worth anything, and the rank among waiting requests."""
         kind, s = request.kind, self.settings
+        self.bound(request, now)
         request.lane.retries = min(RETRY_BURST, request.lane.retries + RETRY_PART)
-        aim = kind.aim_ms + kind.aim_stretch * request.work
-        usual = max(self.usual_try.get(kind.name, 0.0), request.event.expires_ms)
-        self.usual_try[kind.name] = usual
-        # A client's repeat that has less time than a first try is cut by the deadline: its age is then known.
-        if request.event.is_retry and request.event.expires_ms < 0.98 * usual:
-            aim -= kind.deadline_ms - request.event.expires_ms
-        if not kind.late_worth:
-            request.term = min(request.expires, now + max(aim, 0.0))
         share = self.share
         for name in share:
             share[name] *= 0.99
@@ -79,6 +72,16 @@
         if self.over_share(request.event.tenant, now):
             request.rank *= s.over_share_worth
 
+    def bound(self, request: RequestState, now: float) -> None:
+        """Set until when an answer is worth anything, from now on."""
+        kind, left = request.kind, request.expires - now
+        aim = kind.aim_ms + kind.aim_stretch * request.work
+        usual = self.usual_try[kind.name] = max(self.usual_try.get(kind.name, 0.0), left)
+        # A client's repeat that has less time than a first try is cut by the deadline: its age is then known.
+        if request.event.is_retry and left < 0.98 * usual:
+            aim -= kind.deadline_ms - left
+        request.term = request.expires if kind.late_worth else min(request.expires, now + max(aim, 0.0))
+
     def ended(self, kind: str, *, served: bool) -> None:
         """A request has had its answer; its class may be gone."""
         if kind in self.served:
--- a/cloverhold/decision/decide.py
+++ b/cloverhold/decision/decide.py
@@ -19,17 +19,18 @@
 from cloverhold.decision.interface import (
     Action, Cancel, ClientGone, Event, Fail, Lifecycle, ListKind, ListMode, Log, NewSettings, Outcome, Probe,
     ProbeReply, Refuse, Request, Send, ServerEntry, ServerList, SetTimer, Settings, Status, Streaming, Timer,
-    Watch, WeightSource,
+    Watch, WeightSource, Whole,
 )  # fmt: skip
 from cloverhold.decision.learned import WARM, Learned, Warming
 from cloverhold.decision.pools import Pool
-from cloverhold.decision.records import Server
-from cloverhold.decision.state import NEVER_RAN, Attempt, RequestState
+from cloverhold.decision.records import Attempt, Server
+from cloverhold.decision.state import NEVER_RAN, RequestState
 from cloverhold.decision.table import Table
 from cloverhold.decision.waiting import Waiting
 
 WAIT_PART = 0.03  # part of its aim that a request may wait for its own probes
 JAM = 10.0  # how long after requests had to wait a place at a server counts as dear
+SILENT, SILENT_HINTED = 6.0, 3.0  # one without a sign of its server for this multiple (work hinted) stalls
 POLL = 0.12  # how often waiting requests look at the table again
 # Requests that may find no room for a reason of their own at one look at those that wait; guards against a
 # walk over all of them on each event, in a surge.
@@ -102,8 +103,9 @@
                 if (request := self.requests.get(event.id)) is not None:
                     self._end(request, answer=False)
             case Streaming():
-                if (request := self.requests.get(event.id)) is not None:
-                    request.streaming = True
+                self._streams(event, now)
+            case Whole():
+                self._whole(event, now)
         if (at := self.wakes.next()) < self.ring:
             self.tokens += 1
             self.rings[self.tokens] = self.ring = at
@@ -115,7 +117,7 @@
         return any(self.table.looks_well(server) for server in self.table.members(pool))
 
     def _settle(self, settings: Settings, now: float) -> None:
-        """New settings, already checked. Classes that are gone stay known while a request of theirs is under way."""
+        """New settings. Classes that are gone stay known while a request of theirs is under way."""
         check_settings(settings)
         self.settings = self.follower.settings = settings
         named = {c.name for c in settings.classes}
@@ -230,17 +232,56 @@
         self.learned.pace(server, now)
         place = self.table.load(server) + 1
         attempt = Attempt(request, server, now, place, (place - 1) * self.learned.mix + request.work)
+        attempt.silent = (SILENT_HINTED if request.event.cost_ms else SILENT) * attempt.expected
         request.attempts.append(attempt)
         self.waiting.leave(request)
         server.row += 1
-        server.out[(request.id, attempt.number)] = attempt
-        self.table.held += 1
+        attempt.may_have_run = not request.arriving
+        if not request.arriving:
+            self._counts(attempt)
         self.attempts[(request.id, attempt.number)] = attempt
         self.out.append(Send(request.id, server.entry.server))
         if server.warm < WARM:
             self.warming.spend(server, request.work)
         self.health.sent(server, now)
 
+    def _counts(self, attempt: Attempt, on: bool = True) -> None:
+        """What a server has to do: from a request's last byte to the first of its answer."""
+        key, out = (attempt.request.id, attempt.number), attempt.server.out
+        if on:
+            out[key] = attempt
+            self.table.held += 1
+        elif out.pop(key, None) is not None:
+            self.table.held -= 1
+
+    def _whole(self, event: Whole, now: float) -> None:
+        """Its last byte has come: from here on its time counts, and a server may have run it."""
+        request = self.requests.get(event.id)
+        if request is None or not request.arriving:
+            return
+        request.arriving, request.born, request.expires = False, now, now + event.expires_ms
+        self.admission.bound(request, now)
+        if not request.awaited:
+            self.wakes.set(request, self._last_call(request))
+        for attempt in request.pending():
+            attempt.sent_at, attempt.may_have_run = now, True
+            self._counts(attempt)
+            self.health.sent(attempt.server, now)
+
+    def _streams(self, event: Streaming, now: float) -> None:
+        """The answer has begun. But for a class of streams, all that is left is its way to the client."""
+        attempt = self.attempts.get((event.id, event.attempt))
+        if attempt is None or attempt.request.streaming:
+            return
+        attempt.request.streaming = True
+        if not attempt.request.kind.stream:
+            self._counts(attempt, on=False)
+            self._answered(attempt, event.spent_ms, now)
+
+    def _answered(self, attempt: Attempt, spent: float, now: float) -> None:
+        self.learned.observe(attempt, spent, now, answered=True)
+        self.health.good(attempt.server, attempt.request.kind.name, now)
+
     def _end(self, request: RequestState, answer: bool = True, served: bool = False) -> None:
         """The final answer where one is still owed; a refusal wherever that is allowed."""
         request.done = True
@@ -271,12 +312,11 @@
         request, server = attempt.request, attempt.server
         attempt.pending = False
         attempt.may_have_run = event.status not in NEVER_RAN
-        server.out.pop((event.id, event.attempt), None)
-        self.table.held -= 1
+        self._counts(attempt, on=False)
         self.table.full += 0.05 * ((event.status is Status.FULL) - self.table.full)
         if event.status is Status.OK:
-            self.learned.observe(attempt, event.spent_ms, now, answered=True)
-            self.health.good(server, request.kind.name, now)
+            if request.kind.stream or not request.streaming:
+                self._answered(attempt, event.spent_ms, now)
         else:
             if event.status in (Status.TIMEOUT, Status.CANCELLED):
                 self.learned.observe(attempt, event.spent_ms, now, answered=False)
@@ -287,7 +327,7 @@
             if event.closed:
                 self._end(request, answer=False, served=event.status is Status.OK)
             elif not request.pending() and not request.held:
-                self._again(request, now)
+                self._again(request, now) if event.again else self._end(request)
         if request.done:
             request.attempts.clear()
         if not self.waiting.count or not server.ready:
@@ -322,7 +362,7 @@
             elif isinstance(item, RequestState):
                 if item.awaited > 0:
                     self._asked(item, now)
-                elif not item.done and not item.streaming:
+                elif not item.done and not item.streaming and not (item.arriving and item.pending()):
                     self._end(item)
 
     def _probe(self, servers: Iterable[Server], now: float) -> None:
--- a/cloverhold/decision/health.py
+++ b/cloverhold/decision/health.py
@@ -9,9 +9,9 @@
 from cloverhold.decision.index import Agenda
 from cloverhold.decision.interface import ClassSettings, Repeat, Status
 from cloverhold.decision.learned import WARM, Learned, Warming
-from cloverhold.decision.records import Record, Server
-from cloverhold.decision.state import Attempt
-from cloverhold.decision.table import POWER, Table, in_steps
+from cloverhold.decision.records import Attempt, Record, Server
+from cloverhold.decision.steps import POWER, in_steps
+from cloverhold.decision.table import Table
 
 EJECT_AT, BACK_AT = 0.6, 0.3  # failure averages at which a server is ejected, and called back for good
 EJECT, EJECT_DOUBLINGS, EJECT_PART = 2.0, 4, 0.5
--- a/cloverhold/decision/interface.py
+++ b/cloverhold/decision/interface.py
@@ -186,6 +186,15 @@
     is_retry: bool = False
     is_write: bool = False
     pool: Pool | None = None  # the servers that it may go to; None: all
+    arriving: bool = False  # its body still comes: its time begins with `Whole`
+
+
+@dataclass(slots=True)
+class Whole:
+    """The last byte of a request has come that was `arriving`."""
+
+    id: int
+    expires_ms: float  # from now until the client gives up this try
 
 
 @dataclass(slots=True)
@@ -209,6 +218,7 @@
     spent_ms: float
     closed: bool = False
     load: LoadReport | None = None
+    again: bool = True  # whether the request could be sent again: its body is still held from the start
 
 
 @dataclass(slots=True)
@@ -250,7 +260,7 @@
     settings: Settings
 
 
-Event = Union[NewSettings, ServerList, Request, Streaming, Outcome, ClientGone, Timer, ProbeReply, PeerMessage]
+Event = Union[NewSettings, ServerList, Request, Whole, Streaming, Outcome, ClientGone, Timer, ProbeReply, PeerMessage]
 
 # ----------------------------------------------------------------- actions
 
--- a/cloverhold/decision/learned.py
+++ b/cloverhold/decision/learned.py
@@ -6,8 +6,8 @@
 from random import Random
 
 from cloverhold.decision.interface import ClassSettings, Settings
-from cloverhold.decision.records import Server
-from cloverhold.decision.state import Attempt, RequestState
+from cloverhold.decision.records import Attempt, Server
+from cloverhold.decision.state import RequestState
 
 # Parts of its share of a cold server's budget: at once, steadily, and steadily where it holds no request.
 COLD_BURST, COLD_RATE, COLD_DEBT = 0.3, 0.5, 0.33
--- a/cloverhold/decision/records.py
+++ b/cloverhold/decision/records.py
@@ -1,14 +1,16 @@
-"""What a node keeps of each server. Data only: it decides nothing."""
+"""What a node keeps of each server, and of each send to one. Data only: it decides nothing."""
 
 from __future__ import annotations
 
 import math
 from typing import TYPE_CHECKING
 
-from cloverhold.decision.interface import ServerEntry
+from cloverhold.decision.interface import ClassSettings, Request, ServerEntry
+from cloverhold.decision.pools import Lane
 
 if TYPE_CHECKING:
-    from cloverhold.decision.state import Attempt, RequestState
+    from cloverhold.decision.state import RequestState
+    from cloverhold.decision.waiting import Line
 
 
 class Record:
@@ -61,3 +63,38 @@
         if record is None:
             record = self.kinds[name] = Record()
         return record
+
+
+class Attempt:
+    """One send of a request; kept until its outcome."""
+
+    __slots__ = ("cancelled", "due", "entry", "expected", "may_have_run", "number", "pending", "place",
+                 "request", "sent_at", "server", "silent")  # fmt: skip
+
+    def __init__(self, request: RequestState, server: Server, now: float, place: float, due: float) -> None:
+        self.request, self.server, self.number = request, server, len(request.attempts)
+        self.entry = server.entry  # as it was then: a server may come under another zone or cell
+        self.sent_at, self.place, self.due, self.expected = now, place, due, due * server.pace
+        self.silent = math.inf  # one without a sign of its server for so long stalls
+        self.pending, self.may_have_run, self.cancelled = True, True, False
+
+
+class RequestRecord:
+    """What a node keeps of a request; what it may still get says `RequestState`."""
+
+    __slots__ = (
+        "arriving", "attempts", "awaited", "base", "born", "done", "event", "expires", "held", "id", "kind",
+        "lane", "line", "rank", "streaming", "term", "ticket", "work",
+    )  # fmt: skip
+
+    def __init__(self, event: Request, kind: ClassSettings, now: float, lane: Lane) -> None:
+        self.id, self.kind, self.event, self.born, self.lane = event.id, kind, event, now, lane
+        self.line: Line | None = None  # where it waits
+        self.term = self.expires = now + event.expires_ms
+        self.attempts: list[Attempt] = []
+        self.work = self.base = 0.0
+        self.rank = 0.0
+        self.awaited = 0  # probe replies that it waits for before it is placed
+        self.held = self.done = self.streaming = False
+        self.arriving = event.arriving  # no server has begun it, nor can before its last byte has come
+        self.ticket = -1  # its place among those that wait
--- a/cloverhold/decision/table.py
+++ b/cloverhold/decision/table.py
@@ -16,6 +16,7 @@
 from cloverhold.decision.pools import Pool
 from cloverhold.decision.records import Profile, Server
 from cloverhold.decision.state import RequestState
+from cloverhold.decision.steps import PACE, POWER, load_key
 
 # Part of all service that a node may spend on probes; with their price this gives d, on average. Guards
 # against a fleet that pays more for what it asks than it is worth: a probe a request at 0.08 cost 0.08.
@@ -29,22 +30,6 @@
 AVERAGE = 60.0  # time over which a server's surplus in old reports is averaged
 STALE = 0.03  # part of the reports that may miss what is known to be out before all are taken for old
 CROWD = 0.4  # part of the tightest aim that work waiting at a server may take
-EXACT = 32  # loads above count in steps of root two: as far up, a bound need not be exact
-OCTAVES = 20  # paces and figures lie within this many doublings from 1
-POWER: dict[int, float] = {step: 2.0 ** (step / 2) for step in range(-2 * OCTAVES, 2 * OCTAVES + 1)}
-PACE: dict[int, float] = {step: 2.0 ** (step / 4) for step in range(-4 * OCTAVES, 4 * OCTAVES + 1)}
-
-
-def in_steps(steps: float, octave: int) -> int:
-    """A factor as a whole number of steps, so many to a doubling, so that like servers tie."""
-    return max(-octave * OCTAVES, min(octave * OCTAVES, round(steps)))
-
-
-def load_key(load: float) -> float:
-    """A load as the index files it: in quarters, and in steps of root two above `EXACT`, taken upwards."""
-    if load <= EXACT:
-        return round(4 * load) / 4
-    return EXACT * POWER[min(math.ceil(2 * math.log2(load / EXACT)), 2 * OCTAVES)]
 
 
 class Table:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -5,7 +5,8 @@
 import pytest
 from helpers import Node, entries, make_settings, of
 from cloverhold.decision.pools import Lane
-from cloverhold.decision.state import Attempt, RequestState
+from cloverhold.decision.records import Attempt
+from cloverhold.decision.state import RequestState
 
 from cloverhold import (
     ClassSettings,
