Long bodies pass in pieces, both ways, within one budget of bytes for the process

Cause: PATIENCE_S and BODY_LIMIT in fronts/http1.py turned away what came slowly or was long, answers were held whole. Change: bodies from 16 KiB on count in the budget and flow past 128 KiB; answers over 64 KiB are begun at their first bytes; close-delimited answers, Expect, HEAD, absolute form, chunked requests, HTTP/1.0. Fronts and upstreams pause each other. Seen on the way: with the module's room not looked at when an answer begins, waiting requests stayed; mended.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -16,12 +16,13 @@
 import uvloop
 
 from cloverhold.decision import interface as io
-from cloverhold.config.platform import LISTEN_FD, Config, ConfigError, read_config, read_known
+from cloverhold.bodies.budget import Budget, budget_of
+from cloverhold.configuration import LISTEN_FD, Config, ConfigError, read_config, read_known
 from cloverhold.lifecycle import Event, Life
 from cloverhold.limits import descriptors
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import Discovery, Members, members_value
-from cloverhold.net.fronts.http1 import Listener
+from cloverhold.net.fronts.listener import Listener
 from cloverhold.net.host import Host
 from cloverhold.net.inherited import NotListening, inherited_socket
 from cloverhold.net.upstreams.http1 import Pool
@@ -44,7 +45,7 @@
 
 WORKER = "CLOVERHOLD_WORKER"  # what a supervisor tells a worker
 LINGER_S = 0.5  # after SIGTERM new connections still come for this long
-AT_START = ("listen", "mgmt", "sockets", "seed", "store", "listen_fd")  # of the configuration
+AT_START = ("listen", "mgmt", "sockets", "memory_mb", "seed", "store", "listen_fd")  # of the configuration
 GC_THRESHOLD = 5000, 20, 20  # by default collections took a twentieth of a busy node's CPU
 DEADLINE_MOST_S, STOP_S = 3.0, 0.4  # SIGKILL comes 0.7 s after the longest deadline, of 3 s at most
 
@@ -141,7 +142,8 @@
         self.discovery = Discovery(
             config.discovery, clock, self._members, self.host.list_failed, asked=asked
         )
-        self.listener = Listener(self.host, self.life, shares.clients, shares.resting)
+        self.budget = Budget(budget_of(config.memory_mb))
+        self.listener = Listener(self.host, self.life, self.budget, shares.clients, shares.resting)
         self.http3 = _http3(config, self.host)
         self.management = self._management() if config.mgmt is not None else None
 
--- a/cloverhold/bodies/upload.py
+++ b/cloverhold/bodies/upload.py
@@ -104,6 +104,14 @@
         """Whether the attempt has taken all there will ever be."""
         return self.state is State.WHOLE and self.reading and self.taken >= self.size
 
+    def whole(self) -> bytes:
+        """All of it, held here no longer. ValueError where part of it is gone, or still to come."""
+        if not self.repeatable() or self.state is not State.WHOLE:
+            raise ValueError("a body that is not whole here")
+        data = bytes(self._held)
+        self.drop()
+        return data
+
     def leave(self) -> None:
         """The attempt is over."""
         self.reading, self.more = False, _nothing
--- a/cloverhold/config/platform.py
+++ b/cloverhold/configuration.py
@@ -48,6 +48,7 @@
     http3: Http3Table | None = None
     mgmt: Address | None = None
     listen_fd: int | None = None
+    memory_mb: float = 192.0
     raw: dict[str, Any] = field(default_factory=dict)  # the file, less the remembered list
 
 
@@ -98,6 +99,7 @@
         limits = raw["settings"]["Limits"]
         idle, dial = (_positive(limits, *pair) for pair in (("ConnIdleMs", 60000.0), ("DialTimeoutMs", 250.0)))
         sockets = int((raw.get("limits") or {}).get("sockets", 1024))
+        memory = _positive(raw.get("limits") or {}, "memory_mb", 192.0, "limits.")
         seed = int(str(raw.get("seed", "0")), 16)
     except (SettingsError, ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ConfigError(f"{path}: {error}") from None
@@ -106,14 +108,14 @@
     mgmt = _address(raw, "mgmt", "PROXY_MGMT") if raw.get("mgmt") or os.environ.get("PROXY_MGMT") else None
     return Config(
         listen, discovery, settings, idle, dial, sockets, seed, known, said.cells, said.store, said.http3,
-        mgmt, _listen_fd(), whole,
+        mgmt, _listen_fd(), memory, whole,
     )  # fmt: skip
 
 
-def _positive(limits: dict[str, Any], key: str, default: float) -> float:
+def _positive(limits: dict[str, Any], key: str, default: float, where: str = "settings: Limits.") -> float:
     value = limits.get(key, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value < math.inf:
-        raise ValueError(f"settings: Limits.{key}: must be a number above 0, got {value!r}")
+        raise ValueError(f"{where}{key}: must be a number above 0, got {value!r}")
     return float(value)
 
 
--- a/cloverhold/decision/decide.py
+++ b/cloverhold/decision/decide.py
@@ -76,7 +76,6 @@
         self.wakes: Agenda[RequestState | str] = Agenda()
         self.rings: dict[int, float] = {}  # when the timers ring that are out, by their tokens
         self.ring = math.inf  # the first of these
-        self.slack = min(1.0, settings.tick_ms / 2)  # timers may ring early by this
         self.tokens = self.turn = self.overloaded = 0
         self.out: list[Action] = []
 
@@ -113,7 +112,7 @@
         return self.out
 
     def serves(self, pool: Pool) -> bool:
-        """Whether a ready server of a pool looks well. Changes nothing."""
+        """Whether a ready server of a pool looks well."""
         return any(self.table.looks_well(server) for server in self.table.members(pool))
 
     def _settle(self, settings: Settings, now: float) -> None:
@@ -124,7 +123,6 @@
         under_way = [*self.requests.values(), *(attempt.request for attempt in self.attempts.values())]
         gone = {r.kind.name: r.kind for r in under_way if r.kind.name not in named}
         classes = (*settings.classes, *gone.values())
-        self.slack = min(1.0, settings.tick_ms / 2)
         self.learned.settle(settings, classes)
         self.warming.settle(settings)
         self.admission.settle(settings)
@@ -277,10 +275,13 @@
         if not attempt.request.kind.stream:
             self._counts(attempt, on=False)
             self._answered(attempt, event.spent_ms, now)
+            self._made_room(attempt.server, now)
 
     def _answered(self, attempt: Attempt, spent: float, now: float) -> None:
         self.learned.observe(attempt, spent, now, answered=True)
         self.health.good(attempt.server, attempt.request.kind.name, now)
+        if attempt.server.ready:
+            self.health.review(attempt.server, now)
 
     def _end(self, request: RequestState, answer: bool = True, served: bool = False) -> None:
         """The final answer where one is still owed; a refusal wherever that is allowed."""
@@ -321,8 +322,8 @@
             if event.status in (Status.TIMEOUT, Status.CANCELLED):
                 self.learned.observe(attempt, event.spent_ms, now, answered=False)
             self.health.bad(attempt, event.status, now)
-        if server.ready:
-            self.health.review(server, now)
+            if server.ready:
+                self.health.review(server, now)
         if not request.done:
             if event.closed:
                 self._end(request, answer=False, served=event.status is Status.OK)
@@ -330,14 +331,17 @@
                 self._again(request, now) if event.again else self._end(request)
         if request.done:
             request.attempts.clear()
+        self._made_room(server, now)
+
+    def _made_room(self, server: Server, now: float) -> None:
         if not self.waiting.count or not server.ready:
             return
         # No report could show better what room the end made.
         known = not self.table.shared or self.table.old()
         if known and self.table.looks_well(server):
-            self._place_waiting(now, event.server)
+            self._place_waiting(now, server.entry.server)
         elif server.probed_at is None:
-            self._probe([server], now)  # an answer may have made room there; only a probe can show it
+            self._probe([server], now)  # only a probe can show what room there is
 
     def _again(self, request: RequestState, now: float) -> None:
         """After a failed attempt: another one where the class and the budget allow it, else the answer."""
@@ -354,7 +358,7 @@
         if self.rings.pop(event.token, None) is None:
             return
         self.ring = min(self.rings.values(), default=math.inf)
-        for item in list(self.wakes.due(now + self.slack)):
+        for item in list(self.wakes.due(now + min(1.0, self.settings.tick_ms / 2))):  # timers may ring early
             if item == "poll":
                 self._poll(now)
             elif item == "watch":
--- a/cloverhold/net/exchange.py
+++ b/cloverhold/net/exchange.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
 from urllib.parse import parse_qs
 
+from cloverhold.bodies.upload import Upload
 from cloverhold.decision.interface import ClassSettings, Repeat
 from cloverhold.net.messages import Field
 
@@ -24,8 +25,15 @@
     passed: list[Field] = field(default_factory=list)  # the fields that are passed on
     head_bytes: int = 0
     body: bytes = b""
+    upload: Upload | None = None  # in place of `body`, where that is long
+    whole: bool = True  # whether its last byte has come
+    http10: bool = False
     keep_alive: bool = True
-    came_at: float = 0.0  # monotonic, in seconds
+    came_at: float = 0.0  # monotonic, in seconds, of the last byte
+
+    def repeatable(self) -> bool:
+        """Whether its body is still there from the first byte on."""
+        return self.upload is None or self.upload.repeatable()
 
 
 class BadRequest(Exception):
@@ -98,7 +106,7 @@
         raise BadRequest(400, "X-Call-Id is missing")
     if request.method != (b"GET" if kind.repeat is Repeat.SAFE else b"POST"):
         raise BadRequest(400, "the method does not fit the class")
-    if request.body and kind.repeat is Repeat.SAFE:
+    if (request.body or request.upload is not None) and kind.repeat is Repeat.SAFE:
         raise BadRequest(400, "a body does not fit the class")
     if kind.repeat is Repeat.KEYED and not headers.get(b"idempotency-key"):
         raise BadRequest(400, "Idempotency-Key is missing")
@@ -118,6 +126,7 @@
     classes: dict[str, ClassSettings]
 
     def take(self, exchange: Exchange) -> None: ...
+    def whole(self, exchange: Exchange) -> None: ...
     def client_gone(self, exchange: Exchange) -> None: ...
     def ready(self) -> bool: ...
 
@@ -128,14 +137,38 @@
     def answer(self, exchange: Exchange, status: int, body: bytes, headers: Iterable[Field]) -> None: ...
 
 
+class PassingFront(Protocol):
+    """A front that takes long answers in pieces."""
+
+    def begin(self, exchange: Exchange, headers: Iterable[Field], length: int | None) -> None:
+        """The head of an answer of status 200; length: of its body, None where only its end will show."""
+
+    def piece(self, exchange: Exchange, data: bytes) -> bool:
+        """Part of its body; whether more may follow at once. If not, `Exchange.resume` is called when it may."""
+
+    def finish(self, exchange: Exchange) -> None:
+        """It is whole."""
+
+    def cut(self, exchange: Exchange) -> None:
+        """It will never be whole, and the client is to see that."""
+
+
+def _nothing() -> None:
+    """Nobody waits."""
+
+
 class Exchange:
     """One request and the one answer that it gets."""
 
-    __slots__ = ("asked", "connection", "ref", "request")
+    __slots__ = ("asked", "connection", "passing", "ref", "request", "resume")
 
-    def __init__(self, connection: Front, request: Incoming, asked: Asked) -> None:
-        self.connection, self.request, self.asked = connection, request, asked
+    def __init__(
+        self, connection: Front, request: Incoming, asked: Asked, passing: PassingFront | None = None
+    ) -> None:
+        """passing: the front, where it takes answers in pieces."""
+        self.connection, self.request, self.asked, self.passing = connection, request, asked, passing
         self.ref = -1  # its number at the host
+        self.resume: Callable[[], None] = _nothing
 
     def answer(self, status: int, body: bytes = b"", headers: Iterable[Field] = ()) -> None:
         """Write the answer. Nothing where the client has gone."""
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -17,7 +18,7 @@
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import Members
 from cloverhold.net.exchange import Exchange, retry_after
-from cloverhold.net.messages import Field, read_load
+from cloverhold.net.messages import NO_HOST, Field, Response, read_load
 from cloverhold.net.upstreams.calls import Call, Outgoing, Pool, Upstream
 from cloverhold.settings import load_report
 
@@ -31,7 +32,7 @@
 log = logging.getLogger(__name__)
 
 PROBE_TIMEOUT_MS = 300.0
-PROBE = Outgoing(b"GET", b"/_load", [(b"Host", b"api.internal")])
+PROBE = Outgoing(b"GET", b"/_load", [(b"Host", NO_HOST)])
 # What a request and its answer may spend on the way and in a busy loop: the client counts from its own clock.
 # With 2 ms, timers of 1 ms made answers to silent servers arrive just past the client's time.
 WAY_MS = 10.0
@@ -46,6 +47,7 @@
     call: Call
     sent_at: float
     timer: asyncio.TimerHandle | None = None
+    begun_after: float | None = None  # ms to the first byte of an answer that is passed on
     cell: Cell | None = None
     kind: str = ""
 
@@ -56,11 +58,27 @@
 
     exchange: Exchange
     expires_at: float
-    guard: asyncio.TimerHandle
+    guard: asyncio.TimerHandle | None
     sent: int = 0
     cell: Cell | None = None  # where it is confined to
     record: int | None = None  # the store's ticket
     out: dict[int, Attempt] = field(default_factory=dict)
+    begun: bool = False  # whether its answer is on the way in pieces
+
+
+class Passing:
+    """Takes a long answer of one attempt."""
+
+    __slots__ = ("host", "number", "ref")
+
+    def __init__(self, host: Host, ref: int, number: int) -> None:
+        self.host, self.ref, self.number = host, ref, number
+
+    def begun(self, call: Call, response: Response) -> None:
+        self.host.begun(self.ref, self.number, call, response)
+
+    def piece(self, call: Call, data: bytes) -> None:
+        self.host.passed(self.ref, call, data)
 
 
 class Host:
@@ -166,11 +184,12 @@
     def take(self, exchange: Exchange) -> None:
         """A request has come: from here on it is owed one answer before its time is up."""
         now, asked = self.clock.now(), exchange.asked
-        left = asked.budget_ms - (now - exchange.request.came_at * 1000) - WAY_MS
+        request = exchange.request
+        left = asked.budget_ms - (now - request.came_at * 1000 if request.whole else 0.0) - WAY_MS
         if left <= 0:
             exchange.answer(504)
             return
-        call_id = exchange.request.fields[b"x-call-id"]
+        call_id = request.fields[b"x-call-id"]
         if call_id in self.call_ids:  # a second copy of what is out, or somebody else's id
             exchange.answer(409)
             return
@@ -185,16 +204,28 @@
         self.requests += 1
         ref = self.requests
         exchange.ref = ref
-        guard = self.loop.call_later(left / 1000, self._expired, ref)
-        opened = self.open[ref] = Open(exchange, now + left, guard, cell=cell)
+        guard = self.loop.call_later(left / 1000, self._expired, ref) if request.whole else None
+        opened = self.open[ref] = Open(exchange, now + left if request.whole else math.inf, guard, cell=cell)
         if self.store is not None and asked.kind.repeat is io.Repeat.UNSAFE:
-            key = exchange.request.fields.get(b"idempotency-key", b"")
+            key = request.fields.get(b"idempotency-key", b"")
             opened.record = self.store.record(call_id, key, lambda how: self._recorded(ref, how))
             if opened.record is None:  # it may have run, in this life of the node or the one before
                 self._final(ref, 409)
             return
         self._begin(ref, opened)
 
+    def whole(self, exchange: Exchange) -> None:
+        """The last byte has come of a request that was taken before: its time begins."""
+        opened, now = self.open.get(exchange.ref), self.clock.now()
+        if opened is None or opened.guard is not None or opened.begun:
+            return
+        left = exchange.asked.budget_ms - WAY_MS
+        opened.expires_at = now + left
+        opened.guard = self.loop.call_later(max(0.0, left) / 1000, self._expired, exchange.ref)
+        for attempt in opened.out.values():
+            attempt.sent_at = now
+        self.tell(io.Whole(exchange.ref, max(0.0, left)))
+
     def _come_back(self, wait_ms: float) -> tuple[Field, ...]:
         """When to come back, where the settings let a node say so."""
         return retry_after(min(wait_ms, self.settings.max_retry_after_ms) if self.settings.retry_after else 0.0)
@@ -213,18 +244,20 @@
 
     def _begin(self, ref: int, opened: Open) -> None:
         """Hand a request to the module."""
-        asked, cell = opened.exchange.asked, opened.cell
+        asked, cell, arriving = opened.exchange.asked, opened.cell, opened.guard is None
+        left = asked.budget_ms if arriving else max(0.0, opened.expires_at - self.clock.now())
         self.tell(
             io.Request(
                 id=ref,
                 class_name=asked.kind.name,
-                expires_ms=max(0.0, opened.expires_at - self.clock.now()),
+                expires_ms=left,
                 tenant=asked.tenant,
                 key=asked.key,
                 cost_ms=asked.cost_ms,
                 is_retry=asked.is_retry,
                 is_write=asked.kind.repeat is not io.Repeat.SAFE,
                 pool=cell.pool if cell is not None else None,
+                arriving=arriving,
             )
         )
 
@@ -252,7 +285,10 @@
     def _close(self, ref: int) -> Open | None:
         opened = self.open.pop(ref, None)
         if opened is not None:
-            opened.guard.cancel()
+            if opened.guard is not None:
+                opened.guard.cancel()
+            if (upload := opened.exchange.request.upload) is not None:
+                upload.drop()
             if self.router is not None and opened.cell is not None:
                 self.router.left(opened.cell)
             if self.store is not None and opened.record is not None:
@@ -265,7 +301,10 @@
         opened = self._close(ref)
         if opened is None:
             return False
-        opened.exchange.answer(status, body, headers)
+        if opened.begun and opened.exchange.passing is not None:
+            opened.exchange.passing.cut(opened.exchange)  # too late for another
+        else:
+            opened.exchange.answer(status, body, headers)
         self._abandon(ref, opened)
         return True
 
@@ -278,14 +317,18 @@
             self.tell(io.Outcome(ref, 0, server, io.Status.MOOT, 0.0, True))
             return
         number, opened.sent = opened.sent, opened.sent + 1
-        left = opened.expires_at - now
+        exchange = opened.exchange
+        left = min(opened.expires_at - now, exchange.asked.budget_ms)
         if action.timeout_ms:
             left = min(left, action.timeout_ms)
-        if upstream is None or left <= 0:
-            self.tell(io.Outcome(ref, number, server, io.Status.MOOT, 0.0))
+        if upstream is None or left <= 0 or not exchange.request.repeatable():
+            self.tell(io.Outcome(ref, number, server, io.Status.MOOT, 0.0, again=exchange.request.repeatable()))
             return
-        outgoing = request_to_send(opened.exchange, left)
-        call = self.pool.call(upstream, outgoing, lambda call, status: self._ended(ref, number, call, status))
+        outgoing = request_to_send(exchange, left)
+        passing = Passing(self, ref, number) if exchange.passing is not None else None
+        call = self.pool.call(
+            upstream, outgoing, lambda call, status: self._ended(ref, number, call, status), passing
+        )
         attempt = opened.out[number] = Attempt(number, server, call, now)
         if self.router is not None and opened.cell is not None:
             attempt.cell, attempt.kind = opened.cell, opened.exchange.asked.kind.name
@@ -301,17 +344,43 @@
             return
         response = call.response
         load = _load(response.header(b"x-load-report")) if response is not None else None
-        if status is io.Status.OK and response is not None:
+        passing = opened.exchange.passing
+        if opened.begun and passing is not None:
+            self._close(ref)
+            (passing.finish if status is io.Status.OK else passing.cut)(opened.exchange)
+        elif status is io.Status.OK and response is not None:
             self._final(ref, 200, response.body, response.passed)
         self._outcome(ref, attempt, status, load)
 
+    def begun(self, ref: int, number: int, call: Call, response: Response) -> None:
+        """The answer of an attempt has begun: from here on it is the client's."""
+        opened = self.open.get(ref)
+        if opened is None or opened.exchange.passing is None or (attempt := opened.out.get(number)) is None:
+            return
+        opened.begun, opened.exchange.resume = True, call.resume
+        for timer in (opened.guard, attempt.timer):
+            if timer is not None:
+                timer.cancel()
+        opened.exchange.passing.begin(opened.exchange, response.passed, response.length())
+        attempt.begun_after = self.clock.now() - attempt.sent_at
+        self.tell(io.Streaming(ref, number, attempt.server, attempt.begun_after))
+
+    def passed(self, ref: int, call: Call, data: bytes) -> None:
+        """Part of an answer that has begun."""
+        opened = self.open.get(ref)
+        if opened is not None and opened.exchange.passing is not None:
+            if not opened.exchange.passing.piece(opened.exchange, data):
+                call.pause()
+
     def _outcome(
         self, ref: int, attempt: Attempt, status: io.Status, load: io.LoadReport | None = None
     ) -> None:
-        spent, closed = self.clock.now() - attempt.sent_at, ref not in self.open
+        spent = attempt.begun_after if attempt.begun_after is not None else self.clock.now() - attempt.sent_at
+        opened = self.open.get(ref)
+        again = opened is not None and opened.exchange.request.repeatable()
         if self.router is not None and attempt.cell is not None:
             self.router.ended(ref, attempt.cell, attempt.kind, attempt.server, status, spent)
-        self.tell(io.Outcome(ref, attempt.number, attempt.server, status, spent, closed, load))
+        self.tell(io.Outcome(ref, attempt.number, attempt.server, status, spent, opened is None, load, again))
 
     def _stop(self, ref: int, opened: Open, number: int, status: io.Status) -> None:
         """Wait no longer for an attempt, if it is still out."""
@@ -409,4 +478,4 @@
     """What a server is sent: the request as it came, with the time that this node will wait."""
     request = exchange.request
     fields = [*request.passed, (b"X-Budget", b"%du" % max(1, int(left_ms * 1000)))]
-    return Outgoing(request.method, request.target, fields, request.body)
+    return Outgoing(request.method, request.target, fields, request.body, request.upload)
--- a/cloverhold/net/http1.py
+++ b/cloverhold/net/http1.py
@@ -1,10 +1,10 @@
-"""Whole HTTP/1.1 answers from bytes, within a bound. Shared by the server side and discovery."""
+"""HTTP/1.1 answers from bytes: whole within a bound, or in pieces. Shared by the server side and discovery."""
 
 from __future__ import annotations
 
 import httptools
 
-from cloverhold.net.messages import ANSWER_LIMIT, HEAD_LIMIT, HOP_BY_HOP, Response
+from cloverhold.net.messages import ANSWER_LIMIT, BODY_LIMIT, HEAD_LIMIT, HOP_BY_HOP, LENGTH_LIMIT, Response
 
 
 class BadMessage(Exception):
@@ -12,10 +12,14 @@
 
 
 class ResponseParser:
-    """Reads one answer. An answer whose end only a close would show is never whole: it may be cut short."""
+    """Reads one answer.
 
-    def __init__(self, body_limit: int = ANSWER_LIMIT) -> None:
-        self._limit = body_limit
+    passes: whether a long one of status 200 may be passed on in pieces, from `pass_on` on; else it is held whole.
+    """
+
+    def __init__(self, body_limit: int = ANSWER_LIMIT, *, passes: bool = False) -> None:
+        self._limit, self._passes = body_limit, passes
+        self._pieces: list[bytes] | None = None  # those not handed out yet, once it is passed on
         self._parser = httptools.HttpResponseParser(self)
         self._current = Response()
         self._body = bytearray()
@@ -40,6 +44,39 @@
         whole, self._whole = self._whole, None
         return whole
 
+    def finish(self) -> Response | None:
+        """The connection has ended cleanly: the answer, if that is what ends it (RFC 9112, section 6.3, rule 8)."""
+        told = self._current.fields.keys() & {b"content-length", b"transfer-encoding"}
+        if self._in_head or told or self._current.status < 200:
+            return None
+        self.on_message_complete()
+        whole, self._whole = self._whole, None
+        if whole is not None:
+            whole.keep_alive = False
+        return whole
+
+    def unbounded(self) -> bool:
+        """Whether some of a body has come whose length is not told."""
+        return bool(self._body) and self._passed() and self._current.length() is None
+
+    def long(self) -> bool:
+        """Whether so much of an answer has come, or is to come, that it should be passed on."""
+        most = max(len(self._body), self._current.length() or 0)
+        return bool(self._body) and most > BODY_LIMIT and self._passed()
+
+    def _passed(self) -> bool:
+        return self._passes and self._pieces is None and not self._in_head and self._current.status == 200
+
+    def pass_on(self) -> Response:
+        """From here on in pieces; the first is what has come. The answer's head."""
+        self._pieces, self._body = [bytes(self._body)], bytearray()
+        return self._current
+
+    def take(self) -> list[bytes]:
+        """The pieces that have come since."""
+        taken, self._pieces = self._pieces or [], []
+        return taken
+
     def on_message_begin(self) -> None:
         if self._whole is not None:
             self._whole.keep_alive = False  # more than was asked for
@@ -55,11 +92,15 @@
     def on_headers_complete(self) -> None:
         self._current.status = self._parser.get_status_code()
         self._in_head = False
-        length = self._current.header(b"content-length")
-        if length.isdigit() and int(length) > self._limit:
+        limit = LENGTH_LIMIT if self._passes and self._current.status == 200 else self._limit
+        if (self._current.length() or 0) > limit:
             raise BadMessage("body too large")
 
     def on_body(self, data: bytes) -> None:
+        if self._pieces is not None:
+            self._pieces.append(data)
+            self._bytes = 0  # what comes between two pieces is bounded
+            return
         self._body += data
         if len(self._body) > self._limit:
             raise BadMessage("body too large")
--- a/cloverhold/net/messages.py
+++ b/cloverhold/net/messages.py
@@ -6,8 +6,11 @@
 from dataclasses import dataclass, field
 
 HEAD_LIMIT = 64 * 1024
-BODY_LIMIT = 64 * 1024  # of requests
-ANSWER_LIMIT = 1024 * 1024  # servers answer with more than is agreed: up to 400 KB have been seen
+BODY_LIMIT = 64 * 1024  # an answer up to this size is held until it is whole; requests of HTTP/3 hold no more
+ANSWER_LIMIT = 1024 * 1024  # of answers that no front takes in pieces
+LENGTH_LIMIT = 1 << 31  # of any body
+
+NO_HOST = b"api.internal"  # said to servers where a client said none, and with probes
 
 Field = tuple[bytes, bytes]  # name and value
 
@@ -41,6 +44,11 @@
         """The first value of a header, by its lower-case name; empty if there is none."""
         return self.fields.get(name, b"")
 
+    def length(self) -> int | None:
+        """The length that its head tells; None where it tells none."""
+        text = self.header(b"content-length")
+        return int(text) if text.isdigit() else None
+
 
 def read_load(text: bytes) -> dict[str, float] | None:
     """A load report's figures; None if it can't be read. Servers are not trusted with what they send."""
--- a/cloverhold/net/upstreams/calls.py
+++ b/cloverhold/net/upstreams/calls.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+from cloverhold.bodies.upload import Upload
 from cloverhold.decision.interface import Status
 from cloverhold.net.messages import Field, Response
 
@@ -30,6 +31,7 @@
     target: bytes
     fields: list[Field] = field(default_factory=list)
     body: bytes = b""
+    upload: Upload | None = None  # in place of `body`, where that still comes, or is long
 
 
 def status_of(response: Response) -> Status:
@@ -46,10 +48,24 @@
 
     response: Response | None
 
+    def pause(self) -> None:
+        """Read no more of its answer, until `resume`."""
+
+    def resume(self) -> None: ...
+
     def give_up(self) -> None:
         """End it without a word to `Done`. No late byte of it may reach anybody else."""
 
 
+class Receiver(Protocol):
+    """Who takes a long answer of status 200 in pieces, as they come. `Done` still tells how it ended."""
+
+    def begun(self, call: Call, response: Response) -> None:
+        """Its head. From here on nothing may be tried again."""
+
+    def piece(self, call: Call, data: bytes) -> None: ...
+
+
 Done = Callable[[Call, Status], None]
 
 
@@ -71,8 +87,10 @@
 class Pool(Protocol):
     """What carries calls to all servers."""
 
-    def call(self, upstream: Upstream, outgoing: Outgoing, done: Done) -> Call:
-        """Begin an exchange. `done` is never called before this returns."""
+    def call(
+        self, upstream: Upstream, outgoing: Outgoing, done: Done, receiver: Receiver | None = None
+    ) -> Call:
+        """Begin an exchange. `done` is never called before this returns. Without a receiver answers are held whole."""
 
     def close_idle(self, upstream: Upstream) -> None:
         """Close the connections to a server on which nothing is open: it wants nothing new."""
--- a/cloverhold/net/upstreams/http1.py
+++ b/cloverhold/net/upstreams/http1.py
@@ -14,10 +14,14 @@
 from cloverhold.decision.interface import Status
 from cloverhold.net.http1 import BadMessage, ResponseParser
 from cloverhold.net.messages import Response
-from cloverhold.net.upstreams.calls import Done, Outgoing, Upstream, status_of
+from cloverhold.net.upstreams.calls import Done, Outgoing, Receiver, Upstream, status_of
 
 IDLE_PART = 0.8  # part of the servers' idle time after which a connection is no longer used
 READ_SIZE = 64 * 1024
+# An answer without a length is passed on so long after the first byte of its body: a short one is whole by then, and
+# could be tried again until then.
+BEGIN_S = 0.05
+SILENT_S = 20.0  # a long answer of which nothing comes for this long is broken off
 
 
 class IdleLimit:
@@ -57,7 +61,10 @@
     """The bytes of a request."""
     head = [b"%s %s HTTP/1.1\r\n" % (outgoing.method, outgoing.target)]
     head.extend([b"%s: %s\r\n" % pair for pair in outgoing.fields])
-    if outgoing.body or outgoing.method != b"GET":
+    if outgoing.upload is not None:
+        length = outgoing.upload.length
+        head.append(b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %d\r\n" % length)
+    elif outgoing.body or outgoing.method != b"GET":
         head.append(b"Content-Length: %d\r\n" % len(outgoing.body))
     head.append(b"\r\n")
     head.append(outgoing.body)
@@ -67,17 +74,60 @@
 class Call:
     """One exchange on a connection."""
 
-    __slots__ = ("connection", "done", "payload", "response", "written")
+    __slots__ = ("begun", "connection", "done", "ended", "payload", "receiver", "response", "upload", "written")
 
-    def __init__(self, payload: bytes, done: Done) -> None:
-        self.payload, self.done = payload, done
-        self.written = 0
+    def __init__(self, outgoing: Outgoing, done: Done, receiver: Receiver | None = None) -> None:
+        self.payload, self.done, self.receiver, self.upload = payload(outgoing), done, receiver, outgoing.upload
+        self.written = 0  # of the payload: the request, or a part of it
+        self.ended = self.upload is None  # whether no further part will come
+        self.begun = False  # whether the receiver takes the answer in pieces
         self.connection: Connection | None = None
         self.response: Response | None = None
+        if self.upload is not None:
+            self.upload.begin(self._more)
+
+    def _more(self) -> None:
+        if self.connection is not None:
+            self.connection.more()
+
+    def sent(self) -> bool:
+        """Whether the last byte of the request has been written."""
+        return self.ended and self.written == len(self.payload)
+
+    def next_part(self) -> bool:
+        """Go on to what the body holds next; whether there is any now."""
+        upload = self.upload
+        if upload is None or self.ended:
+            return False
+        data, chunked = upload.take(), upload.length is None
+        self.ended = upload.drained() if chunked else upload.taken == upload.length
+        if chunked and data:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        if chunked and self.ended:
+            data += b"0\r\n\r\n"
+        if not data:
+            return False
+        self.payload, self.written = data, 0
+        return True
+
+    def over(self) -> None:
+        """It has no connection any more, and takes no more of the body."""
+        self.connection = None
+        if self.upload is not None:
+            self.upload.leave()
+
+    def pause(self) -> None:
+        if self.connection is not None:
+            self.connection.pause()
+
+    def resume(self) -> None:
+        if self.connection is not None:
+            self.connection.resume()
 
     def give_up(self) -> None:
         """Its connection closes: late bytes must reach nobody else."""
-        connection, self.connection = self.connection, None
+        connection = self.connection
+        self.over()
         if connection is not None:
             connection.call = None
             connection.close()
@@ -89,7 +139,11 @@
     def __init__(self, pool: Pool, upstream: Upstream, call: Call) -> None:
         self.pool, self.upstream = pool, upstream
         self.call: Call | None = call
-        self.parser = ResponseParser()
+        self.parser = ResponseParser(passes=call.receiver is not None)
+        self.blocked = True  # whether what is to be written waits for the socket
+        self.paused = False
+        self.moved = 0.0  # when bytes last came, of an answer that is passed on
+        self.begins: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
         self.found: float | None = None  # how long it was idle before this request; None once that has told
         self.closed = False
@@ -130,25 +184,35 @@
     def begin(self, call: Call) -> None:
         """Send a request on a connection that was idle."""
         self.call, call.connection = call, self
-        self.parser = ResponseParser()
+        self.parser = ResponseParser(passes=call.receiver is not None)
         self.found = self.pool.loop.time() - self.idle_since
         self._write()
 
     def _write(self) -> None:
+        call, self.blocked = self.call, False
+        while call is not None:
+            try:
+                call.written += self.socket.send(memoryview(call.payload)[call.written :])
+            except BlockingIOError:
+                pass
+            except OSError:
+                # Before the last byte was written, and a server begins a request only at its last byte. Told
+                # later, not from within the caller's own step.
+                self.blocked = True
+                self.pool.loop.call_soon(self._broken, call)
+                return
+            if call.written < len(call.payload):
+                self.blocked = True
+                self.pool.loop.add_writer(self.socket.fileno(), self._writable)
+                return
+            if not call.next_part():
+                return
+
+    def more(self) -> None:
+        """The body of the request goes on."""
         call = self.call
-        if call is None:
-            return
-        try:
-            call.written += self.socket.send(memoryview(call.payload)[call.written :])
-        except BlockingIOError:
-            pass
-        except OSError:
-            # Before the last byte was written, and a server begins a request only at its last byte. Told
-            # later, not from within the caller's own step.
-            self.pool.loop.call_soon(self._broken, call)
-            return
-        if call.written < len(call.payload):
-            self.pool.loop.add_writer(self.socket.fileno(), self._writable)
+        if call is not None and not self.blocked and call.next_part():
+            self._write()
 
     def _writable(self) -> None:
         self.pool.loop.remove_writer(self.socket.fileno())
@@ -162,21 +226,26 @@
     def _broken(self, call: Call) -> None:
         if self.call is call:
             self._told(died=True)
-            self.end(Status.CONNECT_FAILED if call.written < len(call.payload) else Status.RESET)
+            self.end(Status.RESET if call.sent() else Status.CONNECT_FAILED)
 
     def _readable(self) -> None:
+        clean = True
         try:
             data = self.socket.recv(READ_SIZE)
         except BlockingIOError:
             return
         except OSError:
-            data = b""
+            data, clean = b"", False
         call = self.call
         if call is None:
             self.close()  # idle: the server closed it, or says what nobody asked for
             return
         if not data:
-            self._broken(call)
+            response = self.parser.finish() if clean else None
+            if response is None:
+                self._broken(call)
+            else:
+                self._answered(call, response)
             return
         self._told(died=False)
         try:
@@ -186,13 +255,53 @@
             return
         if response is not None:
             self._answered(call, response)
+        elif call.begun:
+            self._pass(call)
+        elif self.parser.long():
+            self._begin(call)
+        elif self.begins is None and self.parser.unbounded():
+            self.begins = self.pool.loop.call_later(BEGIN_S, self._begin, call)
+
+    def _begin(self, call: Call) -> None:
+        """Hand on what has come of a long answer, and from here on what comes."""
+        if self.call is call and call.receiver is not None and not call.begun:
+            call.begun = True
+            call.receiver.begun(call, self.parser.pass_on())
+            self._pass(call)
+
+    def _pass(self, call: Call) -> None:
+        self.moved = self.pool.loop.time()
+        for piece in self.parser.take():
+            if call.receiver is not None and self.call is call:  # else it was given up over the one before
+                call.receiver.piece(call, piece)
+
+    def silent(self, now: float) -> bool:
+        """Whether an answer that is passed on has stopped coming."""
+        return self.call is not None and self.call.begun and not self.paused and now - self.moved > SILENT_S
+
+    def pause(self) -> None:
+        if not self.paused and not self.closed:
+            self.paused = True
+            self.pool.loop.remove_reader(self.socket.fileno())
+
+    def resume(self) -> None:
+        if self.paused and not self.closed:
+            self.paused, self.moved = False, self.pool.loop.time()
+            self.pool.loop.add_reader(self.socket.fileno(), self._readable)
 
     def _answered(self, call: Call, response: Response) -> None:
+        if call.begun:
+            self._pass(call)
+            if self.call is not call:
+                return
         call.response = response
-        if not response.keep_alive or call.written < len(call.payload):
+        if not response.keep_alive or not call.sent():
             self.end(status_of(response))
             return
-        self.call = call.connection = None
+        self._begins_no_more()
+        self.resume()
+        self.call = None
+        call.over()
         self.pool.put_back(self)
         call.done(call, status_of(response))
 
@@ -201,15 +310,21 @@
         call, self.call = self.call, None
         self.close()
         if call is not None:
-            call.connection = None
+            call.over()
             call.done(call, status)
 
+    def _begins_no_more(self) -> None:
+        if self.begins is not None:
+            self.begins.cancel()
+            self.begins = None
+
     def close(self) -> None:
         if self.closed:
             return
         self.closed = True
         if self.dial_timer is not None:
             self.dial_timer.cancel()
+        self._begins_no_more()
         self.pool.loop.remove_reader(self.socket.fileno())
         self.pool.loop.remove_writer(self.socket.fileno())
         self.socket.close()
@@ -235,9 +350,11 @@
             self.idle_limit.most_s = IDLE_PART * idle_s
             self.idle_limit.forget(0.0)
 
-    def call(self, upstream: Upstream, outgoing: Outgoing, done: Done) -> Call:
+    def call(
+        self, upstream: Upstream, outgoing: Outgoing, done: Done, receiver: Receiver | None = None
+    ) -> Call:
         """Begin an exchange. `done` is never called before this returns."""
-        call = Call(payload(outgoing), done)
+        call = Call(outgoing, done, receiver)
         oldest = self.loop.time() - self.idle_limit.limit_s
         while upstream.idle:
             connection = upstream.idle.pop()
@@ -253,6 +370,7 @@
                 raise OSError("too many connections to servers")
             connection = Connection(self, upstream, call)
         except OSError:  # none to be had, also where descriptors ran out: never sent
+            call.over()
             self.loop.call_soon(done, call, Status.CONNECT_FAILED)
             return call
         self.all.add(connection)
@@ -297,6 +415,8 @@
         for connection in list(self.idle):
             if connection.idle_since < limit:
                 connection.close()
+        for connection in [c for c in self.all if c.silent(self.loop.time())]:
+            connection.end(Status.RESET)
         self._sweeper = self.loop.call_later(self._sweep_every(), self._sweep)
 
     def close(self) -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -12,7 +12,7 @@
 from cloverhold import ClassSettings, Group, Repeat, Settings
 from cloverhold.__main__ import Node
 from cloverhold.cells.table import CellsTable
-from cloverhold.config.platform import Config
+from cloverhold.configuration import Config
 from cloverhold.h3.table import Http3Table
 from cloverhold.store.table import StoreTable
 from cloverhold.net.clock import Clock
@@ -236,6 +236,7 @@
     http3: Http3Table | None = None,
     known: int | None = None,
     mgmt: bool = False,
+    memory_mb: float = 192.0,
     **changes: Any,
 ) -> AsyncIterator[Running]:
     """A node before these servers, ready to serve; known: the version of the list that it remembers of them."""
@@ -257,6 +258,7 @@
         store=store,
         http3=http3,
         mgmt=("127.0.0.1", 0) if mgmt else None,
+        memory_mb=memory_mb,
     )
     node, stop = Node(config, Clock()), asyncio.Event()
     task = asyncio.create_task(node.run(stop))
