--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -191,7 +191,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.in_head:
             return  # a trailer: what the head did not say must not come in behind the body
-        lower = name.lower()
+        lower, value = name.lower(), value.strip(b" \t")  # what stands round a value is not of it (RFC 9110, 5.5)
         if lower in ONCE and lower in self.incoming.fields:
             self._fail(400, f"{lower.decode('latin-1')} is given twice")
         self.incoming.fields[lower] = value
--- a/cloverhold/net/http1.py
+++ b/cloverhold/net/http1.py
@@ -84,7 +84,7 @@
         self._in_head = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        lower = name.lower()
+        lower, value = name.lower(), value.strip(b" \t")
         self._current.fields.setdefault(lower, value)
         if lower not in HOP_BY_HOP:
             self._current.passed.append((name, value))
--- a/tests/ops/test_passing.py
+++ b/tests/ops/test_passing.py
@@ -152,6 +152,25 @@
     play(test)
 
 
+def test_white_space_round_a_value_is_not_of_it() -> None:
+    """Guards against heads that are passed over for a blank behind a value: the parser leaves it there."""
+
+    async def test() -> None:
+        server = answering(b"HTTP/1.1 200 OK\r\nContent-Length: 2 \t\r\n\r\nok")
+        async with running(server) as node:
+            raw = request("lote", body=b"abc")
+            head, _, body = raw.partition(b"\r\n\r\n")
+            first, *lines = head.split(b"\r\n")
+            loose = [line.replace(b": ", b":\t  ") + b" \t" for line in lines]
+            response = await node.ask(b"\r\n".join([first, *loose]) + b"\r\n\r\n" + body)
+            assert response.status == 200
+            assert b"X-Call-Id: 1\r\n" in server.heads[0] and server.bodies == [b"abc"]
+            coded = head.replace(b"Content-Length: 3", b"Transfer-Encoding: chunked ") + b"\r\n\r\n"
+            assert (await node.ask(coded + chunks(b"abc", 2))).status == 200 and server.bodies[-1] == b"abc"
+
+    play(test)
+
+
 def test_a_body_that_comes_a_byte_at_a_time_and_a_target_in_absolute_form() -> None:
     async def test() -> None:
         server = answering(told(b"ok", "length"))
