Two processes share one node's descriptors, bytes for bodies and cold budgets through TMPDIR

Need: beside each other each counted as if alone. Change: cloverhold/succession/ (pages and locks; a pure core), each counts as a node of its own in the module, free descriptors are divided, the newer one begins with the older's list and is ready once a list is fresh.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -8,9 +8,11 @@
 import os
 import signal
 import sys
+import tempfile
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from pathlib import Path
 from typing import TYPE_CHECKING, TypeVar
 
 import uvloop
@@ -19,7 +21,7 @@
 from cloverhold.bodies.budget import Budget, budget_of
 from cloverhold.configuration import LISTEN_FD, Config, ConfigError, read_config, read_known
 from cloverhold.lifecycle import Event, Life
-from cloverhold.limits import descriptors
+from cloverhold.limits import OWN, descriptors
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import Discovery, Members, members_value
 from cloverhold.net.fronts.listener import Listener
@@ -32,18 +34,22 @@
 
     from cloverhold.cells.shell import Router
     from cloverhold.cells.table import CellsTable
+    from cloverhold.decision.interface import Settings
     from cloverhold.net.fronts.http3 import Http3Front
     from cloverhold.net.fronts.management import ManagementFront
     from cloverhold.store.remote import RemoteStore
     from cloverhold.store.service import StoreService
     from cloverhold.store.shell import Store
     from cloverhold.store.table import StoreTable
+    from cloverhold.succession.core import Share
+    from cloverhold.succession.shell import Succession
     from cloverhold.supervise.worker import Attached
 
 log = logging.getLogger(__name__)
 Opened = TypeVar("Opened")
 
 WORKER = "CLOVERHOLD_WORKER"  # what a supervisor tells a worker
+REMEMBERED_S = 1.5  # a list that another process had, or this one remembers, is good enough after this long
 LINGER_S = 0.5  # after SIGTERM new connections still come for this long
 AT_START = ("listen", "mgmt", "sockets", "memory_mb", "seed", "store", "listen_fd")  # of the configuration
 GC_THRESHOLD = 5000, 20, 20  # by default collections took a twentieth of a busy node's CPU
@@ -145,8 +151,42 @@
         self.budget = Budget(budget_of(config.memory_mb))
         self.listener = Listener(self.host, self.life, self.budget, shares.clients, shares.resting)
         self.http3 = _http3(config, self.host)
+        self.succession = self._succession() if config.listen_fd is not None else None
+        self.listener.successor = lambda: self.succession is not None and self.succession.share.successor
         self.management = self._management() if config.mgmt is not None else None
 
+    def _succession(self) -> Succession:
+        from cloverhold.succession.shell import Succession
+
+        folder = Path(tempfile.gettempdir()) / "cloverhold"
+        return Succession(
+            folder, self.config.sockets, lambda: OWN + len(self.listener.connections) + len(self.pool.all),
+            self.life.ready,
+        )  # fmt: skip
+
+    def _shared(self, share: Share) -> None:
+        """Another process of this node has come or gone, or holds more or less."""
+        from cloverhold.succession.core import as_one_of, bodies_of
+
+        shares = descriptors(share.descriptors, management=self.config.mgmt is not None)
+        self.listener.resize(shares.clients, shares.resting)
+        self.pool.resize(shares.servers)
+        self.budget.resize(bodies_of(budget_of(self.config.memory_mb), share.parts))
+        settings = as_one_of(self.config.settings, share)
+        if settings != self.host.settings:
+            self.host.settle(settings)
+
+    def _joined(self) -> Members | None:
+        """Take a place among the node's processes; the list of another one, to begin with."""
+        if self.succession is None:
+            return None
+        from cloverhold.succession.core import latest
+
+        members = latest(self.succession.join())
+        self.succession.changed = self._shared
+        self._shared(self.succession.share)
+        return read_known({"known": members}, self.clock) if members is not None else None
+
     def _management(self) -> ManagementFront:
         from cloverhold.net.fronts.management import ManagementFront
 
@@ -167,6 +207,8 @@
     def _members(self, members: Members) -> None:
         self.host.members(members)
         self.life.tell(Event.LISTED)
+        if self.succession is not None:
+            self.succession.told(members_value(members, self.clock))
         if self.worker is not None:
             self.worker.told(members_value(members, self.clock))
         if self.store is not None:
@@ -175,14 +217,16 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until told to stop, and then answer what was taken."""
         inherited = self.worker.listening if self.worker else self._inherited()
-        known = self.config.known
+        known = self._joined() or self.config.known
         if self.store is not None:
             self.store.start(asyncio.get_running_loop())
             if known is None:
                 known = read_known({"known": self.store.known()}, self.clock)
         if known is not None:
             self.host.members(known, remembered=True)
-            self.life.tell(Event.LISTED)
+            # Beside a process that serves, one is ready once its list is of now, or discovery does not answer.
+            wait = REMEMBERED_S if self.succession is not None and self.succession.share.parts > 1 else 0.0
+            asyncio.get_running_loop().call_later(wait, self.life.tell, Event.LISTED)
             self.discovery.resume(known.version)
             if self.store is not None:
                 self.store.keep_list(members_value(known, self.clock))
@@ -192,6 +236,8 @@
         await self.listener.start(self.config.listen, inherited)
         if self.management is not None and self.config.mgmt is not None:
             await self.management.start(self.config.mgmt)
+        if self.succession is not None:
+            self.succession.start()
         if self.http3 is not None:
             await self.http3.start()
             if self.http3.table.announce:
@@ -229,7 +275,7 @@
         if waiting:
             log.warning("configuration: %s: takes effect at a restart", ", ".join(waiting))
         if config.settings != self.config.settings:
-            self.host.settle(config.settings)
+            self.host.settle(self._own_settings(config.settings))
             log.info("configuration: new settings, classes %s", ", ".join(c.name for c in config.settings.classes))
         self.pool.retime(config.dial_ms / 1000, config.idle_ms / 1000)
         started = {key: getattr(self.config, key) for key in AT_START}
@@ -240,6 +286,14 @@
         self._reload_http3(config)
         self.discovery.follow(config.discovery)
 
+    def _own_settings(self, settings: Settings) -> Settings:
+        """Settings as this process counts: it may be one of several."""
+        if self.succession is None:
+            return settings
+        from cloverhold.succession.core import as_one_of
+
+        return as_one_of(settings, self.succession.share)
+
     def _reload_http3(self, config: Config) -> None:
         """Certificates and bounds of HTTP/3; what cannot be used changes nothing."""
         if (self.http3 is None) != (config.http3 is None):
@@ -291,6 +345,8 @@
             self.http3.close()
         if self.router is not None:
             self.router.close()
+        if self.succession is not None:
+            self.succession.close()
         self.discovery.stop()
         self.pool.close()
         if self.store is not None:
--- a/cloverhold/bodies/budget.py
+++ b/cloverhold/bodies/budget.py
@@ -28,6 +28,11 @@
         while self._waiting and not self.spent():
             self._waiting.popleft()()
 
+    def resize(self, total: int) -> None:
+        """Another total; what is held stays."""
+        self.total = total
+        self.give(0)
+
     def spent(self) -> bool:
         """Whether nothing more should be read."""
         return self.used >= self.total
--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -105,17 +105,19 @@
         """Whether a request is half here."""
         return self.begun is not None and (self.between > 0 or not self.in_head)
 
-    def part(self) -> None:
-        """Close while nothing is open, unless something lies unread: that is served first. Guards against requests
-        that cross the end of their connection: closed over, they would be reset unread.
+    def part(self) -> bool:
+        """Close while nothing is open, unless something lies unread: that is served first; whether it closed. Guards
+        against requests that cross the end of their connection: closed over, they would be reset unread.
         """
         transport = self.transport
         if transport is None or self.closing is not None:
-            return
+            return False
         waits = select.poll()
         waits.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-        if not waits.poll(0):
-            self.close()
+        if waits.poll(0):
+            return False
+        self.close()
+        return True
 
     def sweep(self, now: float) -> None:
         """End what a client has left unfinished for too long."""
@@ -297,7 +299,7 @@
     def _begin(self, request: Incoming) -> None:
         path = request.target.partition(b"?")[0]
         if path == b"/_health":
-            status = 200 if self.listener.taker.ready() and self.listener.life.healthy() else 503
+            status = 200 if self.listener.healthy() else 503
             self._write(status, b"", (), close=not request.keep_alive, bare=request.method == b"HEAD")
             return
         if path[:1] != b"/":
--- a/cloverhold/net/fronts/listener.py
+++ b/cloverhold/net/fronts/listener.py
@@ -5,6 +5,8 @@
 import asyncio
 import socket
 import time
+from collections.abc import Callable
+from itertools import islice
 
 from cloverhold.bodies.budget import Budget
 from cloverhold.lifecycle import Life
@@ -12,6 +14,9 @@
 from cloverhold.net.fronts.http1 import ClientConnection
 
 SWEEP_S = 0.2
+SILENT_PART = 0.25  # of all connections may have said nothing yet before they give way first
+SPARE = 8  # so many more are taken where none can go at once
+LOOKS = 8  # connections looked at for one that can go
 # uvloop takes one connection a turn from each listening handle. In a surge with turns of some ms that is less
 # than what comes: requests then lie unseen behind connections that are not accepted.
 ACCEPTS = 8
@@ -28,6 +33,7 @@
         self.silent: dict[ClientConnection, None] = {}
         self.resting: dict[ClientConnection, None] = {}
         self.came = 0
+        self.successor: Callable[[], bool] = lambda: False  # whether another process of the node serves here
         self.announce = b""  # a line of every answer: that clients may come another way too (RFC 7838)
         self._servers: list[asyncio.Server] = []
         self._sweeper: asyncio.TimerHandle | None = None
@@ -45,18 +51,34 @@
         """Where it listens, also where any free port was asked for; 0 until it does."""
         return int(self._servers[0].sockets[0].getsockname()[1]) if self._servers else 0
 
-    def made(self, connection: ClientConnection) -> None:
-        """Keep connections to their number, so that descriptors never run out and accepting goes on.
+    def healthy(self) -> bool:
+        """Whether clients may be sent to this address: to this process, or to the one that takes over from it."""
+        if self.life.stopping():
+            return not self.life.duck and self.successor()
+        return self.taker.ready() and self.life.healthy()
 
-        Guards against hundreds that connect and say nothing: they go before any that has ever asked.
-        """
+    def made(self, connection: ClientConnection) -> None:
+        """Keep connections to their number, so that descriptors never run out and accepting goes on."""
         self.connections.add(connection)
         self.came += 1
         connection.place = self.came * SPREAD % 1
         self.silent[connection] = None
         if len(self.connections) > self.most:
-            spare = self.silent if len(self.silent) > 1 or not self.resting else self.resting
-            next(iter(spare)).close()
+            self._give_way(connection)
+
+    def _give_way(self, new: ClientConnection) -> None:
+        """End one connection, the oldest that has said nothing or rests, but none on which a request lies unread.
+
+        Guards against hundreds that connect and say nothing: they go before any that has ever asked. As long as they
+        are few, they are clients whose first request is about to come, and one that rests goes first.
+        """
+        few = len(self.silent) <= SILENT_PART * self.most
+        first, then = (self.resting, self.silent) if few else (self.silent, self.resting)
+        for connection in (*islice(first, LOOKS), *islice(then, LOOKS)):
+            if connection is not new and connection.part():
+                return
+        if len(self.connections) > self.most + SPARE:  # all are owed something
+            new.close()
 
     def asked(self, connection: ClientConnection) -> None:
         self.silent.pop(connection, None)
@@ -70,6 +92,13 @@
         if len(self.resting) > self.most_resting:
             next(iter(self.resting)).part()
 
+    def resize(self, most: int, most_resting: int) -> None:
+        """Other bounds; the longest at rest go first where these are lower."""
+        self.most, self.most_resting = most, most_resting
+        over = max(len(self.resting) - most_resting, len(self.connections) - most)
+        for connection in list(self.resting)[: max(0, over)]:
+            connection.part()
+
     def lost(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
         self.asked(connection)
--- a/cloverhold/net/upstreams/http1.py
+++ b/cloverhold/net/upstreams/http1.py
@@ -400,6 +400,12 @@
         upstream.retired = True
         self.close_idle(upstream)
 
+    def resize(self, most: int) -> None:
+        """Another bound on connections."""
+        self.most = most
+        while self.idle and len(self.all) > most:
+            self._evict()
+
     def _evict(self) -> None:
         """Close the connection that has been idle longest."""
         if self.idle:
--- /dev/null
+++ b/cloverhold/succession/shell.py
@@ -0,0 +1,132 @@
+"""The pages and locks of a node's processes in `$TMPDIR/cloverhold/`. All of it is some kilobytes."""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import logging
+import os
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from cloverhold.roster import Roster
+from cloverhold.succession.core import PAGE_LIMIT, Page, Share, read_page, share, write_page
+
+log = logging.getLogger(__name__)
+
+LOOK_S = 0.2
+MOST = 16  # files looked at: more there cannot be of one node
+
+
+class Succession:
+    """A process among those of its node. Where the folder cannot be used it is alone, and says so once."""
+
+    def __init__(self, folder: Path, sockets: int, held: Callable[[], int], serving: Callable[[], bool]) -> None:
+        self.folder, self.sockets, self.held, self.serving = folder, sockets, held, serving
+        self.started = time.time()
+        self.name = f"{int(self.started * 1e6):017d}-{os.getpid()}"
+        self.roster = Roster()
+        self.share = share(self.started, 0, [], sockets)
+        self.changed: Callable[[Share], None] = lambda share: None
+        self._lock: int | None = None
+        self._said = ""
+        self._timer: asyncio.TimerHandle | None = None
+
+    def told(self, members: dict[str, Any]) -> None:
+        """A list, or changes of it, in discovery's form."""
+        self.roster.take(members)
+
+    def join(self) -> list[Page | None]:
+        """Be seen by the others; their pages."""
+        try:
+            self.folder.mkdir(exist_ok=True)
+            # Locked before it has its name: a lock file that is not locked is a dead process's.
+            draft = self.folder / f"{self.name}.new"
+            self._lock = os.open(draft, os.O_CREAT | os.O_RDWR | os.O_CLOEXEC, 0o600)
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            draft.rename(self.folder / f"{self.name}.lock")
+            others = self._others()
+        except OSError as error:
+            log.warning("%s: %s; other processes of this node are not seen", self.folder, error)
+            self.close()
+            return []
+        self.share = share(self.started, self.held(), others, self.sockets)
+        return others
+
+    def start(self) -> None:
+        """Look for the others from now on."""
+        if self._lock is not None:
+            self._look()
+
+    def _look(self) -> None:
+        self._timer = asyncio.get_running_loop().call_later(LOOK_S, self._look)
+        try:
+            now = share(self.started, self.held(), self._others(), self.sockets)
+            self._tell()
+        except OSError as error:  # a full or vanished $TMPDIR: what was known last holds
+            log.warning("%s: %s", self.folder, error)
+            return
+        before, self.share = self.share, now
+        if now != before:
+            if now.place is not before.place:
+                log.info("processes of this node: %d, this is the %s one", now.parts, now.place.value)
+            self.changed(now)
+
+    def _tell(self) -> None:
+        """Write the page anew where it has changed; only its reader needs to know what is held."""
+        held = self.held() if self.share.parts > 1 else 0
+        text = write_page(Page(self.started, self.serving(), held, self.roster.value()))
+        if text != self._said:
+            draft = self.folder / f"{self.name}.draft"
+            draft.write_text(text)
+            draft.rename(self.folder / f"{self.name}.json")
+            self._said = text
+
+    def _others(self) -> list[Page | None]:
+        """The pages of the other living processes; what the dead have left is removed."""
+        found: list[Page | None] = []
+        for lock in sorted(self.folder.glob("*.lock"))[-MOST:]:
+            if lock.stem == self.name:
+                continue
+            if _dead(lock):
+                for suffix in (".lock", ".json", ".draft"):
+                    lock.with_suffix(suffix).unlink(missing_ok=True)
+            else:
+                found.append(_page(lock.with_suffix(".json")))
+        return found
+
+    def close(self) -> None:
+        """Be seen no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._lock is not None:
+            for suffix in (".lock", ".json", ".draft", ".new"):
+                (self.folder / f"{self.name}{suffix}").unlink(missing_ok=True)
+            os.close(self._lock)
+            self._lock = None
+
+
+def _dead(lock: Path) -> bool:
+    """Whether the process that a lock file is of has ended, however it did."""
+    try:
+        handle = os.open(lock, os.O_RDWR | os.O_CLOEXEC)
+    except FileNotFoundError:
+        return True
+    try:
+        fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        return False
+    finally:
+        os.close(handle)
+    return True
+
+
+def _page(path: Path) -> Page | None:
+    try:
+        with path.open("rb") as file:
+            data = file.read(PAGE_LIMIT + 1)
+    except OSError:
+        return None
+    return read_page(data.decode("utf-8", "replace")) if len(data) <= PAGE_LIMIT else None
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -21,8 +21,10 @@
         "codec", "desk", "disk", "log", "recovery", "sent", "simulated", "wire",
     )),
     *(f"cloverhold/h3/{name}.py" for name in ("door", "keys", "requests", "session", "streams")),
+    *("cloverhold/bodies/budget.py", "cloverhold/bodies/upload.py", "cloverhold/lifecycle.py", "cloverhold/limits.py"),
     "cloverhold/roster.py",
     "cloverhold/settings.py",
+    "cloverhold/succession/core.py",
     "cloverhold/supervise/core.py",
     *(f"cloverhold/rehearsal/{name}.py" for name in (
         "scenario", "faults", "plan", "machine", "catalog", "front", "ledger", "judge", "rules", "service", "spoil",
@@ -32,7 +34,7 @@
 NODE = (
     *("cloverhold/__main__.py", "cloverhold/benchlink.py", "cloverhold/roster.py"),
     *("cloverhold/net", "cloverhold/decision", "cloverhold/supervise", "cloverhold/cells", "cloverhold/config"),
-    *("cloverhold/store", "cloverhold/h3"),
+    *("cloverhold/store", "cloverhold/h3", "cloverhold/bodies", "cloverhold/succession"),
 )
 
 
