--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -96,6 +96,7 @@
     def close(self) -> None:
         if self.transport is not None and self.closing is None:
             self.closing = time.monotonic()
+            self.listener.asked(self)  # it is no longer one of those that may give way: another is the next
             self.transport.close()
 
     def idle(self) -> bool:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -138,6 +138,26 @@
     play(test)
 
 
+def test_those_that_rest_at_once_do_not_all_count_on_the_same_one_to_go() -> None:
+    """Guards against a bound that is passed by each turn of the loop in which several come to rest: a connection that
+    closes is gone a turn later, and until then it was chosen again.
+    """
+
+    async def test() -> None:
+        async with running(Server(), sockets=192) as node:
+            peers = await connected(node, 80)
+            for number, (_, writer) in enumerate(peers):
+                writer.write(request(number=str(number)))
+            await until(lambda: node.node.host.requests == 80 and not node.node.host.open)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            assert len(node.node.listener.resting) <= 192 // 6
+            for _, writer in peers:
+                writer.close()
+
+    play(test)
+
+
 def test_a_surge_of_connections_is_taken_in_few_turns() -> None:
     """Guards against requests that lie unseen: the loop takes one connection a turn from each handle."""
 
