A half-written request gives way last: slow clients get through a crowd

Ruled out: patience, servers' descriptors. Change: at rest first, then silent, then half written; a head has 2.3 s.

--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -26,7 +26,7 @@
 BETWEEN_LIMIT = 2 * HEAD_LIMIT  # of what frames a body, or comes behind it, between two pieces
 # A head is whole this long after its first byte, the first one after the connection came: a client that
 # says nothing, or never ends, holds a descriptor.
-PATIENCE_S = 2.6
+PATIENCE_S = 2.3
 BODY_PATIENCE_S, BODY_RATE = 5.0, 16 * 1024  # a body is whole by then and as long as it takes at so many bytes a second
 STARVED_S = 3.0  # a body for which there is no memory is waited for so long
 IDLE_S = 2.0  # a connection between requests is kept for this long
@@ -169,6 +169,8 @@
     def data_received(self, data: bytes) -> None:
         if self.broken is not None or self.closing is not None:
             return
+        if self in self.listener.silent:
+            self.listener.spoke(self)
         self.between += len(data)
         try:
             self.parser.feed_data(data)
--- a/cloverhold/net/fronts/listener.py
+++ b/cloverhold/net/fronts/listener.py
@@ -29,8 +29,10 @@
     def __init__(self, taker: Taker, life: Life, budget: Budget, most: int, most_resting: int) -> None:
         self.taker, self.life, self.budget, self.most, self.most_resting = taker, life, budget, most, most_resting
         self.connections: set[ClientConnection] = set()
-        # Those that have not asked yet, and those between requests; the longest so first.
+        # Those that have said nothing, whose first request is half here, and that are between requests; the longest so
+        # first.
         self.silent: dict[ClientConnection, None] = {}
+        self.halves: dict[ClientConnection, None] = {}
         self.resting: dict[ClientConnection, None] = {}
         self.came = 0
         self.successor: Callable[[], bool] = lambda: False  # whether another process of the node serves here
@@ -70,18 +72,25 @@
         """End one connection, the oldest that has said nothing or rests, but none on which a request lies unread.
 
         Guards against hundreds that connect and say nothing: they go before any that has ever asked. As long as they
-        are few, they are clients whose first request is about to come, and one that rests goes first.
+        are few, they are clients whose first request is about to come, and one that rests goes first. A request that is
+        half here is given up only where nobody else can go: some take seconds to write one.
         """
         few = len(self.silent) <= SILENT_PART * self.most
         first, then = (self.resting, self.silent) if few else (self.silent, self.resting)
-        for connection in (*islice(first, LOOKS), *islice(then, LOOKS)):
+        for connection in (*islice(first, LOOKS), *islice(then, LOOKS), *islice(self.halves, LOOKS)):
             if connection is not new and connection.part():
                 return
         if len(self.connections) > self.most + SPARE:  # all are owed something
             new.close()
 
+    def spoke(self, connection: ClientConnection) -> None:
+        """The first bytes of its first request have come."""
+        del self.silent[connection]
+        self.halves[connection] = None
+
     def asked(self, connection: ClientConnection) -> None:
         self.silent.pop(connection, None)
+        self.halves.pop(connection, None)
         self.resting.pop(connection, None)
 
     def rests(self, connection: ClientConnection) -> None:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -138,6 +138,26 @@
     play(test)
 
 
+def test_a_request_that_is_half_here_gives_way_last() -> None:
+    """Guards clients that take two seconds to write a request, in a crowd that asks once and stays, or says nothing."""
+
+    async def test() -> None:
+        async with running(Server(), sockets=192) as node:
+            slow = await connected(node, 10)
+            for number, (_, writer) in enumerate(slow):
+                writer.write(request(number=f"slow{number}")[:-2])
+            most = node.node.listener.most
+            others = await asked(node, most // 2) + await connected(node, 2 * most)
+            await until(lambda: len(node.node.listener.connections) <= most)
+            for reader, writer in slow:
+                writer.write(b"\r\n")
+                assert (await read_answer(reader)).status == 200
+            for _, writer in slow + others:
+                writer.close()
+
+    play(test)
+
+
 def test_those_that_rest_at_once_do_not_all_count_on_the_same_one_to_go() -> None:
     """Guards against a bound that is passed by each turn of the loop in which several come to rest: a connection that
     closes is gone a turn later, and until then it was chosen again.
