Name the reading of the platform's configuration cloverhold/platform.py

A test holds a node without the operator's file to loading nothing named cloverhold.config*; the new module's name began so. A move, nothing else.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -19,7 +19,7 @@
 
 from cloverhold.decision import interface as io
 from cloverhold.bodies.budget import Budget, budget_of
-from cloverhold.configuration import LISTEN_FD, Config, ConfigError, read_config, read_known
+from cloverhold.platform import LISTEN_FD, Config, ConfigError, read_config, read_known
 from cloverhold.lifecycle import Event, Life
 from cloverhold.limits import OWN, descriptors
 from cloverhold.net.clock import Clock
--- a/cloverhold/supervise/worker.py
+++ b/cloverhold/supervise/worker.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from cloverhold.configuration import Config
+    from cloverhold.platform import Config
 
 BEAT_S = 0.5
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -12,7 +12,7 @@
 from cloverhold import ClassSettings, Group, Repeat, Settings
 from cloverhold.__main__ import Node
 from cloverhold.cells.table import CellsTable
-from cloverhold.configuration import Config
+from cloverhold.platform import Config
 from cloverhold.h3.table import Http3Table
 from cloverhold.store.table import StoreTable
 from cloverhold.net.clock import Clock
--- a/tests/ops/test_new_settings.py
+++ b/tests/ops/test_new_settings.py
@@ -15,7 +15,7 @@
 from hypothesis import strategies as st
 
 from cloverhold import ClassSettings, Fail, ListKind, Refuse, Repeat, Send, Status
-from cloverhold.configuration import Config, ConfigError, read_config
+from cloverhold.platform import Config, ConfigError, read_config
 from cloverhold.net.clock import Clock
 from cloverhold.settings import unlike
 from helpers import CLASSES, Node, entries, of
--- a/tests/test_supervise.py
+++ b/tests/test_supervise.py
@@ -22,7 +22,7 @@
 from loopback import OK, Catalog, Server, free_ports, is_free, play, read_answer, request, target, until
 from test_process import ROOT, config, environment
 
-from cloverhold.configuration import Config
+from cloverhold.platform import Config
 from cloverhold.supervise.core import (
     BACKOFF_MOST_S,
     BAD_CONFIG,
