Work out in one place how a process counts as one of several

Found on reading the change again: Node._shared called as_one_of beside _own_settings, which does the same with the same share. Imports of the start stand in their order again.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -19,7 +19,6 @@
 
 from cloverhold.decision import interface as io
 from cloverhold.bodies.budget import Budget, budget_of
-from cloverhold.platform import LISTEN_FD, Config, ConfigError, read_config, read_known
 from cloverhold.lifecycle import Event, Life
 from cloverhold.limits import OWN, descriptors
 from cloverhold.net.clock import Clock
@@ -28,6 +27,7 @@
 from cloverhold.net.host import Host
 from cloverhold.net.inherited import NotListening, inherited_socket
 from cloverhold.net.upstreams.http1 import Pool
+from cloverhold.platform import LISTEN_FD, Config, ConfigError, read_config, read_known
 
 if TYPE_CHECKING:
     import socket
@@ -166,13 +166,13 @@
 
     def _shared(self, share: Share) -> None:
         """Another process of this node has come or gone, or holds more or less."""
-        from cloverhold.succession.core import as_one_of, bodies_of
+        from cloverhold.succession.core import bodies_of
 
         shares = descriptors(share.descriptors, management=self.config.mgmt is not None)
         self.listener.resize(shares.clients, shares.resting)
         self.pool.resize(shares.servers)
         self.budget.resize(bodies_of(budget_of(self.config.memory_mb), share.parts))
-        settings = as_one_of(self.config.settings, share)
+        settings = self._own_settings(self.config.settings)
         if settings != self.host.settings:
             self.host.settle(settings)
 
