--- a/cloverhold/cli.py
+++ b/cloverhold/cli.py
@@ -9,6 +9,7 @@
 USAGE = """usage: cloverhold run                       one node, configured by PROXY_CONFIG
        cloverhold run --workers N           the same as N processes behind one port
        cloverhold rehearse [SCENARIO] ...   real nodes before a stand-in fleet that fails on a script
+       cloverhold simulate fleet DAY ...    a whole fleet in simulated time
        cloverhold cells plan|move|undo|status ...
        cloverhold store check|dump|compact|adopt|salvage DIR
        cloverhold --version
@@ -16,6 +17,8 @@
 `--help` behind each tells more. CLOVERHOLD_CONFIG names the operator's file,
 where there is one (docs/cells.md)."""
 
+PACKAGES = {"simulate": "simulation"}  # where a command is not called as its package
+
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the named part; its exit status. 2 where there is no such part."""
@@ -39,13 +42,15 @@
                 )
                 return 2
             return kit(rest)
-        case ["cells" | "store" as name, *rest]:
+        case ["cells" | "simulate" | "store" as name, *rest]:
+            package = PACKAGES.get(name, name)
             try:
-                command = import_module(f"cloverhold.{name}.command").main
+                command = import_module(f"cloverhold.{package}.command").main
             except ModuleNotFoundError as error:
-                print(f"{name} needs {error.name}: pip install 'cloverhold[{name}]'", file=sys.stderr)
+                print(f"{name} needs {error.name}: pip install 'cloverhold[{package}]'", file=sys.stderr)
                 return 2
-            command(rest, prog_name=f"cloverhold {name}")
+            status: int | None = command(rest, prog_name=f"cloverhold {name}")
+            return status or 0
         case ["--version"]:
             from cloverhold import __version__
 
--- a/cloverhold/rehearsal/files.py
+++ b/cloverhold/rehearsal/files.py
@@ -10,6 +10,7 @@
 
 BASE = "base"  # what the shipped scenarios extend; not one to play
 MOST_EXTENDED = 4  # files over one another
+MOST_PROCESSES = 16  # nodes of a scenario that is played by real ones
 
 
 def _tables(path: Path, left: int) -> dict[str, Any]:
@@ -30,7 +31,10 @@
 
 def load_scenario(path: Path) -> Scenario:
     """The scenario in a file. Raises ScenarioError, also where a file cannot be read."""
-    return check(_tables(path, MOST_EXTENDED), str(path))
+    scenario = check(_tables(path, MOST_EXTENDED), str(path))
+    if scenario.nodes.count > MOST_PROCESSES:
+        raise ScenarioError(f"{path}: nodes.count: at most {MOST_PROCESSES} is allowed, got {scenario.nodes.count}")
+    return scenario
 
 
 def shipped() -> dict[str, Path]:
--- a/cloverhold/rehearsal/scenario.py
+++ b/cloverhold/rehearsal/scenario.py
@@ -89,7 +89,7 @@
 class Nodes(Table):
     """The nodes under rehearsal and their limits."""
 
-    count: Annotated[int, Field(ge=1, le=16)] = 2
+    count: Annotated[int, Field(ge=1, le=1000)] = 2  # a file's, played by real processes: at most 16
     cores: Positive = 1.0
     memory_mb: Annotated[int, Field(ge=16)] = 192
     sockets: Annotated[int, Field(ge=64)] = 1024
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -30,6 +30,9 @@
         "scenario", "faults", "plan", "machine", "catalog", "front", "ledger", "judge", "rules", "service", "spoil",
         "wire",
     )),
+    *(f"cloverhold/simulation/{name}.py" for name in (
+        "days", "figures", "fleet", "nodes", "registry", "servers", "timeline",
+    )),
 )  # fmt: skip
 NODE = (
     *("cloverhold/__main__.py", "cloverhold/benchlink.py", "cloverhold/roster.py"),
@@ -80,7 +83,7 @@
         files = sorted((ROOT / name).rglob("*.py")) if (ROOT / name).is_dir() else [ROOT / name]
         for file in files:
             for path, module in reached(file, set()):
-                if module.startswith("cloverhold.rehearsal"):
+                if module.startswith(("cloverhold.rehearsal", "cloverhold.simulation")):
                     yield f"the node imports the kit: {path.relative_to(ROOT)} imports {module}"
 
 
