Many nodes: what others hold is steadied, learned from kept servers, always a bound

Followed: a request that waits at its node till it is refused, with one to three of the node's own out and its four servers at rest.

Both are right for two nodes, and stay so. Also Table.blind: with nodes more than twice the servers, as when a zone is lost, a node had no bound at all and went on while its servers timed out. And _lowest: a node with nothing out held its request back by a guess alone, and learned nothing.

--- a/cloverhold/decision/decide.py
+++ b/cloverhold/decision/decide.py
@@ -219,8 +219,7 @@
         # Hints are rough: where nothing waited lately, a try that proves too long costs nobody else. With
         # nothing out, a node tries all the same, to learn better.
         own = 0.8 * request.work if now < request.lane.jam_until else 0.0
-        idle = not self.attempts or self.table.blind()
-        picked = self.table.pick(request, group, request.term - now, own, idle)
+        picked = self.table.pick(request, group, request.term - now, own, not self.attempts)
         if picked is None:
             return False
         self._send(request, picked, now)
@@ -314,7 +313,6 @@
         attempt.pending = False
         attempt.may_have_run = event.status not in NEVER_RAN
         self._counts(attempt, on=False)
-        self.table.full += 0.05 * ((event.status is Status.FULL) - self.table.full)
         if event.status is Status.OK:
             if request.kind.stream or not request.streaming:
                 self._answered(attempt, event.spent_ms, now)
--- a/cloverhold/decision/table.py
+++ b/cloverhold/decision/table.py
@@ -30,6 +30,9 @@
 AVERAGE = 60.0  # time over which a server's surplus in old reports is averaged
 STALE = 0.03  # part of the reports that may miss what is known to be out before all are taken for old
 CROWD = 0.4  # part of the tightest aim that work waiting at a server may take
+# Requests by which a node's usual number of them is steadied: one that has a third of a request out, as
+# among 200 nodes, else takes each that comes for a threefold rise of all traffic, and holds back the next.
+STEADY = 3.0
 
 
 class Table:
@@ -51,10 +54,10 @@
         self.sizes = 0.0  # likewise
         self.stale = 2 * STALE  # part of the reports that this node knows to be old; at first, till shown
         self.rtt: float | None = None  # how long a probe takes, on average
-        self.full = 0.0  # part of the last attempts that were turned away as full
         self.level = 0.0  # mean of the last reports
         self.held = 0  # attempts of this node that are out
-        self.own, self.others = 1.0, settings.nodes - 1.0  # held at a server by it, by others
+        self.own, self.others = 1 / max(1, settings.nodes - 1), 1.0  # held at a server by it, by others
+        self.heard = 1  # replies that these were learned from, and this guess
         self.settle(settings, settings.classes)
 
     def settle(self, settings: Settings, classes: tuple[ClassSettings, ...]) -> None:
@@ -182,9 +185,11 @@
             self.stale += 0.02 * ((figure < known - 0.5) - self.stale)
         others = figure - len(server.out)
         self.level += 0.1 * (figure - self.level)
-        step, count = min(1.0, (now - server.heard_at) / (AVERAGE * self.tightest)), max(1, len(self.ready))
-        self.own += step / count * (self.held / count - self.own)
-        self.others += step / count * (max(0.0, others) - self.others)
+        step = min(1.0, (now - server.heard_at) / (AVERAGE * self.tightest))
+        self.heard += 1  # each of the servers that it keeps to tells its part; at first all replies alike
+        part = max(step / max(1, self.prefix.edge), 1 / self.heard)
+        self.own += part * (self.held / max(1, len(self.ready)) - self.own)
+        self.others += part * (max(0.0, others) - self.others)
         server.replies += 1
         server.surplus += step * (others - self.usual() - server.surplus)
         server.heard_at = now
@@ -193,8 +198,8 @@
         server.row = len(server.out) + round(max(0.0, others))
 
     def old(self) -> bool:
-        """Whether reports are old and this node can tell better: its own are many enough to go by."""
-        return self.stale > STALE and not self.many()
+        """Whether reports are old, or too few of each server: what is likely tells more then."""
+        return self.stale > STALE or self._many
 
     def many(self) -> bool:
         """Whether nodes are so many that this one's requests tell little of theirs."""
@@ -207,7 +212,8 @@
 
     def usual(self) -> float:
         """What others hold at a server, by what this node holds now: a rise of all traffic shows at once."""
-        return self.held / max(1, len(self.ready)) * self.others / self.own
+        steady = max(0.01, STEADY * (1 - 2 / self.settings.nodes))  # of two nodes each sees half: no sample
+        return self.others * (self.held + steady) / (self.own * max(1, len(self.ready)) + steady)
 
     def load(self, server: Server) -> float:
         """Requests at a server, for the bounds: its row; while reports are old what is likely there now; and
@@ -242,10 +248,6 @@
         free = [server for server in self.members(pool) if server in self.free]
         return self.random.sample(free, min(count, len(free)))
 
-    def blind(self) -> bool:
-        """Whether most rows are old (many nodes, few probes each) while servers are not turning work away."""
-        return self.many() and 2 * self.d < SUBSET_LEAST and self.full < 0.1
-
     # ------------------------------------------------------------------------------------------------- pick
 
     def most(self, pace: float) -> float:
@@ -272,14 +274,12 @@
 
     def room(self, kind: str, pool: Pool | None) -> bool:
         """Whether any server has room for a request of this class, whatever else would speak against it."""
-        at, blind, shift = self.kinds[kind], self.blind(), self.shift()
+        at, shift = self.kinds[kind], self.shift()
         if pool is not None:
             places = [self.place_of(server) for server in self.within(pool)]
-            return any(
-                key[2][at] is not None and (blind or load + shift <= key[0]) for key, load, _ in places
-            )
+            return any(key[2][at] is not None and load + shift <= key[0] for key, load, _ in places)
         return any(
-            figures[at] is not None and (blind or min(levels) + shift <= most)
+            figures[at] is not None and min(levels) + shift <= most
             for (most, _, figures, _, _, _), levels in self.usable().buckets.items()
         )
 
@@ -296,7 +296,8 @@
         None where there is none.
 
         left: time that it has, in ms; own: work of its own that it must wait for; idle: what waits at servers
-        does not count. A further attempt goes elsewhere where it can.
+        does not count, nor, where it is only guessed at, their room: a node that guesses too much would send
+        nothing, and learn no better. A further attempt goes elsewhere where it can.
         """
         zone = request.first().zone if group is Group.ZONE else ""
         few: list[Server] | None = self.within(request.event.pool) if request.event.pool is not None else None
@@ -338,23 +339,23 @@
         neighbour, cold start) or loses some, its row counts that much more, in steps of root two, so that
         like servers still tie.
         """
-        at, mix, blind = self.kinds[request.kind.name], self.learned.mix, self.blind()
-        floor, shift = round(self.level), self.shift()
+        at, mix = self.kinds[request.kind.name], self.learned.mix
+        floor, shift, guess = round(self.level), self.shift(), self.shared and self.old()
         lowest, total = math.inf, 0
         ties: list[list[Server]] = []
         alone: list[Server] = []  # of a few: those that tie
 
         def bounds(key: Profile) -> tuple[float, float]:
             """The most load and the weight at which a server of this kind is fit; no load where it is not."""
-            room, pace, figures, warm, _, where = key
+            most, pace, figures, warm, _, where = key
             step = figures[at]
             if step is None or (zone and where != zone):
                 return -math.inf, 1.0
             if warm < WARM and request.work > self.warming.most_work(warm):
                 return -math.inf, 1.0
-            power, most = PACE[pace], math.inf if blind else room
+            power = PACE[pace]
             if idle:
-                return (-math.inf if own * power > left else most - shift), POWER[step]
+                return (-math.inf if own * power > left else math.inf if guess else most - shift), POWER[step]
             return min(most, (left / power - own) / mix) - shift, POWER[step]
 
         if few is not None:
