--- a/tests/simulation/test_fleet_days.py
+++ b/tests/simulation/test_fleet_days.py
@@ -210,10 +210,10 @@
         ("calm", lambda settings, seed: Cheat(settings, seed, repeats), "no_repeat"),
         ("calm", lambda settings, seed: Cheat(settings, seed, forgets), "one_answer"),
         ("roll", Deaf, "drains_kept"),
-        ("zone", lambda settings, seed: Cheat(settings, seed, rushes), "cold_kept"),
+        ("join", lambda settings, seed: Cheat(settings, seed, rushes), "cold_kept"),
     ],
 )
 def test_a_module_that_breaks_a_rule_is_seen(kind: str, make: Make, rule: str) -> None:
-    day = replace(draw(kind, 1, 8), losses=(Losses(0.0, 25.0, spoilt=0.05),))
+    day = replace(draw(kind, 2, 16), losses=(Losses(0.0, 25.0, spoilt=0.05),))
     found = breaches(day, Fleet(day, make).run())
     assert found[rule], {name: len(rows) for name, rows in found.items()}
