Simulated fleets: counts that nobody read go out, an attempt's end is marked in one place

Found on reading the change again: three counters and a time of an outage that nothing set; a cancelled attempt was marked as over by its server and unmarked by its node.

--- a/cloverhold/simulation/figures.py
+++ b/cloverhold/simulation/figures.py
@@ -40,7 +40,7 @@
     probes: float  # a request
     dials: float  # new connections a request
     most_connections: int  # at one server at once
-    most_held: int  # by one server at once, as sampled
+    most_held: int  # by one server at once
     servers_used: float  # by a node in all
     calls: int  # of discovery
     rules: dict[str, int]  # breaches
--- a/cloverhold/simulation/fleet.py
+++ b/cloverhold/simulation/fleet.py
@@ -56,7 +56,6 @@
         self.dealt: list[int] = []  # nodes that the front takes for alive
         self._weights: list[float] = []
         self.refs = 0
-        self.most_held = 0
 
     def _source(self, *names: object) -> Random:
         return Random(":".join(str(n) for n in ("fleet", self.day.kind, self.day.seed, *names)))
@@ -103,7 +102,6 @@
     def _sample(self) -> None:
         for server in self.servers.values():
             self.timeline.after(self.scenario.fleet.report_lag_ms, server.sample, self.chance)
-            self.most_held = max(self.most_held, server.held)
         self.timeline.after(self.scenario.fleet.report_period_ms, self._sample)
 
     def _publish(self) -> None:
--- a/cloverhold/simulation/nodes.py
+++ b/cloverhold/simulation/nodes.py
@@ -86,7 +86,6 @@
         self.flights: dict[tuple[int, int], Flight] = {}
         self.asked: dict[str, Flight] = {}  # probes that are out
         self.resting: dict[str, list[tuple[float, Dial]]] = {}  # connections between requests, since when
-        self.open = self.most_open = 0
         self.logs: list[str] = []
 
     @property
@@ -108,6 +107,7 @@
         lost, self.owed = list(self.owed.values()), {}
         for flight in [*self.flights.values(), *self.asked.values()]:
             flight.server.cancel(flight)
+            flight.over = True
             self._close(flight.server, flight.dial)
         self.flights, self.asked = {}, {}
         for server, resting in self.resting.items():
@@ -211,8 +211,6 @@
             dial = Dial(server.uid, self.number, now / 1000)
             self.world.write(dial)
             self.seen.dials += 1
-            self.open += 1
-            self.most_open = max(self.most_open, self.open)
             server.connections += 1
             server.most_connections = max(server.most_connections, server.connections)
         return Flight(self.number, self.lives, number, server, dial, now, done, row, new, work)
@@ -235,7 +233,6 @@
     def _unheard(self, flight: Flight) -> None:
         if not flight.over and self.asked.get(flight.server.uid) is flight:
             flight.server.cancel(flight)
-            flight.over = False
             self._replied(flight, io.Status.TIMEOUT, None)
 
     def _ended(self, flight: Flight, status: io.Status, report: io.LoadReport | None) -> None:
@@ -254,7 +251,6 @@
     def _late(self, flight: Flight) -> None:
         if not flight.over and self.flights.get(flight.number) is flight:
             flight.server.cancel(flight)
-            flight.over = False
             self._ended(flight, io.Status.TIMEOUT, None)
 
     def _cancel(self, number: tuple[int, int]) -> None:
@@ -262,7 +258,6 @@
         if flight is None or flight.over:
             return
         flight.server.cancel(flight)
-        flight.over = False
         self.world.timeline.after(0.0, self._cancelled, flight)
 
     def _cancelled(self, flight: Flight) -> None:
@@ -282,7 +277,6 @@
         if dial.closed_s is None:
             dial.closed_s = self.world.timeline.now / 1000
             server.connections -= 1
-            self.open -= 1
 
     def dropped(self, server: Server) -> None:
         """A server's process has ended, and with it the connections that rested."""
--- a/cloverhold/simulation/registry.py
+++ b/cloverhold/simulation/registry.py
@@ -44,7 +44,6 @@
         self.readers: list[Reader] = []
         self.owed: dict[int, list[tuple[int, Told]]] = {}  # by node: rows not yet written
         self.lines = self.calls = 0
-        self.down_until = 0.0
         self.counter = Counter(how.capacity, how.call_lines, how.timeout_s) if how.mode == "ask" else None
 
     def put(self, server: Server, lifecycle: Lifecycle) -> None:
@@ -119,7 +118,7 @@
             return
         self.calls += 1
         life, lines = reader.life, len(self._missed(reader))
-        took = None if self.timeline.now < self.down_until else self.counter.take(self.timeline.now / 1000, lines)
+        took = self.counter.take(self.timeline.now / 1000, lines)
         wait = 1000 * (took if took is not None else self.how.timeout_s) + RETURN_MS
         self.timeline.after(wait, self._answer, reader, life, took is not None)
 
--- a/cloverhold/simulation/servers.py
+++ b/cloverhold/simulation/servers.py
@@ -162,7 +162,6 @@
     def cancel(self, flight: Flight) -> None:
         """The node has closed the connection: what is not done stays undone."""
         self.touch()
-        flight.over = True
         row, job = flight.row, flight.job
         if job is not None and self.flights.pop(id(job), None) is not None:
             self.machine.leave(job)
