--- a/cloverhold/rehearsal/service.py
+++ b/cloverhold/rehearsal/service.py
@@ -52,6 +52,10 @@
     tries: int = 0
     attempts: int = 0
 
+    def unpriced(self) -> float:
+        """Service before its prices are taken off."""
+        return WHOLE * self.whole + WORST_WINDOW * self.worst_window + WORST_CLASS * self.worst_class
+
 
 def fates(scenario: Scenario, plan: Plan, ledger: Ledger) -> list[Fate]:
     """What became of each first try that fell into the time watched."""
@@ -158,6 +162,5 @@
     service.worst_tenant = min(well, default=1.0)
     service.worst_class = min(service.classes.values())
     service.prices = _prices(scenario, ledger, every)
-    whole = WHOLE * service.whole + WORST_WINDOW * service.worst_window + WORST_CLASS * service.worst_class
-    service.service = max(0.0, whole - sum(service.prices.values()))
+    service.service = max(0.0, service.unpriced() - sum(service.prices.values()))
     return service
--- a/cloverhold/simulation/days.py
+++ b/cloverhold/simulation/days.py
@@ -17,34 +17,39 @@
 
 @dataclass(frozen=True, slots=True)
 class Prices:
-    """Points of service for each unit, as the settings of large fleets state them."""
+    """Points of service for each unit, where the settings of large fleets state others than the kit's."""
 
-    waste: float = 0.04  # work wasted, as much as was asked for
-    late_fail: float = 0.03  # all failing only after its aim
     handshake: float = 0.08  # a new connection for each request
-    connection: float = 0.03  # 100 open connections a server
     probe: float = 0.08  # a probe for each request
     lines: float = 0.05  # 100 lines of the list for each request
     held_back: float = 0.10  # every request refused, and never sent
 
 
 @dataclass(frozen=True, slots=True)
-class Cut:
+class Span:
+    """What lasts for a while, in seconds after the start."""
+
+    at_s: float
+    for_s: float
+
+    def lasts(self, now_s: float) -> bool:
+        """Whether it is under way."""
+        return self.at_s <= now_s < self.at_s + self.for_s
+
+
+@dataclass(frozen=True, slots=True)
+class Cut(Span):
     """Nodes and servers of one zone hear nothing of the others, nor the other way round; nor does discovery reach
     the nodes there.
     """
 
-    at_s: float
-    for_s: float
     zone: str
 
 
 @dataclass(frozen=True, slots=True)
-class Losses:
+class Losses(Span):
     """Parts of all attempts that go wrong on the way, at any server."""
 
-    at_s: float
-    for_s: float
     lost: float = 0.0  # the answer never comes, though the request has run
     reset: float = 0.0  # the connection is reset under the request
     spoilt: float = 0.0  # what comes is no answer: a reset to the node, after the request has run
--- a/cloverhold/simulation/figures.py
+++ b/cloverhold/simulation/figures.py
@@ -8,7 +8,7 @@
 from cloverhold.decision.decide import Balancer
 from cloverhold.rehearsal.ledger import Dial, Ledger
 from cloverhold.rehearsal.rules import RULES, Case, Violation
-from cloverhold.rehearsal.service import WORST_CLASS, WORST_WINDOW, WHOLE, fates, measure, percentile
+from cloverhold.rehearsal.service import fates, measure, percentile
 from cloverhold.simulation.days import Day
 from cloverhold.simulation.fleet import Fleet, Make
 from cloverhold.simulation.nodes import Seen
@@ -61,14 +61,14 @@
 
 
 def _prices(
-    day: Day, fleet: Fleet, ledger: Ledger, live: dict[str, float], tries: int, held: int
+    day: Day, fleet: Fleet, live: dict[str, float], *, dials: int, tries: int, held: int
 ) -> dict[str, float]:
     """The kit's prices at the day's rates, and those that only a fleet pays."""
     prices, first = day.prices, max(1, len(fleet.plan.arrivals))
     probes = sum(node.seen.probes for node in fleet.nodes)
     return {
         "waste": live["waste"], "late_fail": live["late_fail"], "connection": live["connection"],
-        "handshake": prices.handshake * len(ledger.of(Dial)) / first, "probe": prices.probe * probes / first,
+        "handshake": prices.handshake * dials / first, "probe": prices.probe * probes / first,
         "lines": prices.lines * fleet.registry.lines / (100 * first),
         "held_back": prices.held_back * held / max(1, tries),
     }  # fmt: skip
@@ -89,21 +89,19 @@
     service = measure(day.scenario, fleet.plan, ledger)
     seen = [node.seen for node in fleet.nodes]
     tries, first = sum(s.requests for s in seen), max(1, len(fleet.plan.arrivals))
-    held = sum(s.never_sent for s in seen)
-    prices = _prices(day, fleet, ledger, service.prices, tries, held)
-    whole = WHOLE * service.whole + WORST_WINDOW * service.worst_window + WORST_CLASS * service.worst_class
+    held, dials = sum(s.never_sent for s in seen), len(ledger.of(Dial))
+    prices = _prices(day, fleet, service.prices, dials=dials, tries=tries, held=held)
     order = sorted(seen, key=lambda s: -s.requests)
     busy, rest = order[: max(1, len(order) // 10)], order[max(1, len(order) // 10) :]
     idle = [part for s in seen for part in s.idle_parts]
-
     return Figures(
         kind=day.kind, seed=day.seed, nodes=len(fleet.nodes), servers=day.scenario.fleet.servers, requests=first,
-        service=whole - sum(prices.values()), whole=service.whole, worst_window=service.worst_window,
+        service=service.unpriced() - sum(prices.values()), whole=service.whole, worst_window=service.worst_window,
         worst_class=service.worst_class, classes=service.classes, by_5_s=_window(day, fleet, ledger), prices=prices,
         refused=_refused(seen), never_sent=held / max(1, tries), early=sum(s.early for s in seen) / max(1, tries),
         idle=sum(idle) / max(1, len(idle)), refused_busy=_refused(busy), refused_rest=_refused(rest),
         wait_p99_ms=percentile(sorted(ms for s in seen for ms in s.waits_ms), 0.99),
-        probes=sum(s.probes for s in seen) / first, dials=len(ledger.of(Dial)) / first,
+        probes=sum(s.probes for s in seen) / first, dials=dials / first,
         most_connections=max(s.most_connections for s in fleet.servers.values()),
         most_held=max(s.most_held for s in fleet.servers.values()),
         servers_used=sum(len(s.used) for s in seen) / len(seen), calls=fleet.registry.calls,
--- a/cloverhold/simulation/fleet.py
+++ b/cloverhold/simulation/fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 from itertools import accumulate
 from random import Random
@@ -78,7 +77,7 @@
             self.dealt.append(node.number)
         self._deal()
         for first in self.plan.arrivals:
-            timeline.at(1000 * first.at_s, self._try, first, 0, 1000 * first.at_s)
+            timeline.at(1000 * first.at_s, self._try, first, 0)
         for step in self.plan.steps:
             timeline.at(1000 * step.at_s, self._step, step)
         for cut in self.day.cuts:
@@ -129,11 +128,11 @@
             accumulate(self.day.weights[n] * shift.get(self.nodes[n].zone, 1.0) for n in self.dealt)
         )
 
-    def _try(self, first: FirstTry, number: int, begun: float) -> None:
+    def _try(self, first: FirstTry, number: int) -> None:
         """A client sends a request, for the first time or again."""
         kind, clients = self.scenario.class_of(first.class_name), self.scenario.clients
         now = self.timeline.now
-        budget = min(clients.try_share * kind.deadline_ms, begun + kind.deadline_ms - now)
+        budget = min(clients.try_share * kind.deadline_ms, 1000 * first.at_s + kind.deadline_ms - now)
         if budget <= 0 or not self.dealt:
             return
         node = self.nodes[self.clients.choices(self.dealt, cum_weights=self._weights)[0]]
@@ -144,20 +143,20 @@
         )  # fmt: skip
         self.write(row)
         owed = Owed(row, first, now + CLIENT_MS, now + budget)
-        self.timeline.after(CLIENT_MS, self._arrive, node, self.refs, owed, begun)
+        self.timeline.after(CLIENT_MS, self._arrive, node, self.refs, owed)
         if first.leaves_s is not None and 1000 * first.leaves_s < budget:
             self.timeline.after(1000 * first.leaves_s, self._impatient, node, self.refs, owed)
-        self.timeline.after(budget + GIVE_UP_MS, self._give_up, node, self.refs, owed, begun)
+        self.timeline.after(budget + GIVE_UP_MS, self._give_up, node, self.refs, owed)
 
-    def _arrive(self, node: Node, ref: int, owed: Owed, begun: float) -> None:
+    def _arrive(self, node: Node, ref: int, owed: Owed) -> None:
         if node.module is None or not node.reader.alive:
-            return self._refused(owed, begun)
+            return self._refused(owed)
         node.take(ref, owed, again=owed.row.number > 0)
 
-    def _refused(self, owed: Owed, begun: float) -> None:
+    def _refused(self, owed: Owed) -> None:
         """No process listens there, or it has died: the client comes again."""
         owed.row.ended_s, owed.row.ended, owed.answered = self.timeline.now / 1000, "refused", True
-        self._again(owed, begun, None)
+        self._again(owed, None)
 
     def _impatient(self, node: Node, ref: int, owed: Owed) -> None:
         if not owed.answered:
@@ -165,13 +164,13 @@
             owed.row.watched_s = owed.row.left_s
             node.leave(ref)
 
-    def _give_up(self, node: Node, ref: int, owed: Owed, begun: float) -> None:
+    def _give_up(self, node: Node, ref: int, owed: Owed) -> None:
         if not owed.answered:
             owed.answered, owed.row.watched_s = True, self.timeline.now / 1000
             node.leave(ref)
-            self._again(owed, begun, None)
+            self._again(owed, None)
 
-    def answer(self, node: Node, owed: Owed, what: str, retry_after_ms: float) -> None:
+    def answer(self, owed: Owed, what: str, retry_after_ms: float) -> None:
         """Take a final answer to the client."""
         self.timeline.after(CLIENT_MS, self._answered, owed, what, retry_after_ms)
 
@@ -183,9 +182,9 @@
             return
         owed.answered = True
         if what != "served":
-            self._again(owed, owed.first.at_s * 1000, after)
+            self._again(owed, after)
 
-    def _again(self, owed: Owed, begun: float, after_s: float | None) -> None:
+    def _again(self, owed: Owed, after_s: float | None) -> None:
         """The client comes again, where it does."""
         clients, number = self.scenario.clients, owed.row.number
         if number >= clients.retries:
@@ -193,17 +192,14 @@
         wait = clients.backoff_ms * (2**number if clients.backoff == "exp" else 1) * self.clients.uniform(0.5, 1.0)
         if after_s is not None and owed.first.honours:
             wait = max(wait, 1000 * after_s)
-        self.timeline.after(wait, self._try, owed.first, number + 1, begun)
+        self.timeline.after(wait, self._try, owed.first, number + 1)
 
     # ------------------------------------------------------------------------------------------- network
 
-    def _cut(self, node: Node, server: Server) -> float:
-        """Until when nothing passes between the two; no time where it does."""
+    def _cut(self, node: Node, server: Server) -> bool:
+        """Whether nothing passes between the two."""
         now = self.timeline.now / 1000
-        for cut in self.day.cuts:
-            if cut.at_s <= now < cut.at_s + cut.for_s and (node.zone == cut.zone) != (server.zone == cut.zone):
-                return 1000 * (cut.at_s + cut.for_s)
-        return -math.inf
+        return any(c.lasts(now) and (node.zone == c.zone) != (server.zone == c.zone) for c in self.day.cuts)
 
     def _way(self, node: Node, server: Server) -> float:
         return (SAME_MS if node.zone == server.zone else CROSS_MS) * self.chance.uniform(0.8, 1.3)
@@ -217,7 +213,7 @@
             self._back(node, ended, inner, status, report)
 
         flight.done = back
-        if self._cut(node, server) > self.timeline.now:
+        if self._cut(node, server):
             if flight.new:
                 wait = self.scenario.nodes.dial_timeout_ms
                 self.timeline.after(wait, inner, flight, io.Status.CONNECT_FAILED, None)
@@ -236,19 +232,19 @@
 
     def _losses(self) -> float:
         now = self.timeline.now / 1000
-        return sum(x.reset for x in self.day.losses if x.at_s <= now < x.at_s + x.for_s)
+        return sum(loss.reset for loss in self.day.losses if loss.lasts(now))
 
     def _back(
         self, node: Node, flight: Flight, done: Callable[[Flight, io.Status, io.LoadReport | None], None],
         status: io.Status, report: io.LoadReport | None,
     ) -> None:  # fmt: skip
         """An answer's way back, where it may be lost or spoilt."""
-        if self._cut(node, flight.server) > self.timeline.now:
+        if self._cut(node, flight.server):
             return
         if status is io.Status.OK and flight.row is not None:
             now, draw = self.timeline.now / 1000, self.chance.random()
             for loss in self.day.losses:
-                if loss.at_s <= now < loss.at_s + loss.for_s:
+                if loss.lasts(now):
                     if draw < loss.lost:
                         flight.row.outcome, flight.row.ended_s = "silent", None
                         return
@@ -316,7 +312,7 @@
                 node.life.killed_s = now / 1000
                 for owed in node.stop():
                     owed.row.ended_s, owed.row.ended, owed.answered = now / 1000, "reset", True
-                    self._again(owed, 1000 * owed.first.at_s, None)
+                    self._again(owed, None)
                 self.timeline.after(1000 * self.scenario.front.notice_s, self._forget, node, node.lives)
             case "node_term" if node.life is not None:
                 node.life.term_s = now / 1000
--- a/cloverhold/simulation/nodes.py
+++ b/cloverhold/simulation/nodes.py
@@ -45,8 +45,7 @@
     early: int = 0  # refused before half of its time was over
     waits_ms: list[float] = field(default_factory=list)  # to the first send
     probes: int = 0
-    dials: int = 0
-    used: dict[str, int] = field(default_factory=dict)  # servers, by its attempts there
+    used: set[str] = field(default_factory=set)  # servers, only counted
     idle_parts: list[float] = field(default_factory=list)  # of all servers, at each refusal of what was never sent
 
 
@@ -61,7 +60,7 @@
     def carry(self, flight: Flight) -> None:
         """Take an attempt or a probe to its server."""
 
-    def answer(self, node: Node, owed: Owed, what: str, retry_after_ms: float) -> None:
+    def answer(self, owed: Owed, what: str, retry_after_ms: float) -> None:
         """Take a final answer to the client."""
 
     def write(self, row: Row) -> None:
@@ -78,7 +77,7 @@
         self, world: Surroundings, number: int, zone: str, idle_ms: float, make: Callable[[int, int], Module]
     ) -> None:
         self.world, self.number, self.zone, self.idle_ms, self.make = world, number, zone, idle_ms, make
-        self.reader = Reader(number, self._told)
+        self.reader = Reader(number, self.give)
         self.seen = Seen()
         self.module: Module | None = None
         self.life: NodeLife | None = None
@@ -86,7 +85,6 @@
         self.flights: dict[tuple[int, int], Flight] = {}
         self.asked: dict[str, Flight] = {}  # probes that are out
         self.resting: dict[str, list[tuple[float, Dial]]] = {}  # connections between requests, since when
-        self.logs: list[str] = []
 
     @property
     def lives(self) -> int:
@@ -143,16 +141,11 @@
                 self._final(action.id, "failed", 0.0)
             case io.Watch(on=True):
                 self.world.registry.ask(self.reader)
-            case io.Log():
-                self.logs.append(action.text)
 
     def _ring(self, life: int, token: int) -> None:
         if life == self.lives:
             self.give(io.Timer(token))
 
-    def _told(self, news: io.ServerList) -> None:
-        self.give(news)
-
     # ----------------------------------------------------------------------------------------------- clients
 
     def take(self, ref: int, owed: Owed, *, again: bool) -> None:
@@ -177,7 +170,7 @@
                 self.seen.never_sent += 1
                 self.seen.early += self.world.timeline.now < (owed.came_at + owed.term) / 2
                 self.seen.idle_parts.append(self.world.idle_part())
-        self.world.answer(self, owed, what, retry_after_ms)
+        self.world.answer(owed, what, retry_after_ms)
 
     # ----------------------------------------------------------------------------------------------- servers
 
@@ -186,7 +179,7 @@
         now = self.world.timeline.now
         if not owed.flights:
             self.seen.waits_ms.append(now - owed.came_at)
-        self.seen.used[server.uid] = self.seen.used.get(server.uid, 0) + 1
+        self.seen.used.add(server.uid)
         number = (action.id, len(owed.flights))
         row = Arrival(
             server.uid, server.life, server.cell, self.number, 0, owed.row.id, owed.row.class_name, owed.row.key,
@@ -210,7 +203,6 @@
         else:
             dial = Dial(server.uid, self.number, now / 1000)
             self.world.write(dial)
-            self.seen.dials += 1
             server.connections += 1
             server.most_connections = max(server.most_connections, server.connections)
         return Flight(self.number, self.lives, number, server, dial, now, done, row, new, work)
@@ -244,7 +236,7 @@
         self._rest(flight, status)
         closed = status is io.Status.OK and ref in self.owed
         if closed:
-            self.world.answer(self, self.owed.pop(ref), "served", 0.0)
+            self.world.answer(self.owed.pop(ref), "served", 0.0)
         spent = self.world.timeline.now - flight.sent_at
         self.give(io.Outcome(ref, attempt, flight.server.uid, status, spent, closed or ref not in self.owed, report))
 
--- a/cloverhold/simulation/registry.py
+++ b/cloverhold/simulation/registry.py
@@ -41,6 +41,7 @@
         self.entries: dict[str, ServerEntry] = {}
         self.fresh: dict[str, ServerEntry] = {}  # changed since the last batch
         self.batches: list[tuple[ServerEntry, ...]] = [()]
+        self.published: dict[str, ServerEntry] = {}  # the list as of the last batch, those that left among it
         self.readers: list[Reader] = []
         self.owed: dict[int, list[tuple[int, Told]]] = {}  # by node: rows not yet written
         self.lines = self.calls = 0
@@ -66,7 +67,7 @@
 
     def begin(self) -> None:
         """What is there now has been known for long."""
-        self.batches, self.fresh = [tuple(self.entries.values())], {}
+        self.batches, self.published, self.fresh = [tuple(self.entries.values())], dict(self.entries), {}
 
     def batch(self) -> None:
         """Publish what has changed since the last batch."""
@@ -74,18 +75,15 @@
             return
         changed, self.fresh = tuple(self.fresh.values()), {}
         self.batches.append(changed)
-        before = self._known(len(self.batches) - 2)
         for reader in self.readers:
             if reader.alive:
-                self._owe(reader, changed, before)
+                self._owe(reader, changed, self.published)
                 self._send(reader)
+        self.published.update({entry.server: entry for entry in changed})
 
     def _known(self, version: int) -> dict[str, ServerEntry]:
         """The list as of a version, those that left among it."""
-        known: dict[str, ServerEntry] = {}
-        for changed in self.batches[: version + 1]:
-            known.update({entry.server: entry for entry in changed})
-        return known
+        return {entry.server: entry for changed in self.batches[: version + 1] for entry in changed}
 
     def _owe(self, reader: Reader, changed: tuple[ServerEntry, ...], before: dict[str, ServerEntry]) -> None:
         now = self.timeline.now / 1000
@@ -106,8 +104,7 @@
         reader.alive, reader.watches, reader.due = True, self.counter is None, reader.version
         known = self._known(reader.version)
         self.owed[reader.node] = []
-        missed = {e.server: e for batch in self.batches[reader.version + 1 :] for e in batch}
-        self._owe(reader, tuple(missed.values()), known)
+        self._owe(reader, self._missed(reader), known)
         kept = tuple(entry for entry in known.values() if entry.lifecycle is not Lifecycle.GONE)
         self._send(reader)
         return kept, {entry.server: STATES[entry.lifecycle] for entry in kept}
@@ -122,8 +119,10 @@
         wait = 1000 * (took if took is not None else self.how.timeout_s) + RETURN_MS
         self.timeline.after(wait, self._answer, reader, life, took is not None)
 
-    def _missed(self, reader: Reader) -> tuple[ServerEntry, ...]:
-        return tuple({e.server: e for batch in self.batches[reader.version + 1 :] for e in batch}.values())
+    def _missed(self, reader: Reader, version: int | None = None) -> tuple[ServerEntry, ...]:
+        """What has changed since a node was told, up to a version or to now."""
+        upto = version + 1 if version is not None else len(self.batches)
+        return tuple({e.server: e for batch in self.batches[reader.version + 1 : upto] for e in batch}.values())
 
     def _answer(self, reader: Reader, life: int, good: bool) -> None:
         if not reader.alive or reader.life != life:
@@ -138,7 +137,7 @@
         """A node follows another address: it is told the whole list."""
         if reader.alive:
             version = len(self.batches) - 1
-            whole = [e for e in self._known(version).values() if e.lifecycle is not Lifecycle.GONE]
+            whole = [e for e in self.published.values() if e.lifecycle is not Lifecycle.GONE]
             self.timeline.after(RETURN_MS, self._whole, reader, reader.life, version, tuple(whole))
 
     def _whole(self, reader: Reader, life: int, version: int, whole: tuple[ServerEntry, ...]) -> None:
@@ -162,9 +161,9 @@
         version = max(version, reader.due)
         if version <= reader.version and not empty:
             return
-        merged = {e.server: e for batch in self.batches[reader.version + 1 : version + 1] for e in batch}
-        self._wrote(reader, version, len(merged))
-        reader.tell(ServerList(ListKind.CHANGES, tuple(merged.values()), version))
+        missed = self._missed(reader, version)
+        self._wrote(reader, version, len(missed))
+        reader.tell(ServerList(ListKind.CHANGES, missed, version))
 
     def _wrote(self, reader: Reader, version: int, lines: int) -> None:
         self.lines += lines
--- a/cloverhold/simulation/servers.py
+++ b/cloverhold/simulation/servers.py
@@ -68,7 +68,7 @@
         self.uid, self.cell = plan.uid, plan.cell
         self.state, self.wrongs, self.leaving = State.UP, Wrongs(), False
         self.flights: dict[int, Flight] = {}  # at it, by the identity of their jobs
-        self.connections = self.most_connections = self.most_held = self.probes = 0
+        self.connections = self.most_connections = self.most_held = 0
         self.life = -1
         self.born: float | None = None  # None: long ago
         self.report = LoadReport(inflight=0.0, queue=0.0)
@@ -140,9 +140,7 @@
         full = self.leaving or self.connections > self.fleet.connection_cap * self.plan.kind.cores
         if full and row is not None:
             return self._answer(flight, Status.FULL, "rejected")
-        if row is None:
-            self.probes += 1
-        elif self.wrongs.errors and self.chance.random() < self.wrongs.errors:
+        if row is not None and self.wrongs.errors and self.chance.random() < self.wrongs.errors:
             row.executed = True
             return self._answer(flight, Status.ERROR, "error")
         handshake = self.fleet.connection_work_ms if flight.new else 0.0
