--- a/cloverhold/decision/table.py
+++ b/cloverhold/decision/table.py
@@ -57,7 +57,6 @@
         self.level = 0.0  # mean of the last reports
         self.held = 0  # attempts of this node that are out
         self.own, self.others = 1 / max(1, settings.nodes - 1), 1.0  # held at a server by it, by others
-        self.heard = 1  # replies that these were learned from, and this guess
         self.settle(settings, settings.classes)
 
     def settle(self, settings: Settings, classes: tuple[ClassSettings, ...]) -> None:
@@ -186,10 +185,11 @@
         others = figure - len(server.out)
         self.level += 0.1 * (figure - self.level)
         step = min(1.0, (now - server.heard_at) / (AVERAGE * self.tightest))
-        self.heard += 1  # each of the servers that it keeps to tells its part; at first all replies alike
-        part = max(step / max(1, self.prefix.edge), 1 / self.heard)
+        part = step / max(1, self.prefix.edge)  # each of the servers that it keeps to tells its part
         self.own += part * (self.held / max(1, len(self.ready)) - self.own)
-        self.others += part * (max(0.0, others) - self.others)
+        # Late reports miss what is there as often as they show what has gone: cut off at nothing, the mean
+        # would hold two nodes back by a half too much.
+        self.others += part * (others - self.others)
         server.replies += 1
         server.surplus += step * (others - self.usual() - server.surplus)
         server.heard_at = now
@@ -213,7 +213,7 @@
     def usual(self) -> float:
         """What others hold at a server, by what this node holds now: a rise of all traffic shows at once."""
         steady = max(0.01, STEADY * (1 - 2 / self.settings.nodes))  # of two nodes each sees half: no sample
-        return self.others * (self.held + steady) / (self.own * max(1, len(self.ready)) + steady)
+        return max(0.0, self.others) * (self.held + steady) / (self.own * max(1, len(self.ready)) + steady)
 
     def load(self, server: Server) -> float:
         """Requests at a server, for the bounds: its row; while reports are old what is likely there now; and
--- a/cloverhold/simulation/fleet.py
+++ b/cloverhold/simulation/fleet.py
@@ -52,6 +52,7 @@
         idle_ms = 1000 * self.scenario.fleet.idle_s
         self.nodes = [Node(self, n, day.node_zone(n), idle_ms, module) for n in range(len(settings))]
         self.registry.readers = [node.reader for node in self.nodes]
+        self.means = {kind.name: kind.work_ms for kind in self.scenario.classes}
         self.dealt: list[int] = []  # nodes that the front takes for alive
         self._weights: list[float] = []
         self.refs = 0
