--- /dev/null
+++ b/tests/fleet/membership/test_members.py
@@ -0,0 +1,85 @@
+"""The core's days, each fault planted in it, and rolling upgrades over two forms of the wire."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from cloverhold.fleet.membership.core import Member
+from cloverhold.fleet.membership.interface import Rules
+from cloverhold.fleet.membership.rings import Rings
+from cloverhold.simulation.members import Fleet, Network
+from tests.fleet.membership.battery import DAYS, Make
+from tests.fleet.membership.planted import FAULTS
+
+
+@pytest.mark.parametrize("day", DAYS, ids=lambda day: day.__name__)
+def test_day(day: Callable[[Make], Iterator[str]]) -> None:
+    assert list(day(Member)) == []
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+def test_planted_fault_is_found(fault: type[Member]) -> None:
+    day = next(day for day in DAYS if day.__name__ == FAULTS[fault])
+    assert list(day(fault)), f"{fault.__name__} goes unseen on the day {day.__name__}"
+
+
+def test_rolling_upgrade_over_two_forms() -> None:
+    """Members of form 1 and of form 2 side by side, replaced one at a time: nobody is lost, all speak form 2 after."""
+    f = Fleet(6, 4, network=Network(loss=0.05))
+    f.newest = dict.fromkeys(range(6), 1)
+    f.start(range(6))
+    f.run(300)
+    assert f.until(f.agreed, 5000) is not None
+    begun = f.now()
+    for number in range(6):
+        f.leave(number)
+        f.newest[number] = 2
+        f.run(300)
+        f.start([number], 1)
+        f.run(10)
+        assert f.until(f.agreed, 5000) is not None, f"after {number}"
+    assert not f.deaths(begun)
+    f.run(3000)
+    forms = {f.running[n].member.reads[to] for n in range(6) for to in range(6) if to in f.running[n].member.reads}
+    assert forms == {2}
+
+
+def test_growth_and_shrinking() -> None:
+    f = Fleet(60, 9, wire=False)
+    f.start(range(2))
+    f.run(300)
+    assert f.until(f.agreed, 5000) is not None
+    f.start(range(2, 60), 3000)
+    f.run(3100)
+    assert f.until(f.agreed, 6000) is not None
+    for number in range(2, 60):
+        f.leave(number)
+        f.run(20)
+    assert f.until(f.agreed, 6000) is not None
+    assert not f.deaths()
+
+
+def test_watches_move_little() -> None:
+    """A member that goes changes the watchers of its neighbours and of no other; each is watched by several."""
+    rings = Rings(8)
+    for number in range(100):
+        rings.add(number)
+    before = {number: rings.watchers(number) for number in range(100)}
+    assert min(map(len, before.values())) >= 6
+    watched = rings.subjects(42)
+    rings.remove(42)
+    moved = {number for number in before if number != 42 and rings.watchers(number) != before[number]}
+    assert moved <= watched
+    rings.replace(range(100))
+    assert {number: rings.watchers(number) for number in range(100)} == before
+
+
+@pytest.mark.parametrize(
+    ("wrong", "key"),
+    [({"silence_ms": 500.0}, "silence_ms"), ({"asleep_ms": 1500.0}, "asleep_ms"), ({"forget_ms": 5000.0}, "forget_ms")],
+)
+def test_rules_that_cannot_stand_together(wrong: dict[str, float], key: str) -> None:
+    with pytest.raises(ValueError, match=key):
+        Rules(**wrong)
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -22,6 +22,10 @@
     )),
     *(f"cloverhold/h3/{name}.py" for name in ("door", "keys", "requests", "session", "streams")),
     *("cloverhold/bodies/budget.py", "cloverhold/bodies/upload.py", "cloverhold/lifecycle.py", "cloverhold/limits.py"),
+    *(f"cloverhold/fleet/membership/{name}.py" for name in (
+        "book", "core", "doubt", "interface", "joining", "links", "rings", "rumours", "votes",
+    )),
+    "cloverhold/fleet/wire/datagrams.py",
     "cloverhold/roster.py",
     "cloverhold/settings.py",
     "cloverhold/succession/core.py",
@@ -31,13 +35,13 @@
         "wire",
     )),
     *(f"cloverhold/simulation/{name}.py" for name in (
-        "days", "figures", "fleet", "nodes", "registry", "servers", "timeline",
+        "days", "figures", "fleet", "members", "nodes", "registry", "servers", "timeline",
     )),
 )  # fmt: skip
 NODE = (
     *("cloverhold/__main__.py", "cloverhold/benchlink.py", "cloverhold/roster.py"),
     *("cloverhold/net", "cloverhold/decision", "cloverhold/supervise", "cloverhold/cells", "cloverhold/config"),
-    *("cloverhold/store", "cloverhold/h3", "cloverhold/bodies", "cloverhold/succession"),
+    *("cloverhold/store", "cloverhold/h3", "cloverhold/bodies", "cloverhold/succession", "cloverhold/fleet"),
 )
 
 
