Membership in the node: socket, operator's table, shares that follow the living

Need: the core alone feeds nothing; shares of dead nodes stayed dealt out. Change: [membership] of the operator's file opens a UDP socket on peer_listen (fleet/membership/shell.py), off without the table or where the settings allow no words between nodes. GET /_members on the management address, cloverhold fleet members.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import json
 import logging
 import os
 import signal
@@ -17,6 +18,7 @@
 
 import uvloop
 
+from cloverhold import __version__
 from cloverhold.decision import interface as io
 from cloverhold.bodies.budget import Budget, budget_of
 from cloverhold.lifecycle import Event, Life
@@ -35,8 +37,9 @@
     from cloverhold.cells.shell import Router
     from cloverhold.cells.table import CellsTable
     from cloverhold.decision.interface import Settings
+    from cloverhold.fleet.membership.shell import Membership
     from cloverhold.net.fronts.http3 import Http3Front
-    from cloverhold.net.fronts.management import ManagementFront
+    from cloverhold.net.fronts.management import Calls, ManagementFront
     from cloverhold.store.remote import RemoteStore
     from cloverhold.store.service import StoreService
     from cloverhold.store.shell import Store
@@ -51,7 +54,9 @@
 WORKER = "CLOVERHOLD_WORKER"  # what a supervisor tells a worker
 REMEMBERED_S = 1.5  # a list that another process had, or this one remembers, is good enough after this long
 LINGER_S = 0.5  # after SIGTERM new connections still come for this long
-AT_START = ("listen", "mgmt", "sockets", "memory_mb", "seed", "store", "listen_fd")  # of the configuration
+AT_START = (  # of the configuration
+    "listen", "mgmt", "sockets", "memory_mb", "seed", "store", "listen_fd", "membership", "peer_listen",
+)  # fmt: skip
 GC_THRESHOLD = 5000, 20, 20  # by default collections took a twentieth of a busy node's CPU
 DEADLINE_MOST_S, STOP_S = 3.0, 0.4  # SIGKILL comes 0.7 s after the longest deadline, of 3 s at most
 
@@ -153,6 +158,7 @@
         self.http3 = _http3(config, self.host)
         self.succession = self._succession() if config.listen_fd is not None else None
         self.listener.successor = lambda: self.succession is not None and self.succession.share.successor
+        self.membership = self._membership() if config.membership is not None else None
         self.management = self._management() if config.mgmt is not None else None
 
     def _succession(self) -> Succession:
@@ -190,11 +196,31 @@
     def _management(self) -> ManagementFront:
         from cloverhold.net.fronts.management import ManagementFront
 
-        return ManagementFront({
+        calls: Calls = {
             b"/_ready": (b"GET", lambda: self.life.ready() and self.host.ready()),
             b"/_lameduck/on": (b"POST", lambda: self._lame_duck(on=True)),
             b"/_lameduck/off": (b"POST", lambda: self._lame_duck(on=False)),
-        })  # fmt: skip
+        }
+        if (membership := self.membership) is not None:
+            calls[b"/_members"] = (b"GET", lambda: json.dumps(membership.report()).encode())
+        return ManagementFront(calls)
+
+    def _membership(self) -> Membership:
+        """The node among its fellows. A life is drawn anew by each process, also under the same seed."""
+        from cloverhold.fleet.membership.shell import Membership
+
+        table, listen, me = self.config.membership, self.config.peer_listen, self.config.settings.me
+        assert table is not None and listen is not None and me is not None
+        life = int.from_bytes(os.urandom(4), "big") or 1
+        major, minor = (int(part) for part in __version__.split(".")[:2])
+        program = major << 8 | minor
+        return Membership(table, me, listen, self.config.peers, life, program, self._members_changed)
+
+    def _members_changed(self) -> None:
+        """Other nodes live than before: shares of servers are dealt anew."""
+        settings = self._own_settings(self.config.settings)
+        if settings != self.host.settings:
+            self.host.settle(settings)
 
     def _lame_duck(self, *, on: bool) -> bool:
         """Drain the node, or take clients again; False where it stops."""
@@ -238,6 +264,8 @@
             await self.management.start(self.config.mgmt)
         if self.succession is not None:
             self.succession.start()
+        if self.membership is not None:
+            await self.membership.start()
         if self.http3 is not None:
             await self.http3.start()
             if self.http3.table.announce:
@@ -277,6 +305,8 @@
         if config.settings != self.config.settings:
             self.host.settle(self._own_settings(config.settings))
             log.info("configuration: new settings, classes %s", ", ".join(c.name for c in config.settings.classes))
+        if self.membership is not None and config.peers:
+            self.membership.follow(config.peers)
         self.pool.retime(config.dial_ms / 1000, config.idle_ms / 1000)
         started = {key: getattr(self.config, key) for key in AT_START}
         self.config = replace(config, **started, cells=self.config.cells, http3=self.config.http3)
@@ -288,11 +318,11 @@
 
     def _own_settings(self, settings: Settings) -> Settings:
         """Settings as this process counts: it may be one of several."""
-        if self.succession is None:
-            return settings
-        from cloverhold.succession.core import as_one_of
+        if self.succession is not None and self.succession.share.parts > 1:
+            from cloverhold.succession.core import as_one_of
 
-        return as_one_of(settings, self.succession.share)
+            return as_one_of(settings, self.succession.share)
+        return self.membership.overlaid(settings) if self.membership is not None else settings
 
     def _reload_http3(self, config: Config) -> None:
         """Certificates and bounds of HTTP/3; what cannot be used changes nothing."""
@@ -314,6 +344,8 @@
         longest = self.host.longest_ms() / 1000
         until = loop.time() + min(longest, DEADLINE_MOST_S) + STOP_S
         self.life.tell(Event.TERM, time.monotonic())
+        if self.membership is not None:
+            self.membership.leave()
         self.listener.announce = b""
         if self.http3 is not None:
             self.http3.drain(on=True)
@@ -347,6 +379,8 @@
             self.router.close()
         if self.succession is not None:
             self.succession.close()
+        if self.membership is not None:
+            self.membership.close()
         self.discovery.stop()
         self.pool.close()
         if self.store is not None:
@@ -385,6 +419,8 @@
             config = read_config(clock)
             if config.http3 is not None:  # a datagram of a connection would come to any of them
                 raise ConfigError("http3: is served by one process; --workers is to be 1")
+            if config.membership is not None:
+                raise ConfigError("membership: is kept by one process; --workers is to be 1")
             if config.mgmt is not None or config.listen_fd is not None:
                 raise ConfigError(f"mgmt and {LISTEN_FD}: are for one process; --workers is to be 1")
             return supervise(workers, config.listen, _service(config, clock))
--- a/cloverhold/cli.py
+++ b/cloverhold/cli.py
@@ -12,6 +12,7 @@
        cloverhold simulate fleet DAY ...    a whole fleet in simulated time
        cloverhold cells plan|move|undo|status ...
        cloverhold store check|dump|compact|adopt|salvage DIR
+       cloverhold fleet members --at HOST:PORT
        cloverhold --version
 
 `--help` behind each tells more. CLOVERHOLD_CONFIG names the operator's file,
@@ -42,7 +43,7 @@
                 )
                 return 2
             return kit(rest)
-        case ["cells" | "simulate" | "store" as name, *rest]:
+        case ["cells" | "fleet" | "simulate" | "store" as name, *rest]:
             package = PACKAGES.get(name, name)
             try:
                 command = import_module(f"cloverhold.{package}.command").main
--- a/cloverhold/decision/checks.py
+++ b/cloverhold/decision/checks.py
@@ -37,7 +37,11 @@
     for tenant in settings.tenants:
         _check_tenant(tenant)
     _number("nodes", settings.nodes, 1, whole=True)
-    if settings.me is not None:
+    if settings.living is not None:
+        most = max(settings.living, default=0)
+        if settings.me not in settings.living or len(settings.living) != settings.nodes or most >= settings.numbers:
+            raise ValueError(f"living: must be numbers under {settings.numbers}, `me` and all others of `nodes`")
+    elif settings.me is not None:
         _number("me", settings.me, 0, whole=True)
         if settings.me >= settings.nodes:
             raise ValueError(f"me: must be under nodes, {settings.nodes!r}, got {settings.me!r}")
--- a/cloverhold/decision/decide.py
+++ b/cloverhold/decision/decide.py
@@ -13,7 +13,7 @@
 
 from cloverhold.decision.admission import Admission
 from cloverhold.decision.checks import check_settings
-from cloverhold.decision.dealing import rank
+from cloverhold.decision.dealing import rank, redeal
 from cloverhold.decision.health import Health
 from cloverhold.decision.index import Agenda
 from cloverhold.decision.interface import (
@@ -126,6 +126,7 @@
         self.learned.settle(settings, classes)
         self.warming.settle(settings)
         self.admission.settle(settings)
+        redeal(self.table, settings, self._rank)
         self.table.settle(settings, classes)
         self.health.settle(classes, now)
         self._place_waiting(now)
@@ -462,8 +463,7 @@
         return server
 
     def _rank(self, server: str) -> float:
-        s = self.settings
-        return self.random.random() if s.me is None else rank(server, s.me, s.nodes)
+        return self.random.random() if self.settings.me is None else rank(server, self.settings)
 
     def _drop(self, name: str) -> None:
         server = self.table.servers.pop(name, None)
--- a/cloverhold/decision/interface.py
+++ b/cloverhold/decision/interface.py
@@ -81,6 +81,8 @@
     zone: str = ""
     nodes: int = 1  # how many nodes share the servers
     me: int | None = None  # this one's number among them, from 0; None where it is not told
+    living: tuple[int, ...] | None = None  # numbers of those that are there, where that is known; `nodes` counts them
+    numbers: int = 0  # how many numbers there are, of the living and others; with `living`
     tick_ms: float = 1.0  # the least time between two calls of `handle`
     answer_slack_ms: float = 5.0
     drain_grace_ms: float = 1000.0
--- /dev/null
+++ b/cloverhold/fleet/command.py
@@ -0,0 +1,82 @@
+"""`cloverhold fleet`: what a node knows of its fellows, asked over its management address. docs/membership.md.
+
+Exit status 0: answered; 1: the node does not answer, or has no membership; 2: bad input.
+"""
+
+from __future__ import annotations
+
+import http.client
+import json
+from typing import Any
+
+import click
+
+from cloverhold.net.discovery import parse_address
+
+PATIENCE_S = 3.0
+COLUMNS = ("number", "state", "incarnation", "since", "rtt ms", "lost", "program", "why")
+
+
+class _At(click.ParamType[tuple[str, int]]):
+    name = "host:port"
+
+    def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> tuple[str, int]:
+        """An address; a usage error where it is none."""
+        try:
+            return parse_address(str(value))
+        except ValueError as error:
+            self.fail(str(error), param, ctx)
+
+
+def asked(at: tuple[str, int], path: str) -> Any:
+    """What a node's management address says. Raises ClickException in plain words."""
+    connection = http.client.HTTPConnection(*at, timeout=PATIENCE_S)
+    try:
+        connection.request("GET", path)
+        response = connection.getresponse()
+        body = response.read()
+    except (OSError, http.client.HTTPException) as error:
+        raise click.ClickException(f"{at[0]}:{at[1]}: {error or type(error).__name__}") from None
+    finally:
+        connection.close()
+    if response.status == 404:
+        raise click.ClickException(f"{at[0]}:{at[1]}: this node runs without [membership] (docs/membership.md)")
+    if response.status != 200:
+        raise click.ClickException(f"{at[0]}:{at[1]}: {response.status} {response.reason}")
+    try:
+        return json.loads(body)
+    except ValueError:
+        raise click.ClickException(f"{at[0]}:{at[1]}: no node's answer") from None
+
+
+@click.group()
+def main() -> None:
+    """Nodes among nodes, as one of them sees it: a hint for routing, never a permission."""
+
+
+@main.command()
+@click.option("--at", type=_At(), required=True, help="A node's management address, host:port.")
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def members(at: tuple[str, int], as_json: bool) -> None:
+    """Who is there, since when and why, with round trips and loss of the links that this node watches.
+
+    Example: cloverhold fleet members --at 10.0.0.4:9000
+    """
+    told = asked(at, "/_members")
+    if as_json:
+        click.echo(json.dumps(told))
+        return
+    doubt = ", in doubt" if told["in_doubt"] else ""
+    acts = "acts on its view" if told["acts_on_view"] else "shows no view"
+    click.echo(f"number {told['me']}: {told['phase']} ({told['incarnation']}), {acts}{doubt}")
+    rows = [COLUMNS] + [
+        (
+            str(m["number"]), m["state"], str(m["incarnation"]), f"{m['since_s']:.1f} s",
+            "-" if m["rtt_ms"] is None else f"{m['rtt_ms']:.2f}", "-" if m["lost"] is None else f"{m['lost']:.0%}",
+            m["program"], m["why"],
+        )
+        for m in told["members"]
+    ]  # fmt: skip
+    widths = [max(len(row[at]) for row in rows) for at in range(len(COLUMNS))]
+    for row in rows:
+        click.echo("  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip())
--- /dev/null
+++ b/cloverhold/fleet/membership/shell.py
@@ -0,0 +1,143 @@
+"""The node's part of membership: its socket, its timer, its log. Decides nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+from cloverhold.decision.interface import Settings
+from cloverhold.fleet.membership.core import TICK_MS, Member
+from cloverhold.fleet.membership.interface import Action, Changed
+from cloverhold.fleet.membership.table import MembershipTable
+from cloverhold.fleet.wire.clock import now_ms
+from cloverhold.fleet.wire.datagrams import BadDatagram, decode, encode, fleet_of
+
+log = logging.getLogger(__name__)
+
+Address = tuple[str, int]
+FOLLOWED_TICKS = 4  # between two looks at the view: shares are dealt anew ten times a second at most
+
+
+class Membership(asyncio.DatagramProtocol):
+    """One member on a socket. What it shows is a hint for routing, never a permission."""
+
+    def __init__(
+        self, table: MembershipTable, number: int, listen: Address, peers: Sequence[Address], life: int, program: int,
+        changed: Callable[[], None],
+    ) -> None:  # fmt: skip
+        """peers: the address of each number, as this node reaches it. changed: called when the view has changed."""
+        self.table, self.listen, self.changed = table, listen, changed
+        self.fleet = fleet_of(table.fleet)
+        self.member = Member(number, len(peers), life, table.rules(), Random(life), now_ms(), program=program)
+        self.dropped: Counter[str] = Counter()
+        self.shown: tuple[int, ...] | None = None
+        self.transport: asyncio.DatagramTransport | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.ticks = 0
+        self._name(peers)
+
+    def _name(self, peers: Sequence[Address]) -> None:
+        self.peers = list(peers)
+        self.numbers = {address: number for number, address in enumerate(peers)}
+
+    def follow(self, peers: Sequence[Address]) -> None:
+        """Other addresses from now on; numbers past their end are heard no more."""
+        self._name(peers)
+        self.member.resize(len(peers))
+
+    async def start(self) -> None:
+        """Open the socket; OSError where that cannot be. A later process of this node may open it beside this one: it
+        gets the datagrams from then on, and its life is the later one.
+        """
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        opened.setblocking(False)
+        try:
+            opened.bind(self.listen)
+        except OSError:
+            opened.close()
+            raise
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(lambda: self, sock=opened)
+        self.transport = transport
+        self.member.late.turned = None
+        self._tick()
+
+    def _tick(self) -> None:
+        self.timer = asyncio.get_running_loop().call_later(TICK_MS / 1000, self._tick)
+        self._do(self.member.turn(now_ms()))
+        self.ticks += 1
+        if self.ticks % FOLLOWED_TICKS == 0 and (view := self.member.view(now_ms())) != self.shown:
+            self.shown = view
+            self.changed()
+
+    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
+        number = self.numbers.get((addr[0], addr[1]))
+        if number is None:
+            self.dropped["address"] += 1
+            return
+        try:
+            datagram = decode(data, self.fleet)
+        except BadDatagram as error:
+            self.dropped[error.reason] += 1
+            return
+        if datagram.sender != number:
+            self.dropped["sender"] += 1
+            return
+        self._do(self.member.hear(datagram, now_ms()))
+
+    def error_received(self, exc: Exception) -> None:
+        """A fellow's port is closed: that is silence too."""
+
+    def _do(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Changed):
+                log.info("members: %d is %s (%d): %s", action.number, action.state, action.incarnation, action.why)
+            elif self.transport is not None and action.to < len(self.peers):
+                self.transport.sendto(encode(action.datagram, self.fleet), self.peers[action.to])
+
+    def overlaid(self, settings: Settings) -> Settings:
+        """Settings with the living members in place of the number that they state, where there is a view to go by."""
+        if self.shown is None or not self.table.routing or settings.me != self.member.me:
+            return settings
+        most = max(settings.nodes, self.shown[-1] + 1)
+        return replace(settings, nodes=len(self.shown), living=self.shown, numbers=most)
+
+    def leave(self) -> None:
+        """Say that this process ends; the socket stays open until `close`."""
+        self._do(self.member.leave(now_ms()))
+
+    def close(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.transport is not None:
+            self.transport.close()
+            self.transport = None
+
+    def report(self) -> dict[str, Any]:
+        """All that operators may ask, for JSON."""
+        now = now_ms()
+        return {
+            "me": self.member.me,
+            "phase": self.member.phase.value,
+            "incarnation": self.member.claim.incarnation,
+            "acts_on_view": self.shown is not None,
+            "in_doubt": self.member.doubts,
+            "dropped": {**self.dropped, "old": self.member.dropped},
+            "members": [
+                {
+                    "number": s.number, "state": s.state, "incarnation": s.incarnation,
+                    "since_s": round(s.since_ms / 1000, 1),
+                    "why": s.why, "program": f"{s.program >> 8}.{s.program & 255}",
+                    "rtt_ms": None if s.rtt_ms is None else round(s.rtt_ms, 2),
+                    "lost": None if s.lost is None else round(s.lost, 3),
+                }
+                for s in self.member.standings(now)
+            ],
+        }  # fmt: skip
--- a/cloverhold/net/fronts/management.py
+++ b/cloverhold/net/fronts/management.py
@@ -20,8 +20,8 @@
 CALL_LIMIT = 8 * 1024  # bytes of a call, with its body
 PATIENCE_S = 3.0  # a call is whole by then
 
-# What a call does: whether the answer is yes.
-Calls = dict[bytes, tuple[bytes, Callable[[], bool]]]  # by path: its method, and what it does
+# What a call does: whether the answer is yes, or what it is, in JSON.
+Calls = dict[bytes, tuple[bytes, Callable[[], bool | bytes]]]  # by path: its method, and what it does
 
 
 class Caller(asyncio.Protocol):
@@ -58,7 +58,7 @@
                 self.answer(400)
                 return
         if self.whole:
-            self.answer(self.front.call(self.method, self.target.partition(b"?")[0]))
+            self.answer(*self.front.call(self.method, self.target.partition(b"?")[0]))
         elif self.got > CALL_LIMIT:
             self.answer(431)
 
@@ -70,16 +70,17 @@
         if not self.whole:
             self.method, self.whole = self.parser.get_method(), True
 
-    def answer(self, status: int) -> None:
-        """The one answer, and the end."""
+    def answer(self, status: int, told: bytes | None = None) -> None:
+        """The one answer, and the end; told: its body, in JSON."""
         if self.transport is None or self.transport.is_closing():
             return
         self.whole = True
         phrase = HTTPStatus(status).phrase.encode()
-        body = b"" if self.method == b"HEAD" else phrase + b"\n"
+        whole = told if told is not None else phrase + b"\n"
+        kind = b"text/plain" if told is None else b"application/json"
         self.transport.write(
-            b"HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s"
-            % (status, phrase, len(phrase) + 1, body)
+            b"HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s"
+            % (status, phrase, kind, len(whole), b"" if self.method == b"HEAD" else whole)
         )
         self.transport.close()
 
@@ -112,17 +113,19 @@
             del self.callers[oldest]
             oldest.abort()
 
-    def call(self, method: bytes, path: bytes) -> int:
-        """Carry out a whole call; its status."""
+    def call(self, method: bytes, path: bytes) -> tuple[int, bytes | None]:
+        """Carry out a whole call; its status, and its body where it has one of its own."""
         known = self.calls.get(path)
         if known is None:
-            return 404
+            return 404, None
         if method != known[0]:
-            return 405
+            return 405, None
         yes = known[1]()
+        if isinstance(yes, bytes):
+            return 200, yes
         if method != b"GET":
             log.info("management: %s: %s", path.decode("latin-1"), "yes" if yes else "no")
-        return 200 if yes else 503
+        return 200 if yes else 503, None
 
     def close(self) -> None:
         if self.server is not None:
--- a/cloverhold/platform.py
+++ b/cloverhold/platform.py
@@ -18,12 +18,14 @@
 
 if TYPE_CHECKING:
     from cloverhold.cells.table import CellsTable
+    from cloverhold.fleet.membership.table import MembershipTable
     from cloverhold.h3.table import Http3Table
     from cloverhold.store.table import StoreTable
 
 log = logging.getLogger(__name__)
 
 OPERATOR = "CLOVERHOLD_CONFIG"  # names the operator's own file; without it nothing of that is loaded
+MOST_PEERS = 4096  # numbers of one fleet
 LISTEN_FD = "PROXY_LISTEN_FD"  # names the listening socket that the platform holds, where it does
 
 
@@ -49,6 +51,9 @@
     mgmt: Address | None = None
     listen_fd: int | None = None
     memory_mb: float = 192.0
+    membership: MembershipTable | None = None
+    peer_listen: Address | None = None  # with membership
+    peers: tuple[Address, ...] = ()  # by number, this node's own among them
     raw: dict[str, Any] = field(default_factory=dict)  # the file, less the remembered list
 
 
@@ -59,6 +64,7 @@
     cells: CellsTable | None = None
     store: StoreTable | None = None
     http3: Http3Table | None = None
+    membership: MembershipTable | None = None
 
 
 def _address(raw: dict[str, Any], key: str, variable: str, *, file_wins: bool = False) -> Address:
@@ -106,12 +112,32 @@
     said = _operator(os.environ[OPERATOR]) if os.environ.get(OPERATOR) else Operator()
     settings, known = replace(settings, pools=said.cells is not None), read_known(raw, clock)
     mgmt = _address(raw, "mgmt", "PROXY_MGMT") if raw.get("mgmt") or os.environ.get("PROXY_MGMT") else None
+    peer_listen, peers = _peers(raw) if said.membership is not None else (None, ())
     return Config(
         listen, discovery, settings, idle, dial, sockets, seed, known, said.cells, said.store, said.http3,
-        mgmt, _listen_fd(), memory, whole,
+        mgmt, _listen_fd(), memory, said.membership if peers else None, peer_listen, peers, whole,
     )  # fmt: skip
 
 
+def _peers(raw: dict[str, Any]) -> tuple[Address | None, tuple[Address, ...]]:
+    """Where words between nodes come and go; none where the settings do not allow them. ConfigError in plain words."""
+    if raw["settings"]["Limits"].get("Peers") is not True:
+        log.warning("membership: the settings allow no words between nodes; it stays off")
+        return None, ()
+    told, me = raw.get("peers"), raw["settings"].get("Me")
+    if not isinstance(told, list) or not 2 <= len(told) <= MOST_PEERS:
+        raise ConfigError(f"membership: peers: 2 to {MOST_PEERS} addresses are needed, one a number")
+    try:
+        peers = tuple(parse_address(str(text)) for text in told)
+    except ValueError as error:
+        raise ConfigError(f"membership: peers: {error}") from None
+    if not isinstance(me, int) or not 0 <= me < len(peers):
+        raise ConfigError("membership: settings: Me: this node's number among peers is needed")
+    if len(set(peers)) < len(peers):
+        raise ConfigError("membership: peers: an address stands there twice")
+    return _address(raw, "peer_listen", "PROXY_PEER_LISTEN"), peers
+
+
 def _positive(limits: dict[str, Any], key: str, default: float, where: str = "settings: Limits.") -> float:
     value = limits.get(key, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value < math.inf:
@@ -134,12 +160,15 @@
     try:
         from cloverhold.cells.table import CellsTable
         from cloverhold.config.reading import ConfigFaults, read_tables
+        from cloverhold.fleet.membership.table import MembershipTable
         from cloverhold.h3.table import Http3Table
         from cloverhold.store.table import StoreTable
     except ModuleNotFoundError as error:
         raise ConfigError(f"{path}: needs {error.name}: pip install 'cloverhold[cells]'") from None
     try:
-        tables = read_tables(path, {"cells": CellsTable, "store": StoreTable, "http3": Http3Table})
+        tables = read_tables(path, {
+            "cells": CellsTable, "store": StoreTable, "http3": Http3Table, "membership": MembershipTable,
+        })  # fmt: skip
     except ConfigFaults as error:
         raise ConfigError(str(error)) from None
     return Operator(**tables)  # type: ignore[arg-type]  # each of its own type: that is what reading them checked
--- a/tests/fleet/membership/planted.py
+++ b/tests/fleet/membership/planted.py
@@ -152,7 +152,8 @@
 # Each fault, and the day that shows it.
 FAULTS: dict[type[Member], str] = {
     IncarnationNotRaised: "halves", RefutationLost: "one_sided", SuspicionNeverEnds: "death",
-    OneVoteIsEnough: "one_link", NoVotesUp: "one_link", ViewWhileAway: "one_sided", HeardIsAlive: "one_sided", BidIgnored: "twice",
+    OneVoteIsEnough: "one_link", NoVotesUp: "one_link", ViewWhileAway: "one_sided", HeardIsAlive: "one_sided",
+    BidIgnored: "twice",
     AnswersAnAnswer: "halves", LeftMayReturn: "left", DeadForgottenAtOnce: "forgotten", DoubtIgnored: "one_link",
     NoWaitBeforeReturn: "few_reach", LatenessIgnored: "loss", UnknownNotAnswered: "starts", DeadNotAnswered: "turning",
     EntriesBelieved: "forgotten",
