Rig for faults between processes: relays, stops, cuts and a judge of the nodes' views

Need: membership is to be shown among several real processes with faults between them, and later issues use the same rig.

--- a/cloverhold/fleet/membership/shell.py
+++ b/cloverhold/fleet/membership/shell.py
@@ -21,6 +21,7 @@
 log = logging.getLogger(__name__)
 
 Address = tuple[str, int]
+STRANGER_MS = 10_000.0  # between two lines on words from strange addresses
 FOLLOWED_TICKS = 4  # between two looks at the view: shares are dealt anew ten times a second at most
 
 
@@ -40,6 +41,7 @@
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.ticks = 0
+        self.told = -STRANGER_MS  # of a stranger, last
         self._name(peers)
 
     def _name(self, peers: Sequence[Address]) -> None:
@@ -73,7 +75,8 @@
         self.timer = asyncio.get_running_loop().call_later(TICK_MS / 1000, self._tick)
         self._do(self.member.turn(now_ms()))
         self.ticks += 1
-        if self.ticks % FOLLOWED_TICKS == 0 and (view := self.member.view(now_ms())) != self.shown:
+        view = self.member.view(now_ms())
+        if view != self.shown and (view is None or self.ticks % FOLLOWED_TICKS == 0):
             self.shown = view
             self.changed()
 
@@ -81,6 +84,7 @@
         number = self.numbers.get((addr[0], addr[1]))
         if number is None:
             self.dropped["address"] += 1
+            self._stranger(data, addr)
             return
         try:
             datagram = decode(data, self.fleet)
@@ -92,6 +96,18 @@
             return
         self._do(self.member.hear(datagram, now_ms()))
 
+    def _stranger(self, data: bytes, addr: tuple[Any, ...]) -> None:
+        """Words of this fleet from an address that no number has here: most likely two hosts under one name."""
+        now = now_ms()
+        if now - self.told < STRANGER_MS:
+            return
+        try:
+            sender = decode(data, self.fleet).sender
+        except BadDatagram:
+            return
+        self.told = now
+        log.warning("members: %s:%s says that it is %d; peers gives that another address", addr[0], addr[1], sender)
+
     def error_received(self, exc: Exception) -> None:
         """A fellow's port is closed: that is silence too."""
 
@@ -127,7 +143,8 @@
             "me": self.member.me,
             "phase": self.member.phase.value,
             "incarnation": self.member.claim.incarnation,
-            "acts_on_view": self.shown is not None,
+            # Not what was shown last: whoever asks a process that has just woken comes before its first turn.
+            "acts_on_view": self.member.view(now) is not None,
             "in_doubt": self.member.doubts,
             "dropped": {**self.dropped, "old": self.member.dropped},
             "members": [
--- a/cloverhold/rehearsal/faults.py
+++ b/cloverhold/rehearsal/faults.py
@@ -185,6 +185,40 @@
     kind: Literal["node_drain"]
 
 
+class NodeStop(_OnNodes):
+    """Nodes are stopped (SIGSTOP) and go on after `for_s` (SIGCONT), with all that they believed before."""
+
+    kind: Literal["node_stop"]
+
+
+class WordsCut(_Fault):
+    """Datagrams of `senders` to `receivers` are lost, one way; the other way too where `both`; turned each `turn_s`."""
+
+    kind: Literal["words_cut"]
+    senders: Annotated[tuple[int, ...], Field(min_length=1, strict=False)]
+    receivers: Annotated[tuple[int, ...], Field(min_length=1, strict=False)]
+    both: bool = False
+    turn_s: Annotated[float, Field(gt=0)] | None = None
+
+    def cuts(self, sender: int, to: int, now: float) -> bool:
+        """Whether a datagram is lost now."""
+        if not self.at_s <= now < self.at_s + self.for_s:
+            return False
+        turned = self.turn_s is not None and int((now - self.at_s) / self.turn_s) % 2 == 1
+        this, other = sender in self.senders and to in self.receivers, sender in self.receivers and to in self.senders
+        return other if turned else this or (self.both and other)
+
+
+class WordsRough(_Fault):
+    """Datagrams between nodes: a part `loss` is lost, `twice` comes twice, `late` comes up to `late_ms` later."""
+
+    kind: Literal["words_rough"]
+    loss: Annotated[float, Field(ge=0, le=1)] = 0.0
+    twice: Annotated[float, Field(ge=0, le=1)] = 0.0
+    late: Annotated[float, Field(ge=0, le=1)] = 0.0
+    late_ms: Annotated[float, Field(ge=0, le=10_000)] = 100.0
+
+
 class ReloadMove(_OnNodes):
     """The configuration names another address of discovery and nodes get SIGHUP; the old one closes 1.5 s on."""
 
@@ -245,6 +279,9 @@
         NodeKill,
         NodeTerm,
         NodeDrain,
+        NodeStop,
+        WordsCut,
+        WordsRough,
         ReloadMove,
         ReloadBroken,
         Reconfigure,
--- a/cloverhold/rehearsal/judge.py
+++ b/cloverhold/rehearsal/judge.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from cloverhold.rehearsal.ledger import Lag, Ledger, NodeLife, Stranger
+from cloverhold.rehearsal.members import members
 from cloverhold.rehearsal.plan import make_plan
 from cloverhold.rehearsal.rules import MARGIN_S, RULES, Case, Violation
 from cloverhold.rehearsal.scenario import Scenario
@@ -94,7 +95,7 @@
         service=service,
         rules={name: sorted(rule(case), key=lambda v: v.at_s) for name, rule in RULES.items()},
         crashes=_crashes(case),
-        goals=[] if ledger.partial else [*_goals(scenario, service), *_strangers(ledger)],
+        goals=[] if ledger.partial else [*_goals(scenario, service), *_strangers(ledger), *members(scenario, ledger)],
         void=_void(scenario, p99, most),
         partial=ledger.partial,
         lag_p99_ms=p99,
--- a/cloverhold/rehearsal/ledger.py
+++ b/cloverhold/rehearsal/ledger.py
@@ -136,6 +136,7 @@
     code: int | None = None  # exit status; negative: the signal
     hups: list[float] = field(default_factory=list)
     why: str = ""  # it was ended for, as the platform would: "memory"
+    stops: list[tuple[float, float]] = field(default_factory=list)  # SIGSTOP and SIGCONT, seconds
 
 
 @dataclass(slots=True)
@@ -150,6 +151,19 @@
     took_s: float
 
 
+@dataclass(slots=True)
+class Seen:
+    """What a node said of its fellows; a row where that has changed."""
+
+    node: int
+    life: int
+    at_s: float
+    phase: str
+    acts: bool  # whether it goes by this view
+    incarnation: int
+    alive: list[int]
+
+
 @dataclass(slots=True)
 class Usage:
     """What a node's process held at one time."""
@@ -215,10 +229,10 @@
     late_ms: list[float] = field(default_factory=list)  # the samples that were late at all, in order of time
 
 
-Row = Try | Arrival | Life | Told | NodeLife | Said | Usage | Stranger | Dial | Probes | FaultSpan | Lag
+Row = Try | Arrival | Life | Told | NodeLife | Said | Seen | Usage | Stranger | Dial | Probes | FaultSpan | Lag
 _ROWS: dict[str, type[Any]] = {
-    "try": Try, "arrival": Arrival, "life": Life, "told": Told, "node": NodeLife, "said": Said, "usage": Usage,
-    "stranger": Stranger, "dial": Dial, "probes": Probes, "fault": FaultSpan, "lag": Lag,
+    "try": Try, "arrival": Arrival, "life": Life, "told": Told, "node": NodeLife, "said": Said, "seen": Seen,
+    "usage": Usage, "stranger": Stranger, "dial": Dial, "probes": Probes, "fault": FaultSpan, "lag": Lag,
 }  # fmt: skip
 _NAMES = {kind: name for name, kind in _ROWS.items()}
 
--- a/cloverhold/rehearsal/nodes.py
+++ b/cloverhold/rehearsal/nodes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import os
 import resource
 import signal
@@ -16,7 +17,8 @@
 from cloverhold.rehearsal.catalog import line
 from cloverhold.rehearsal.faults import NodeDrain
 from cloverhold.rehearsal.front import Front
-from cloverhold.rehearsal.ledger import NodeLife, Said, Usage
+from cloverhold.rehearsal.ledger import NodeLife, Said, Seen, Usage
+from cloverhold.rehearsal.relays import hold_words
 from cloverhold.rehearsal.scenario import Scenario, merged
 from cloverhold.rehearsal.sockets import LOOPBACK, hold, port_of
 from cloverhold.rehearsal.world import World
@@ -25,6 +27,7 @@
 READY_S = 30.0
 ASKED_S = 2.0  # a call without an answer is given up
 WATCHED_S = 60.0  # what a node says of its health is watched for so long after a drain began
+LOOK_S = 0.05  # between two looks at what a node says of its fellows
 USAGE_S = 0.5  # between two looks at what a node holds
 LATE_S = 1.0  # past the time that a node has after SIGTERM, it is killed after this
 TICK_MS = 5.0
@@ -53,7 +56,8 @@
         "Goal": {"Whole": 0.55, "WorstWindow": 0.15, "WorstClass": 0.3, "WorstTenant": 0.0},
         "Deductions": {"Probe": 0.01, "Waste": 0.04, "LateFail": 0.03, "Connection": 0.03, "Handshake": 0.03},
         "Limits": {
-            "Probes": nodes.probes, "Cancelling": True, "ParallelTries": False, "RetryAfter": nodes.retry_after,
+            "Probes": nodes.probes, "Peers": "membership" in nodes.operator,
+            "Cancelling": True, "ParallelTries": False, "RetryAfter": nodes.retry_after,
             "MaxRetryAfterMs": nodes.max_retry_after_ms, "MaxAttempts": nodes.max_attempts, "MostHeld": 20000,
             "ConnIdleMs": fleet.idle_s * 1000, "DialTimeoutMs": nodes.dial_timeout_ms, "StreamsPerConn": 1,
         },
@@ -96,7 +100,10 @@
         self.folder, self.command, self.ended = folder, tuple(command), ended
         self.held = hold()
         self.port = port_of(self.held)
-        self.managed = hold() if any(isinstance(x, NodeDrain) for x in world.scenario.faults) else None
+        self.words = hold_words() if "membership" in world.scenario.nodes.operator else None
+        self.peers: list[str] = []  # as it reaches them
+        drained = any(isinstance(x, NodeDrain) for x in world.scenario.faults)
+        self.managed = hold() if drained or self.words is not None else None
         self.path = folder / f"n{number}.json"
         self.operator = world.scenario.nodes.operator
         self.life = -1
@@ -116,6 +123,7 @@
             "known": {"rev": self.desk.agent.rev if self.life == 0 else 0, "all": True, "targets": self.known},
             "settings": settings(self.world.scenario, self.number),
             **({"mgmt": f"{LOOPBACK}:{port_of(self.managed)}"} if self.managed is not None else {}),
+            **({"peer_listen": self.peers[self.number], "peers": self.peers} if self.words is not None else {}),
         })  # fmt: skip
 
     def write(self, text: str | None = None) -> None:
@@ -178,6 +186,8 @@
         self._task(self._watch(self.process, row))
         self._task(self._until_ready(row))
         self._task(self._measure(self.process, row))
+        if self.words is not None:
+            self._task(self._look(row))
 
     def _task(self, work: Any) -> None:
         task = self.world.loop.create_task(work)
@@ -221,6 +231,40 @@
                 return
             await asyncio.sleep(0.03)
 
+    async def _look(self, row: NodeLife) -> None:
+        """Ask it of its fellows until it ends; a row where the answer has changed."""
+        last: tuple[Any, ...] = ()
+        while row.ended_s is None and self.managed is not None:
+            try:
+                async with asyncio.timeout(ASKED_S):
+                    reader, writer = await asyncio.open_connection(LOOPBACK, port_of(self.managed))
+                    writer.write(b"GET /_members HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                    said = json.loads((await reader.read()).partition(b"\r\n\r\n")[2] or b"null")
+                    writer.transport.abort()
+            except (OSError, TimeoutError, ValueError):
+                said = None
+            if said is not None:
+                alive = [m["number"] for m in said["members"] if m["state"] in ("alive", "suspected")]
+                told = (said["phase"], said["acts_on_view"], said["incarnation"], alive)
+                if told != last:
+                    last = told
+                    self.world.ledger.rows.append(Seen(self.number, row.life, self.world.now(), *told))
+            await asyncio.sleep(LOOK_S)
+
+    def stop(self) -> None:
+        """SIGSTOP: it stands still, whatever it is doing. The front finds out."""
+        if self.is_up() and self.process is not None and self.row is not None:
+            self.process.send_signal(signal.SIGSTOP)
+            self.row.stops.append((self.world.now(), math.inf))
+            self.front.ends(self.number, self.world.now())
+
+    def go_on(self) -> None:
+        """SIGCONT."""
+        if self.is_up() and self.process is not None and self.row is not None and self.row.stops:
+            self.row.stops[-1] = (self.row.stops[-1][0], self.world.now())
+            self.process.send_signal(signal.SIGCONT)
+            self.front.ready(self.number)
+
     def is_up(self) -> bool:
         """Whether a process runs."""
         return self.process is not None and self.process.returncode is None
@@ -235,6 +279,7 @@
         """A planned stop; the front takes it out a little later. SIGKILL follows if it does not end."""
         if self.is_up() and self.process is not None and self.row is not None and self.row.term_s is None:
             self.row.term_s = self.world.now()
+            self.process.send_signal(signal.SIGCONT)  # where it was stopped
             self.process.terminate()
             self.front.ends(self.number, self.world.now(), front_after_s)
             self._task(self._enforce(self.process))
@@ -301,8 +346,9 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._close_log()
         self.held.close()
-        if self.managed is not None:
-            self.managed.close()
+        for held in (self.managed, self.words):
+            if held is not None:
+                held.close()
 
     def _close_log(self) -> None:
         if self._log is not None:
--- a/cloverhold/rehearsal/plan.py
+++ b/cloverhold/rehearsal/plan.py
@@ -217,6 +217,7 @@
     f.NodeKill: ("node_kill", "node_start"),
     f.NodeTerm: ("node_term", "node_start"),
     f.NodeDrain: ("node_drain", "node_undrain"),
+    f.NodeStop: ("node_stop", "node_continue"),
     f.ReloadBroken: ("reload_broken", "reload_mended"),
     f.Reconfigure: ("reconfigure", "reconfigured"),
     f.ReloadMove: ("reload_move", "discovery_old_closes"),
--- a/cloverhold/rehearsal/rules.py
+++ b/cloverhold/rehearsal/rules.py
@@ -88,6 +88,12 @@
         """What is allowed beyond a limit at this time: the way there, and what the kit itself was late."""
         return MARGIN_S + max((late for end, late in self.lags if at_s - 0.2 <= end <= at_s + 1.4), default=0.0)
 
+    def stopped(self, row: Try) -> bool:
+        """Whether the process that held a try was stopped in its time."""
+        sent = row.sent_s if row.sent_s is not None else row.intended_s
+        life = self.life_at(row.node, sent)
+        return life is not None and any(begin <= self.limit(row) and sent <= end for begin, end in life.stops)
+
     def limit(self, row: Try) -> float:
         """Until when a try must have its answer."""
         sent = row.sent_s if row.sent_s is not None else row.intended_s
@@ -149,7 +155,7 @@
     first = row.answers[0]
     if len(row.answers) > 1:
         yield breach(f"answered {len(row.answers)} times", row.answers[1].at_s)
-    if first.at_s > case.limit(row) and row.left_s is None:
+    if first.at_s > case.limit(row) and row.left_s is None and not case.stopped(row):
         yield breach(f"answered {1000 * (first.at_s - case.limit(row)):.0f} ms late", first.at_s)
     if not first.whole:
         if not any(a.outcome in ("spoilt", "reset", "silent", "cancelled") for a in arrivals):
@@ -175,6 +181,8 @@
         if allowed is None or life.killed_s < allowed + min(case.scenario.longest_s(), 3.0) + TERM_S:
             return None  # held by a node that was killed: the client's to repeat
         return "held by a node that did not end in its time after SIGTERM"
+    if case.stopped(row):
+        return None  # held by a process that was stopped
     if row.ended_s is None:
         watched = row.watched_s if row.watched_s is not None else case.ledger.ended_s
         return "no answer" if watched >= limit else None
--- a/cloverhold/rehearsal/scenario.py
+++ b/cloverhold/rehearsal/scenario.py
@@ -179,12 +179,22 @@
         return self.rate_per_s * max(self.steps, default=1 + self.swing)
 
 
+class MemberGoals(Table):
+    """What the nodes' views of one another must keep to. 0, or none: not asked."""
+
+    stay: Annotated[tuple[int, ...], Field(strict=False)] = ()  # hold each other for alive, from the first view on
+    blind: Annotated[tuple[int, ...], Field(strict=False)] = ()  # show no view while cut off
+    known_s: NotNegative = 0.0  # who is killed is dead at all that run, after this
+    one_view_s: NotNegative = 0.0  # after the last fault
+
+
 class Goals(Table):
     """What the rehearsal must reach beside the four rules."""
 
     service: Part = 0.0  # least service, prices taken off
     worst_class: Part = 0.0
     worst_tenant: Part = 0.0  # of those that no fault poisons
+    members: MemberGoals | None = None
 
 
 class Bounds(Table):
@@ -234,7 +244,7 @@
             poisoned = getattr(fault, "tenant", None)
             if poisoned is not None and poisoned not in tenants:
                 raise ValueError(f"{where}.tenant: one of {', '.join(tenants)} is allowed, got {poisoned!r}")
-            for node in getattr(fault, "nodes", ()):
+            for node in (n for key in ("nodes", "senders", "receivers") for n in getattr(fault, key, ())):
                 if node >= self.nodes.count:
                     raise ValueError(f"{where}.nodes: 0 to {self.nodes.count - 1} are allowed, got {node}")
             for server in getattr(fault, "servers", ()):
--- a/cloverhold/rehearsal/stage.py
+++ b/cloverhold/rehearsal/stage.py
@@ -20,9 +20,11 @@
 from cloverhold.rehearsal.ledger import FaultSpan, Ledger, Probes
 from cloverhold.rehearsal.nodes import COMMAND, READY_S, Node, NodeFailed
 from cloverhold.rehearsal.plan import ServerPlan, Step, make_plan
+from cloverhold.rehearsal.relays import Relays
 from cloverhold.rehearsal.roster import Roster
 from cloverhold.rehearsal.scenario import Scenario
 from cloverhold.rehearsal.servers import Address, Group, Server
+from cloverhold.rehearsal.sockets import port_of
 from cloverhold.rehearsal.world import World
 
 LEAD_S = 0.2  # between the last node's readiness and the load
@@ -66,6 +68,8 @@
         self.nodes = [
             Node(world, n, self.desks[n], self.front, folder, command, self._node_ended) for n in range(nodes)
         ]
+        words = [port_of(node.words) for node in self.nodes if node.words is not None]
+        self.relays = Relays(world, words) if words else None
         ports = [node.port for node in self.nodes]
         self.clients = Clients(world, self.front, ports)
         self.strangers = Strangers(world, self.front, self.clients, ports)
@@ -111,7 +115,11 @@
             self.roster.first(plan)
         for desk in self.desks:
             desk.listen()
+        if self.relays is not None:
+            await self.relays.open()
         for node in self.nodes:
+            if self.relays is not None:
+                node.peers = self.relays.addresses(node.number)
             await node.start()
         until = self.world.now() + READY_S
         while not all(node.row is not None and node.row.ready_s is not None for node in self.nodes):
@@ -194,6 +202,8 @@
             server.close()
         for desk in self.desks:
             desk.close()
+        if self.relays is not None:
+            self.relays.close()
         for address in {id(a): a for a in self.addresses.values()}.values():
             address.close()
         await asyncio.sleep(0)  # transports that were aborted close their sockets in the next turn
@@ -322,6 +332,10 @@
                 node.kill()
             case "node_term":
                 node.term()
+            case "node_stop":
+                node.stop()
+            case "node_continue":
+                node.go_on()
             case "node_drain" | "node_undrain":
                 node.drain(on=step.what == "node_drain")
             case "node_start":
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -32,7 +32,7 @@
     "cloverhold/supervise/core.py",
     *(f"cloverhold/rehearsal/{name}.py" for name in (
         "scenario", "faults", "plan", "machine", "catalog", "front", "ledger", "judge", "rules", "service", "spoil",
-        "wire",
+        "wire", "members",
     )),
     *(f"cloverhold/simulation/{name}.py" for name in (
         "days", "figures", "fleet", "members", "nodes", "registry", "servers", "timeline",
