--- a/cloverhold/fleet/membership/core.py
+++ b/cloverhold/fleet/membership/core.py
@@ -230,14 +230,13 @@
                 return
             if not self.joining.asked(d.nonce, now) or self.phase not in (Phase.JOINING, Phase.RETURNING):
                 return
+            member = any(isinstance(item, Claim) and item.number == d.sender for item in d.items)
+            if self.phase is Phase.RETURNING and not member and not self.joining.half(now):
+                return  # as little a member as this node: good enough only where no other answers
             self._welcomed(d, now)
-        if self.phase not in (Phase.MEMBER, Phase.CUT, Phase.JOINING):
-            return
-        if d.kind is Kind.JOIN:
-            if self.phase is not Phase.CUT:
-                self._welcome(d, now)
-            return
-        if self.phase is Phase.JOINING:
+        if d.kind is Kind.JOIN and self.phase is not Phase.REPLACED:
+            self._welcome(d, now)
+        if d.kind is Kind.JOIN or self.phase not in (Phase.MEMBER, Phase.CUT):
             return
         if d.kind is Kind.ACK:
             self._answered(d, now)
@@ -304,10 +303,14 @@
             self._vote(d.sender, now, up=True)
 
     def _welcome(self, d: Datagram, now: float) -> None:
-        held = self.book.entries.get(d.sender)
+        """Say what is known of a number that asks; a member also names itself, and whom it knows. One that is no member
+        answers too: of two that return at the same time each would wait for the other.
+        """
+        held, member = self.book.entries.get(d.sender), self.phase is Phase.MEMBER
         first: tuple[Item, ...] = (held.claim,) if held is not None else ()
-        self._send(d.sender, Kind.WELCOME, (*first, *((self.claim,) if self.phase is Phase.MEMBER else ())), d.nonce)
-        self._entries(d.sender, PARTS_JOINED)
+        self._send(d.sender, Kind.WELCOME, (*first, self.claim) if member else first, d.nonce)
+        if member:
+            self._entries(d.sender, PARTS_JOINED)
 
     def _entries(self, to: int, parts: int, *, answer: bool = False) -> None:
         """Send what is held, in so many datagrams at most, going on where the last such part ended. A digest asks the
--- a/cloverhold/fleet/membership/joining.py
+++ b/cloverhold/fleet/membership/joining.py
@@ -27,6 +27,10 @@
         """Whether nobody has answered for long enough."""
         return now - self.since >= self.give_up_ms
 
+    def half(self, now: float) -> bool:
+        """Whether half of that time has passed."""
+        return now - self.since >= self.give_up_ms / 2
+
     def ask(self, now: float) -> list[int]:
         """Whom to ask now."""
         if now < self.next:
