--- a/cloverhold/fleet/membership/rumours.py
+++ b/cloverhold/fleet/membership/rumours.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from heapq import nsmallest
 from math import ceil, log2
 
 from cloverhold.fleet.wire.datagrams import ROOM, Claim, Item, Vote, size
 
+MOST_ITEMS = 16  # more do not fit into a datagram
 MULTIPLE = 3  # of log2 of the members: how often a rumour is sent
 
 
@@ -31,7 +33,7 @@
         if not self.held:
             return ()
         bound = MULTIPLE * ceil(log2(members + 2))
-        for key, (item, sent, since) in sorted(self.held.items(), key=lambda pair: pair[1][1]):
+        for key, (item, sent, since) in nsmallest(MOST_ITEMS, self.held.items(), key=lambda pair: pair[1][1]):
             need = size(item, form)
             if now - since > life_ms:
                 del self.held[key]
--- a/cloverhold/fleet/membership/votes.py
+++ b/cloverhold/fleet/membership/votes.py
@@ -77,7 +77,7 @@
         return Count(down, up)
 
     def dead(self, subject: int, count: Count, watchers: int, now: float) -> bool:
-        """Whether the count is the verdict. watchers: how many could vote, this node among them."""
+        """Whether the count is the verdict. watchers: how many could vote, at most."""
         ballot = self.held[subject]
         if ballot.since is None or count.down <= count.up:
             return False
--- a/cloverhold/simulation/command.py
+++ b/cloverhold/simulation/command.py
@@ -46,8 +46,9 @@
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="The first seed.")
 @click.option("--seeds", type=click.IntRange(1, 1000), default=1, show_default=True, help="How many, in turn.")
 @click.option("--nodes", type=click.IntRange(LEAST_NODES, MOST_NODES), help="In place of the seed's own, about 200.")
+@click.option("--membership", is_flag=True, help="Nodes know who of them lives, and share servers by that.")
 @click.option("--json", "as_json", is_flag=True, help="A line of JSON a day, for programs.")
-def fleet(day: str, seed: int, seeds: int, nodes: int | None, as_json: bool) -> None:
+def fleet(day: str, seed: int, seeds: int, nodes: int | None, membership: bool, as_json: bool) -> None:
     """Some 200 nodes before 120 servers, through one kind of trouble.
 
     Example: cloverhold simulate fleet zone --seed 3 --nodes 60
@@ -57,7 +58,7 @@
     kept = True
     for kind in KINDS if day == "all" else (day,):
         for number in range(seed, seed + seeds):
-            found = play(draw(kind, number, nodes))
+            found = play(draw(kind, number, nodes), membership=membership)
             kept = kept and found.kept()
             click.echo(json.dumps(asdict(found)) if as_json else _line(_cells(found)))
     if not kept:
--- a/cloverhold/simulation/figures.py
+++ b/cloverhold/simulation/figures.py
@@ -109,7 +109,7 @@
     )  # fmt: skip
 
 
-def play(day: Day, make: Make = Balancer) -> Figures:
+def play(day: Day, make: Make = Balancer, *, membership: bool = False) -> Figures:
     """Play a day and work out what it came to."""
-    fleet = Fleet(day, make)
+    fleet = Fleet(day, make, membership=membership)
     return figures(day, fleet, fleet.run())
--- a/cloverhold/simulation/fleet.py
+++ b/cloverhold/simulation/fleet.py
@@ -15,6 +15,7 @@
 from cloverhold.simulation.nodes import STATUS, Module, Node, Owed
 from cloverhold.simulation.registry import Registry
 from cloverhold.simulation.servers import Flight, Server, State
+from cloverhold.simulation.shares import Shares
 from cloverhold.simulation.timeline import Timeline
 
 CLIENT_MS = 0.6  # one way between clients and nodes
@@ -31,7 +32,8 @@
 class Fleet:
     """One day in play. `run` plays it to its end."""
 
-    def __init__(self, day: Day, make: Make = Balancer) -> None:
+    def __init__(self, day: Day, make: Make = Balancer, *, membership: bool = False) -> None:
+        """membership: whether nodes know who of them lives, and share servers by that."""
         self.day, self.scenario = day, day.scenario
         self.plan: Plan = make_plan(self.scenario)
         self.timeline = Timeline()
@@ -55,6 +57,7 @@
         self.dealt: list[int] = []  # nodes that the front takes for alive
         self._weights: list[float] = []
         self.refs = 0
+        self.shares = Shares(self.timeline, day, self.nodes) if membership else None
 
     def _source(self, *names: object) -> Random:
         return Random(":".join(str(n) for n in ("fleet", self.day.kind, self.day.seed, *names)))
@@ -75,6 +78,8 @@
         for node in self.nodes:
             node.start()
             self.dealt.append(node.number)
+        if self.shares is not None:
+            self.shares.begin()
         self._deal()
         for first in self.plan.arrivals:
             timeline.at(1000 * first.at_s, self._try, first, 0)
@@ -310,12 +315,16 @@
         match what:
             case "node_kill" if node.life is not None:
                 node.life.killed_s = now / 1000
+                if self.shares is not None:
+                    self.shares.ended(node)
                 for owed in node.stop():
                     owed.row.ended_s, owed.row.ended, owed.answered = now / 1000, "reset", True
                     self._again(owed, None)
                 self.timeline.after(1000 * self.scenario.front.notice_s, self._forget, node, node.lives)
             case "node_term" if node.life is not None:
                 node.life.term_s = now / 1000
+                if self.shares is not None:
+                    self.shares.left(node)
                 self.timeline.after(TERM_HEARD_MS, self._forget, node, node.lives)
                 self.timeline.after(TERM_LINGER_MS, self._emptied, node, node.lives, now + 3400.0)
             case "node_start":
@@ -343,6 +352,8 @@
         if node.module is not None:
             return
         node.start()
+        if self.shares is not None:
+            self.shares.started(node)
         if node.number not in self.dealt:
             self.dealt.append(node.number)
         self._deal()
--- a/cloverhold/simulation/members.py
+++ b/cloverhold/simulation/members.py
@@ -57,11 +57,13 @@
 
     def __init__(
         self, peers: int, seed: int, rules: Rules | None = None, network: Network | None = None, *, wire: bool = True,
-        make: Callable[..., Member] = Member,
+        make: Callable[..., Member] = Member, timeline: Timeline | None = None,
     ) -> None:  # fmt: skip
-        """wire: whether each datagram goes through its bytes; without, they are only counted."""
+        """wire: whether each datagram goes through its bytes; without, they are only counted. timeline: of a larger
+        world that it stands in.
+        """
         self.peers, self.rules, self.network = peers, rules or Rules(), network or Network()
-        self.chance, self.timeline = Random(f"members {seed}"), Timeline()
+        self.chance, self.timeline = Random(f"members {seed}"), timeline or Timeline()
         self.wire, self.make = wire, make
         self.running: dict[int, Process] = {}
         self.notes: list[Heard] = []
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -35,7 +35,7 @@
         "wire", "members",
     )),
     *(f"cloverhold/simulation/{name}.py" for name in (
-        "days", "figures", "fleet", "members", "nodes", "registry", "servers", "timeline",
+        "days", "figures", "fleet", "members", "nodes", "registry", "servers", "shares", "timeline",
     )),
 )  # fmt: skip
 NODE = (
