--- a/cloverhold/fleet/membership/core.py
+++ b/cloverhold/fleet/membership/core.py
@@ -18,6 +18,7 @@
 from cloverhold.fleet.membership.interface import PHASES, Action, Changed, Deliver, Phase, Rules, Standing, Turn
 from cloverhold.fleet.membership.joining import Joining
 from cloverhold.fleet.membership.links import Links
+from cloverhold.fleet.membership.own import Answer, Own
 from cloverhold.fleet.membership.rumours import Rumours
 from cloverhold.fleet.membership.votes import Ballots
 from cloverhold.fleet.wire.datagrams import NEWEST, OLDEST, Claim, Datagram, Digest, Item, Kind, State, Vote, fill
@@ -28,7 +29,6 @@
 PARTS, PARTS_JOINED = 8, 24  # datagrams of entries to one that differs, to one that joins
 MOST_CHECKS, CHECKED = 32, 0.67  # numbers looked into at once, and for what part of a window
 CUT_LEAST = 3  # a node that reaches none of so many others is cut off; of fewer, they may well be dead
-REFUTED_MS, REFUTE_FIRST_MS, REFUTE_MOST_MS = 60_000.0, 1000.0, 10_000.0
 
 
 class Member:
@@ -40,7 +40,7 @@
     ) -> None:  # fmt: skip
         """life: drawn anew by each process. newest: the highest form of datagrams that it writes and reads."""
         self.me, self.peers, self.rules, self.chance, self.newest = number, peers, rules, chance, newest
-        self.claim = Claim(State.ALIVE, number, 1, life, 0, program)
+        self.own = Own(Claim(State.ALIVE, number, 1, life, 0, program))
         self.phase, self.since = Phase.JOINING, now
         self.book = Book(rules.watchers)
         self.links = Links(rules.period_ms, rules.silence_ms)
@@ -53,9 +53,6 @@
         self.reads: dict[int, int] = {}  # by number: the highest form it reads
         self.voted: dict[int, tuple[bool, float]] = {}  # by subject: this node's last vote and when
         self.votes = 0
-        self.refuted: list[float] = []  # when, within the last minute
-        self.refute_at: float | None = None
-        self.called_dead = False
         self.doubts = False  # whether most of those it watches are silent
         self.seen = -1  # the book's changes that the watches follow
         self.pushed = self.synced = self.healed = self.tidied = now
@@ -63,6 +60,11 @@
         self.dropped = 0  # datagrams of an old life or incarnation
         self.out: list[Action] = []
 
+    @property
+    def claim(self) -> Claim:
+        """What this process says of itself."""
+        return self.own.claim
+
     # ------------------------------------------------------------------------------------------------ being told
 
     def turn(self, now: float) -> list[Action]:
@@ -112,7 +114,7 @@
         """The numbers of the living, this one among them: a hint. None where this node has no view to act on: while it
         joins, after it slept, cut off, replaced, called dead, or alone among many.
         """
-        if self.phase is not Phase.MEMBER or now - self.since < self.rules.settle_ms or self.called_dead:
+        if self.phase is not Phase.MEMBER or now - self.since < self.rules.settle_ms or self.own.called_dead:
             return None
         if self.late.turned is not None and now - self.late.turned >= self.rules.asleep_ms:
             return None  # it has slept, and no turn has noticed yet
@@ -158,7 +160,7 @@
             self.rumours.clear()
             self.voted.clear()
             self.checked.clear()
-            self.refute_at, self.called_dead = None, False
+            self.own.settle()
         if phase in (Phase.RETURNING, Phase.JOINING):
             self.joining.begin(now)
         if phase is Phase.CUT:
@@ -183,7 +185,7 @@
 
     def _claim(self, now: float, claim: Claim, why: str) -> None:
         """Say of oneself from now on."""
-        self.claim = claim
+        self.own.claim = claim
         self.book.put(claim, now, why)
         self.rumours.add(claim, now)
 
@@ -196,17 +198,12 @@
             return
         if returns:
             self.book.clear()  # the view from before is nothing to go by
-            self.claim = replace(self.claim, incarnation=self.claim.incarnation + 1)
+            self.own.claim = replace(self.claim, incarnation=self.claim.incarnation + 1)
         if mine is not None and (mine.life != self.claim.life or mine.key() >= self.claim.key()):
-            self.claim = self._above(mine)
+            self.own.claim = self.own.above(mine)
         self._turn_to(Turn.WELCOMED, now, f"welcomed by {datagram.sender}")
         self._claim(now, self.claim, "returned" if returns else "joined")
 
-    def _above(self, claim: Claim) -> Claim:
-        """The claim of this process that stands over another one of its number."""
-        rival = claim.life if claim.state is State.ALIVE and claim.life != self.claim.life else self.claim.over
-        return replace(self.claim, incarnation=max(claim.incarnation, self.claim.incarnation) + 1, over=rival)
-
     # ----------------------------------------------------------------------------------------------- datagrams
 
     def _send(self, to: int, kind: Kind, items: tuple[Item, ...] = (), nonce: int = 0) -> None:
@@ -366,31 +363,18 @@
             self._look_into(claim, now)
 
     def _of_me(self, claim: Claim, now: float, *, trusted: bool) -> None:
-        """What others say of this number: refuted, or another process of later life holds it. trusted: by a living
-        member that is not in doubt; this node then shows no view until it has come back.
-        """
-        if claim.key() < self.claim.key() or claim == self.claim:
-            return
-        if claim.state is State.ALIVE and claim.life != self.claim.life and claim.over == self.claim.life:
-            self._turn_to(Turn.OUTBID, now, "a later process holds this number")
-        elif claim.state is State.ALIVE and claim.life == self.claim.life:
-            self.claim = replace(self.claim, incarnation=claim.incarnation)
-        elif claim.state is State.ALIVE:
-            self._claim(now, self._above(claim), "another life of this number")
-        elif self.refute_at is not None:
-            self.called_dead = self.called_dead or trusted
-        else:
-            self.refuted = [at for at in self.refuted if now - at < REFUTED_MS]
-            wait = min(REFUTE_MOST_MS, REFUTE_FIRST_MS * 2 ** (len(self.refuted) - 1)) if self.refuted else 0.0
-            self.refute_at, self.called_dead = now + wait, trusted
-            self.claim = replace(self.claim, incarnation=max(self.claim.incarnation, claim.incarnation))
-            self.out.append(Changed(self.me, "called dead", claim.incarnation, f"back in {wait:.0f} ms"))
+        """What others say of this number. trusted: by a living member that is not in doubt."""
+        match self.own.told(claim, now, trusted=trusted):
+            case Answer.OUTBID:
+                self._turn_to(Turn.OUTBID, now, "a later process holds this number")
+            case Answer.RAISED:
+                self._claim(now, self.own.above(claim), "another life of this number")
+            case Answer.WAITS:
+                why = f"back in {self.own.wait_ms:.0f} ms"
+                self.out.append(Changed(self.me, "called dead", claim.incarnation, why))
 
     def _refute(self, now: float) -> None:
-        if self.refute_at is not None and now >= self.refute_at:
-            self.refute_at, self.called_dead = None, False
-            self.refuted.append(now)
-            claim = replace(self.claim, incarnation=self.claim.incarnation + 1)
+        if (claim := self.own.refutation(now)) is not None:
             self._claim(now, claim, "refuted its death")
 
     # -------------------------------------------------------------------------------------------- looking into it
--- a/tests/fleet/membership/battery.py
+++ b/tests/fleet/membership/battery.py
@@ -192,7 +192,7 @@
         yield from _quiet(f, begun, before, "halves")
         if forget > ONE_VIEW_MS:  # each waits its longest before it comes back: all hold each other for dead meanwhile
             for process in f.running.values():
-                process.member.refuted = [f.now()] * 6
+                process.member.own.refuted = [f.now()] * 6
         begun, before = f.now(), f.sent.total()
         f.network.cut = lambda *_: False
         yield from _one_view(f, ONE_VIEW_MS, "halves healed")
--- a/tests/fleet/membership/planted.py
+++ b/tests/fleet/membership/planted.py
@@ -15,9 +15,9 @@
 
 class IncarnationNotRaised(Member):
     def _refute(self, now: float) -> None:
-        if self.refute_at is not None and now >= self.refute_at:
-            self.refute_at, self.called_dead = None, False
-            self._claim(now, self.claim, "refuted")
+        before = self.claim
+        if self.own.refutation(now) is not None:
+            self._claim(now, before, "refuted")
 
 
 class RefutationLost(Member):
@@ -108,7 +108,7 @@
 
 class NoWaitBeforeReturn(Member):
     def _of_me(self, claim: Claim, now: float, *, trusted: bool) -> None:
-        self.refuted.clear()
+        self.own.refuted.clear()
         super()._of_me(claim, now, trusted=trusted)
 
 
