--- a/tests/layout.py
+++ b/tests/layout.py
@@ -23,7 +23,7 @@
     *(f"cloverhold/h3/{name}.py" for name in ("door", "keys", "requests", "session", "streams")),
     *("cloverhold/bodies/budget.py", "cloverhold/bodies/upload.py", "cloverhold/lifecycle.py", "cloverhold/limits.py"),
     *(f"cloverhold/fleet/membership/{name}.py" for name in (
-        "book", "core", "doubt", "interface", "joining", "links", "own", "rings", "rumours", "votes",
+        "book", "core", "doubt", "interface", "joining", "links", "own", "rings", "rumours", "votes", "words",
     )),
     "cloverhold/fleet/wire/datagrams.py",
     "cloverhold/roster.py",
