--- a/tests/ops/test_inherited.py
+++ b/tests/ops/test_inherited.py
@@ -12,6 +12,7 @@
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager, closing
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -55,22 +56,27 @@
 
 @asynccontextmanager
 async def process(
-    tmp_path: Path, held: socket.socket, server: Server, mgmt: int
-) -> AsyncIterator[asyncio.subprocess.Process]:
-    """One of several processes of a node: they share the socket and $TMPDIR, and have a management address each."""
+    tmp_path: Path, held: socket.socket, server: Server, mgmt: int, *, operator: str = "", ready: bool = True,
+    **changes: Any,
+) -> AsyncIterator[asyncio.subprocess.Process]:  # fmt: skip
+    """One of several processes of a node: they share the socket and $TMPDIR, and have a management address each.
+    operator: the path of its operator's file. ready: whether to wait until it is.
+    """
     known = {"rev": 1, "all": True, "targets": [target("s0", server.port)]}
     path = tmp_path / f"config-{mgmt}.json"
     here, down = f"127.0.0.1:{held.getsockname()[1]}", f"127.0.0.1:{free_ports(1)[0]}"
     settings = {**SETTINGS, "Profiles": [*SETTINGS["Profiles"], UNSAFE]}
     said = config(listen=here, discovery=down, known=known, mgmt=f"127.0.0.1:{mgmt}", settings=settings)
+    said.update(changes)
     path.write_text(json.dumps(said))
     started = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "cloverhold", cwd=ROOT, stderr=subprocess.DEVNULL, pass_fds=(held.fileno(),),
-        env={**environment(path), "PROXY_LISTEN_FD": str(held.fileno()), "TMPDIR": str(tmp_path)},
+        env={**environment(path), "PROXY_LISTEN_FD": str(held.fileno()), "TMPDIR": str(tmp_path),
+             "CLOVERHOLD_CONFIG": operator},
     )  # fmt: skip
     try:
         async with asyncio.timeout(WAIT_S):
-            while await manage(mgmt, "GET /_ready") != 200:
+            while ready and await manage(mgmt, "GET /_ready") != 200:
                 await asyncio.sleep(0.02)
         yield started
     finally:
