--- a/cloverhold/fleet/membership/core.py
+++ b/cloverhold/fleet/membership/core.py
@@ -78,7 +78,9 @@
         """The numbers of the living, this one among them: a hint. None where this node has no view to act on: while it
         joins, after it slept, cut off, replaced, called dead, or alone among many.
         """
-        if self.phase is not Phase.MEMBER or now - self.since < self.rules.settle_ms or self.own.called_dead:
+        if self.phase is not Phase.MEMBER or now - self.since < self.rules.settle_ms:
+            return None
+        if self.own.called_dead(len(self.book.living)):
             return None
         if self.late.turned is not None and now - self.late.turned >= self.rules.asleep_ms:
             return None  # it has slept, and no turn has noticed yet
--- a/cloverhold/fleet/membership/own.py
+++ b/cloverhold/fleet/membership/own.py
@@ -5,7 +5,7 @@
 | alive, another life, over this life | OUTBID: a process that began later runs, and holds the number |
 | alive, another life, over none or a third | RAISED: a claim above it and over that life |
 | alive, this life | its incarnation is taken over |
-| dead or left | WAITS: later a claim of a higher incarnation; no view, where a member not in doubt says so |
+| dead or left | WAITS: later a claim of a higher incarnation; no view, where two members not in doubt say so |
 
 The wait is nothing the first time and grows within a minute: 1 s, 2 s, ... 10 s. That bounds the changes of state.
 """
@@ -36,7 +36,7 @@
         self.claim = claim
         self.refuted: list[float] = []  # when, within the last minute
         self.refute_at: float | None = None
-        self.called_dead = False  # by a living member that is not in doubt
+        self.callers: set[int] = set()  # living members, not in doubt, that call it dead since it waits
         self.wait_ms = 0.0
 
     def above(self, claim: Claim) -> Claim:
@@ -44,8 +44,14 @@
         rival = claim.life if claim.state is State.ALIVE and claim.life != self.claim.life else self.claim.over
         return replace(self.claim, incarnation=max(claim.incarnation, self.claim.incarnation) + 1, over=rival)
 
-    def told(self, claim: Claim, now: float, *, trusted: bool) -> Answer:
-        """Others say this of the number. trusted: by a living member that is not in doubt."""
+    def called_dead(self, living: int) -> bool:
+        """Whether this process is out, as far as it can know: two of the others say so, or the one that there is. One
+        alone may be confused itself. living: how many members it knows, itself among them.
+        """
+        return len(self.callers) >= max(1, min(2, living - 1))
+
+    def told(self, claim: Claim, now: float, *, by: int | None) -> Answer:
+        """Others say this of the number. by: the living member, not in doubt, whose word it is; None of any other."""
         if claim.key() < self.claim.key() or claim == self.claim:
             return Answer.NOTHING
         if claim.state is State.ALIVE and claim.life != self.claim.life:
@@ -53,12 +59,13 @@
         if claim.state is State.ALIVE:
             self.claim = replace(self.claim, incarnation=claim.incarnation)
             return Answer.NOTHING
+        if by is not None:
+            self.callers.add(by)
         if self.refute_at is not None:
-            self.called_dead = self.called_dead or trusted
             return Answer.NOTHING
         self.refuted = [at for at in self.refuted if now - at < REFUTED_MS]
         self.wait_ms = min(REFUTE_MOST_MS, REFUTE_FIRST_MS * 2 ** (len(self.refuted) - 1)) if self.refuted else 0.0
-        self.refute_at, self.called_dead = now + self.wait_ms, trusted
+        self.refute_at = now + self.wait_ms
         self.claim = replace(self.claim, incarnation=max(self.claim.incarnation, claim.incarnation))
         return Answer.WAITS
 
@@ -66,10 +73,11 @@
         """The claim that refutes a death, once it is time."""
         if self.refute_at is None or now < self.refute_at:
             return None
-        self.refute_at, self.called_dead = None, False
+        self.settle()
         self.refuted.append(now)
         return replace(self.claim, incarnation=self.claim.incarnation + 1)
 
     def settle(self) -> None:
         """Whatever it was called does not matter any more."""
-        self.refute_at, self.called_dead = None, False
+        self.refute_at = None
+        self.callers.clear()
--- a/cloverhold/fleet/membership/words.py
+++ b/cloverhold/fleet/membership/words.py
@@ -170,7 +170,7 @@
         if not self._sender(d, now):
             for item in d.items:  # even one that is dead here may tell this node what it is held for
                 if isinstance(item, Claim) and item.number == self.me:
-                    self._of_me(item, now, trusted=False)
+                    self._of_me(item, now, by=None)
             return
         if d.kind is Kind.PING:
             digest = next((item for item in d.items if isinstance(item, Digest)), None)
@@ -244,7 +244,7 @@
         if claim.number >= self.peers:
             return
         if claim.number == self.me:
-            self._of_me(claim, now, trusted=not d.doubt and d.sender in self.book.living)
+            self._of_me(claim, now, by=d.sender if not d.doubt and d.sender in self.book.living else None)
             return
         match self.book.read(claim):
             case Reading.NEWS:
@@ -279,9 +279,9 @@
         else:
             self._look_into(claim, now)
 
-    def _of_me(self, claim: Claim, now: float, *, trusted: bool) -> None:
-        """What others say of this number. trusted: by a living member that is not in doubt."""
-        match self.own.told(claim, now, trusted=trusted):
+    def _of_me(self, claim: Claim, now: float, *, by: int | None) -> None:
+        """What others say of this number. by: a living member that is not in doubt, if it is one."""
+        match self.own.told(claim, now, by=by):
             case Answer.OUTBID:
                 self._turn_to(Turn.OUTBID, now, "a later process holds this number")
             case Answer.RAISED:
--- a/tests/fleet/membership/planted.py
+++ b/tests/fleet/membership/planted.py
@@ -63,8 +63,8 @@
 
 
 class BidIgnored(Member):
-    def _of_me(self, claim: Claim, now: float, *, trusted: bool) -> None:
-        super()._of_me(replace(claim, over=0), now, trusted=trusted)
+    def _of_me(self, claim: Claim, now: float, *, by: int | None) -> None:
+        super()._of_me(replace(claim, over=0), now, by=by)
 
     def _turn_to(self, turn: Turn, now: float, why: str) -> None:
         if turn is not Turn.OUTBID:
@@ -107,9 +107,9 @@
 
 
 class NoWaitBeforeReturn(Member):
-    def _of_me(self, claim: Claim, now: float, *, trusted: bool) -> None:
+    def _of_me(self, claim: Claim, now: float, *, by: int | None) -> None:
         self.own.refuted.clear()
-        super()._of_me(claim, now, trusted=trusted)
+        super()._of_me(claim, now, by=by)
 
 
 class LatenessIgnored(Member):
--- a/tests/fleet/membership/test_members.py
+++ b/tests/fleet/membership/test_members.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cloverhold.fleet.membership.core import Member
-from cloverhold.fleet.membership.interface import Rules
+from cloverhold.fleet.membership.interface import Changed, Rules
 from cloverhold.fleet.membership.rings import Rings
 from cloverhold.simulation.members import Fleet, Network
 from tests.fleet.membership.battery import DAYS, Make
@@ -83,3 +83,18 @@
 def test_rules_that_cannot_stand_together(wrong: dict[str, float], key: str) -> None:
     with pytest.raises(ValueError, match=key):
         Rules(**wrong)
+
+
+@pytest.mark.parametrize("jump_ms", [3_600_000.0, 1200.0])
+def test_a_clock_that_jumps_makes_a_node_doubt_itself_and_nobody_else(jump_ms: float) -> None:
+    """The time of day is never read; what jumps is the clock that counts sleep, and then the node has slept."""
+    f = Fleet(5, 3, wire=False)
+    f.start(range(5))
+    f.run(300)
+    assert f.until(f.agreed, 5000) is not None
+    member, now = f.running[0].member, f.now()
+    member.turn(now)
+    assert member.view(now) and member.view(now + jump_ms) is None
+    states = {action.state for action in member.turn(now + jump_ms) if isinstance(action, Changed)}
+    assert states == {"returning"} and member.view(now + jump_ms) is None
+    assert not member.ballots.held and not member.rumours.held
--- a/tests/fleet/membership/three.py
+++ b/tests/fleet/membership/three.py
@@ -115,7 +115,7 @@
 def _state(world: World) -> tuple[object, ...]:
     f = world.fleet
     return tuple(
-        (n, m.phase, tuple((e.number, e.state) for e in m.standings(f.now())), m.own.called_dead, m.doubts)
+        (n, m.phase, tuple((e.number, e.state) for e in m.standings(f.now())), m.own.called_dead(3), m.doubts)
         for n in f.up() for m in (f.running[n].member,)
     )  # fmt: skip
 
