--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -1,8 +1,9 @@
-"""Membership in figures: membership.py known [NxDEATHS ...] | false MINUTES SEEDS [DETECTOR] | explore | cost.
-docs/measurements/membership.md has them.
+"""Membership in figures: membership.py known [NxDEATHS ...] | false MINUTES SEEDS [DETECTOR] | explore | cost |
+service | node. docs/measurements/membership.md has them.
 
 known: from a death to its being known, beside heartbeats and SWIM. false: deaths called of those that live, under each
 kind of fault. explore: all schedules of three faults among three members. cost: CPU of the core and its wire.
+service: simulated fleets of 60 nodes with it off and on. node: CPU of ten real nodes with it off and on.
 """
 
 from __future__ import annotations
@@ -10,14 +11,24 @@
 import sys
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from multiprocessing import Pool
 from pathlib import Path
 from statistics import median
+from tempfile import TemporaryDirectory
 from typing import Any
 
+import uvloop
+
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from benchmarks.membership_baselines import Heartbeats, Plain, Swim
+from cloverhold.rehearsal import nodes as nodes_of_the_kit
+from cloverhold.rehearsal.files import find
+from cloverhold.rehearsal.ledger import Usage
+from cloverhold.rehearsal.stage import rehearse
+from cloverhold.simulation.days import draw
+from cloverhold.simulation.figures import play
 from cloverhold.simulation.members import Fleet, Network
 
 PROCESSES = 6
@@ -117,6 +128,36 @@
     print(f"{n:5} members: {100 * spent / n / (f.now() - at) * 1000:.2f}% of a core, the simulated network in it")
 
 
+def service(args: tuple[str, int, bool, float]) -> tuple[str, float, float]:
+    """One simulated day. The last: how long killed nodes stay away, in s; 0: as long as the day has it."""
+    kind, seed, on, away = args
+    day = draw(kind, seed, 60)
+    if away:
+        kept, longer = day.scenario.faults, {"for_s": away}
+        faults = tuple(f.model_copy(update=longer) if f.kind == "node_kill" else f for f in kept)
+        day = replace(day, scenario=day.scenario.model_copy(update={"faults": faults}))
+    figures = play(day, membership=on)
+    name = f"{kind}{f', away for {away:g} s' if away else ''} {seed} {'on' if on else 'off'}"
+    return name, figures.service, figures.refused
+
+
+def node() -> None:
+    """CPU of ten nodes under a light load, a part of a core each, from the kit's own looks at them."""
+    base = find("members-base")
+    nodes_of_the_kit.LOOK_S = 2.0  # twenty looks a second would be most of what is measured
+    for on in (False, True):
+        nodes = base.nodes.model_copy(update={"count": 10, **({} if on else {"operator": {}})})
+        scenario = base.model_copy(update={"nodes": nodes, "length_s": 15.0})
+        with TemporaryDirectory() as folder:
+            ledger = uvloop.run(rehearse(scenario, Path(folder)))
+        rows = [row for row in ledger.of(Usage) if 2.0 < row.at_s < 14.0]
+        spent = []
+        for number in range(10):
+            own = [row for row in rows if row.node == number]
+            spent.append((own[-1].cpu_ms - own[0].cpu_ms) / (own[-1].at_s - own[0].at_s) / 10)
+        print(f"membership {'on' if on else 'off'}: {median(spent):.2f}% of a core a node, most {max(spent):.2f}%")
+
+
 def main(words: list[str]) -> None:
     with Pool(PROCESSES) as pool:
         if words[0] == "known":
@@ -149,6 +190,13 @@
             print(f"{sum(f[0] for f in found3)} schedules, {sum(len(f[2]) for f in found3)} went wrong")
             for _, _, wrong in found3:
                 print(*wrong, sep="\n", end="\n" if wrong else "")
+        elif words[0] == "service":
+            days = [(k, s, on, 0.0) for k in ("herd", "roll", "zone") for s in (1, 2, 3) for on in (False, True)]
+            days += [("herd", s, on, 9.0) for s in (1, 2, 3, 4) for on in (False, True)]
+            for name, served, refused in pool.imap(service, days, chunksize=1):
+                print(f"| {name} | {served:.3f} | {refused:.3f} |", flush=True)
+        elif words[0] == "node":
+            node()
         else:
             for n in (2, 10, 100):
                 cost(n)
