--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -1,5 +1,5 @@
-"""Membership in figures: membership.py known [NxDEATHS ...] | false MINUTES SEEDS [DETECTOR] | explore | cost |
-service | node. docs/measurements/membership.md has them.
+"""Membership in figures: membership.py known [NxDEATHS ...] | false MINUTES FIRST-LAST_SEED [DETECTOR] | explore |
+cost | service | node. docs/measurements/membership.md has them.
 
 known: from a death to its being known, beside heartbeats and SWIM. false: deaths called of those that live, under each
 kind of fault. explore: all schedules of three faults among three members. cost: CPU of the core and its wire.
@@ -31,7 +31,7 @@
 from cloverhold.simulation.figures import play
 from cloverhold.simulation.members import Fleet, Network
 
-PROCESSES = 6
+PROCESSES = 8
 SIZES = ("2x30", "10x30", "100x30", "1000x4")  # members, and how many deaths
 KINDS: dict[str, Callable[[Any, int], None]] = {
     "calm": lambda f, n: None,
@@ -174,8 +174,8 @@
                       f" {max(last):.0f} | {median(r[1] for r in found):.0f} | {median(r[2] for r in found):.0f} |",
                       flush=True)  # fmt: skip
         elif words[0] == "false":
-            minutes, seeds = float(words[1]), int(words[2])
-            jobs2 = [(w, kind, 10, s, minutes) for s in range(seeds) for kind in KINDS
+            minutes, (first, last) = float(words[1]), map(int, words[2].split("-"))
+            jobs2 = [(w, kind, 10, s, minutes) for s in range(first, last + 1) for kind in KINDS
                      for w in (words[3:] or ("membership", "swim", "heartbeats"))]  # fmt: skip
             sums: dict[tuple[str, str], list[float]] = {}
             for what, kind, hours, deaths in pool.imap_unordered(false, jobs2):
--- a/tests/fleet/membership/test_membership_node.py
+++ b/tests/fleet/membership/test_membership_node.py
@@ -24,6 +24,7 @@
 from cloverhold.fleet.membership.table import MembershipTable
 from cloverhold.fleet.wire.datagrams import Datagram, Kind, encode, fleet_of
 from cloverhold.net.fronts.management import ManagementFront
+from cloverhold.rehearsal.relays import hold_words
 
 ALLOWED = {**SETTINGS["Limits"], "Peers": True}
 PEERS = {"peer_listen": "127.0.0.1:1", "peers": ["127.0.0.1:1", "127.0.0.1:2"]}
@@ -85,10 +86,7 @@
 @asynccontextmanager
 async def three() -> AsyncIterator[list[Membership]]:
     """Three members on loopback, which have found each other."""
-    held = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(3)]
-    for one in held:
-        one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        one.bind(("127.0.0.1", 0))
+    held = [hold_words() for _ in range(3)]
     peers = [one.getsockname() for one in held]
     table = MembershipTable("ours", settle_ms=50.0)
     shells = [Membership(table, n, peers[n], peers, 100 + n, 1, changed=list) for n in range(3)]
--- a/tests/fleet/membership/test_upgrade.py
+++ b/tests/fleet/membership/test_upgrade.py
@@ -7,7 +7,6 @@
 import asyncio
 import json
 import signal
-import socket
 from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import Any
@@ -17,6 +16,8 @@
 from ops.test_inherited import UNSAFE, listening, manage, process
 from test_process import SETTINGS
 
+from cloverhold.rehearsal.relays import hold_words
+
 OPERATOR = """[membership]
 fleet = "upgraded"
 period_ms = 100
@@ -60,10 +61,7 @@
         await server.start()
         operator = tmp_path / "operator.toml"
         operator.write_text(OPERATOR)
-        words = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(3)]
-        for held in words:
-            held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            held.bind(("127.0.0.1", 0))
+        words = [hold_words() for _ in range(3)]
         peers = [f"127.0.0.1:{held.getsockname()[1]}" for held in words]
         ports = free_ports(4)
         ended, sent, answered = False, 0, 0
