--- a/cloverhold/fleet/membership/core.py
+++ b/cloverhold/fleet/membership/core.py
@@ -148,9 +148,8 @@
     # -------------------------------------------------------------------------------------------------- watching
 
     def _ping(self, number: int, now: float, links: Links) -> None:
-        self.nonce = (self.nonce + 1) & 0xFFFFFFFF
-        links.asked(links.held[number], self.nonce, now)
-        self._send(number, Kind.PING, self._load(number, now), self.nonce)
+        links.asked(links.held[number], nonce := self._fresh(), now)
+        self._send(number, Kind.PING, self._load(number, now), nonce)
 
     def _watch(self, now: float) -> None:
         self.doubts = self.phase is Phase.MEMBER and self.links.doubt(now)
--- a/cloverhold/fleet/membership/words.py
+++ b/cloverhold/fleet/membership/words.py
@@ -20,6 +20,11 @@
 PARTS, PARTS_JOINED = 8, 24  # datagrams of entries to one that differs, to one that joins
 
 
+def _named(d: Datagram, number: int) -> Claim | None:
+    """What a datagram claims of a number."""
+    return next((item for item in d.items if isinstance(item, Claim) and item.number == number), None)
+
+
 class Words(ABC):
     """One member of a fleet of numbers from 0 to `peers` - 1: all that it holds, and the words that change it."""
 
@@ -109,9 +114,8 @@
             self._ask(number, now)
 
     def _ask(self, number: int, now: float) -> None:
-        self.nonce = (self.nonce + 1) & 0xFFFFFFFF
-        self.joining.asking(self.nonce, now)
-        self._send(number, Kind.JOIN, nonce=self.nonce)
+        self.joining.asking(nonce := self._fresh(), now)
+        self._send(number, Kind.JOIN, nonce=nonce)
 
     def _claim(self, now: float, claim: Claim, why: str) -> None:
         """Say of oneself from now on."""
@@ -121,7 +125,7 @@
 
     def _welcomed(self, datagram: Datagram, now: float) -> None:
         """A member answered: what it knows of this number comes first, then whom it knows."""
-        mine = next((i for i in datagram.items if isinstance(i, Claim) and i.number == self.me), None)
+        mine = _named(datagram, self.me)
         returns = self.phase is Phase.RETURNING
         if mine is not None and mine.state is State.ALIVE and mine.over == self.claim.life:
             self._turn_to(Turn.OUTBID, now, "a later process holds this number")
@@ -136,8 +140,17 @@
 
     # ----------------------------------------------------------------------------------------------- datagrams
 
+    def _form(self, to: int) -> int:
+        """The form of datagrams that a number reads."""
+        return min(self.newest, self.reads.get(to, OLDEST))
+
+    def _fresh(self) -> int:
+        """A nonce that is not out."""
+        self.nonce = (self.nonce + 1) & 0xFFFFFFFF
+        return self.nonce
+
     def _send(self, to: int, kind: Kind, items: tuple[Item, ...] = (), nonce: int = 0) -> None:
-        form = min(self.newest, self.reads.get(to, OLDEST))
+        form = self._form(to)
         self.out.append(Deliver(to, Datagram(
             kind, self.me, self.claim.incarnation, self.claim.life, nonce, self.doubts, items, form, self.newest,
             self.claim.over,
@@ -145,19 +158,19 @@
 
     def _load(self, to: int, now: float) -> tuple[Item, ...]:
         """Rumours for one datagram."""
-        form = min(self.newest, self.reads.get(to, OLDEST))
+        form = self._form(to)
         return self.rumours.take(len(self.book.living), form, now, 3 * self.rules.silence_ms)
 
     def _hear(self, d: Datagram, now: float) -> None:
         if d.kind is Kind.WELCOME:
             if self.phase is Phase.REPLACED:
-                mine = next((i for i in d.items if isinstance(i, Claim) and i.number == self.me), None)
+                mine = _named(d, self.me)
                 if self.joining.asked(d.nonce, now) and (mine is None or mine.state is not State.ALIVE):
                     self._turn_to(Turn.FREE, now, "the number is free again")
                 return
             if not self.joining.asked(d.nonce, now) or self.phase not in (Phase.JOINING, Phase.RETURNING):
                 return
-            member = any(isinstance(item, Claim) and item.number == d.sender for item in d.items)
+            member = _named(d, d.sender) is not None
             if self.phase is Phase.RETURNING and not member and not self.joining.half(now):
                 return  # as little a member as this node: good enough only where no other answers
             self._welcomed(d, now)
@@ -230,7 +243,7 @@
         """Send what is held, in so many datagrams at most, going on where the last such part ended. A digest asks the
         other side for its own; an answer asks for nothing.
         """
-        form = min(self.newest, self.reads.get(to, OLDEST))
+        form = self._form(to)
         room = len(next(fill([self.claim] * 64, form)))
         items: list[Item] = list(self.book.part(parts * room - 1))
         if not answer:
