A request answered while its body comes is begun once; a fault costs no module's timer

Ruled out: a client that closes (the transport would be closing, which `_write` asks); HTTP/3 (off). Lines at fault: `ClientConnection._next`, which did not ask whether the last answer is written; `Host._handle`, which dropped the actions behind a fault.

Change: `_next` begins nothing behind the last answer; actions behind one that fails are carried out, events behind it handed in.

--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -259,7 +259,11 @@
         raise self.broken
 
     def _next(self) -> None:
-        """Begin the next request, or end a connection that is no longer understood."""
+        """Begin the next request, or end a connection that is no longer understood. Nothing once its last answer is
+        written: what is still half here then has had its answer, and would be begun a second time.
+        """
+        if self.closing is not None:
+            return
         while self.open is None and self.queue and self.transport is not None and not self.stuffed:
             self._begin(self.queue.popleft())
         if self.idle():
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -9,8 +9,9 @@
 import logging
 import math
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import chain
 from typing import TYPE_CHECKING
 
 from cloverhold.decision import interface as io
@@ -116,14 +117,19 @@
     def tell(self, event: io.Event) -> None:
         """Hand an event to the module, behind those that wait, and carry out what it decides."""
         self.events.append(event)
-        if self.handling:
-            return
+        if not self.handling:
+            self._run()
+
+    def _run(self) -> None:
+        """Hand in what waits. A fault on the way costs none of it: the rest goes on in a step of its own."""
         self.handling = True
         try:
             while self.events:
                 self._handle(self.events.popleft())
         finally:
             self.handling = False
+            if self.events:
+                self.loop.call_soon(self._run)
 
     def _handle(self, event: io.Event) -> None:
         try:
@@ -133,8 +139,18 @@
             if isinstance(event, (io.Request, io.Outcome)) and self._final(event.id, 500):
                 self.tell(io.ClientGone(event.id))
             return
-        for action in actions:
-            self._act(action)
+        self._carry_out(iter(actions))
+
+    def _carry_out(self, actions: Iterator[io.Action]) -> None:
+        """Do what was decided. A fault in one action costs no other: among them is the module's one timer, without
+        which nobody who waits would be looked at again.
+        """
+        try:
+            for action in actions:
+                self._act(action)
+        finally:
+            if (left := next(actions, None)) is not None:
+                self._carry_out(chain((left,), actions))
 
     def _act(self, action: io.Action) -> None:
         match action:
