A silent watch is given up while what it misses still does not count as told

Its nodes' logs: "22.313 discovery: no answer in time", "server list is back" at 23.174 to 23.837. The watch was begun at 0.0, so all it missed counted as told at 22.0; it was given up at 22.3 and asked for again 0.9 to 1.5 s later. Ruled out: a list that came late (nothing came), the drain's handling (sends stop with the list). Lines at fault: HOLD_MS and ANSWER_S, 22 s together, and the back-off behind a failure, which is meant for a service that is down. Also: `watch(True)` was ignored while the task that tells of the failure had not ended; an exception out of `told` ended the watch for good, and a loop that was late took an answer it had not read for silence.

Change: `Waits` holds the arithmetic: asked, the answer is due 0.8 s behind the wait, then two calls that do not wait, 0.6 s each; pushed, waits of a quarter of the drain's grace, at no cost to an agent, so that what it gets at its return is heard within half of it. The task is let go of before a failure is told. A watch that a fault ends begins anew.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import signal
+
+if __name__ == "__main__":  # before the rest is loaded, which takes a while
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
+
 import asyncio
 import gc
 import json
 import logging
 import os
-import signal
 import sys
 import tempfile
 import time
@@ -18,7 +22,6 @@
 import uvloop
 
 from cloverhold import parts
-from cloverhold.decision import interface as io
 from cloverhold.bodies.budget import Budget, budget_of
 from cloverhold.lifecycle import Event, Life
 from cloverhold.limits import OWN, descriptors
@@ -51,7 +54,11 @@
     "listen", "mgmt", "sockets", "memory_mb", "seed", "store", "listen_fd", "membership", "peer_listen",
 )  # fmt: skip
 GC_THRESHOLD = 5000, 20, 20  # by default collections took a twentieth of a busy node's CPU
-DEADLINE_MOST_S, STOP_S = 3.0, 0.4  # SIGKILL comes 0.7 s after the longest deadline, of 3 s at most
+# SIGKILL comes 0.7 s after the longest deadline, of 3 s at most.
+DEADLINE_MOST_S, STOP_S, FLUSH_S = 3.0, 0.4, 0.15
+# Held from the first line on until their handlers stand: by default each would end the process, and what SIGHUP says of
+# a file that has just been read would be lost.
+HELD = {signal.SIGHUP, signal.SIGTERM, signal.SIGINT}
 
 
 class Node:
@@ -70,9 +77,8 @@
             config.settings, config.seed, clock, self.pool, lambda on: self.discovery.watch(on), self.router,
             self.store, unsafe=config.store is None or self.store is not None,
         )  # fmt: skip
-        asked = config.settings.list_mode is io.ListMode.ASK
         self.discovery = Discovery(
-            config.discovery, clock, self._members, self.host.list_failed, asked=asked
+            config.discovery, clock, self._members, self.host.list_failed, lambda: self.host.settings
         )
         self.budget = Budget(budget_of(config.memory_mb))
         self.listener = Listener(self.host, self.life, self.budget, shares.clients, shares.resting)
@@ -229,6 +235,8 @@
 
         Settings and the address of discovery change under load, the rest at the next start.
         """
+        if self.life.ended():
+            return  # nothing is watched any more, and nothing begins anew
         try:
             config = read_config(self.clock, self.config)
             config = self.worker.share(config) if self.worker else config
@@ -288,15 +296,17 @@
             self.http3.drain(on=True)
         if self.config.listen_fd is None:
             await asyncio.sleep(LINGER_S)
-            self.listener.stop_accepting()
+            await self.listener.stop_accepting()
             self.listener.part_all()
             await asyncio.sleep(0.02)  # what lay unread on one of them is taken
         else:  # what waits there is another process's; connections here end with an answer, or late
-            self.listener.stop_accepting()
+            await self.listener.stop_accepting()
         while self._busy() and loop.time() < until:
             await asyncio.sleep(0.02)
         self.host.fail_all()
         await asyncio.sleep(0.05)  # the last answers leave
+        while self._busy() and loop.time() < until + FLUSH_S:  # some clients read slowly
+            await asyncio.sleep(0.02)
         self.life.tell(Event.EMPTY)
         self.close()
 
@@ -339,7 +349,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, node.reload)  # its default would end the process
+    loop.add_signal_handler(signal.SIGHUP, node.reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD)  # what came meanwhile is heard now
     await node.run(stop)
 
 
@@ -347,6 +358,7 @@
     """Run a node, of several workers where more than one is asked for; 0 after SIGTERM, 2 on a configuration that it
     cannot run on.
     """
+    signal.pthread_sigmask(signal.SIG_BLOCK, HELD)
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(message)s")
     try:
         if workers > 1:
--- a/cloverhold/net/discovery.py
+++ b/cloverhold/net/discovery.py
@@ -19,11 +19,11 @@
 
 log = logging.getLogger(__name__)
 
-HOLD_MS = 20000
 LIST_LIMIT = 4 * 1024 * 1024
-ANSWER_S = 2.0  # an answer that may not wait, or has waited its time, comes within this
 PACE_S = 0.1  # between calls that bring nothing new; the next must come within 200 ms
-BACKOFF_S, BACKOFF_MOST_S = 0.1, 2.0
+LATE_S, LATE_TIMES = 0.05, 5  # a loop that is later than this may have an answer that it has not read
+AT_ONCE = 2  # calls that fell silent in a row before a service is left alone for a while
+AGAIN_S = 2.0  # after a fault of the node in the watch
 
 _STATES = {"active": io.Lifecycle.READY, "leaving": io.Lifecycle.DRAINING, "left": io.Lifecycle.GONE}
 
@@ -40,6 +40,10 @@
     return host, int(port)
 
 
+class Silent(ListError):
+    """Discovery did not answer a call in its time."""
+
+
 class Refused(ListError):
     """Discovery answered a call with a status of failure."""
 
@@ -48,6 +52,34 @@
         self.status = status
 
 
+@dataclass(frozen=True, slots=True)
+class Waits:
+    """How long calls may take, in seconds. What a watch that fell silent has missed counts as told 6 s after it fell
+    silent, or 2 s after its wait is over if that is later, whether or not it came; and a drain is to be kept within
+    its grace from then on.
+
+    | | asked | pushed |
+    | --- | --- | --- |
+    | the wait | `hold`, 15 to 20 s: each call is work for the one service, and no wait above 4 s leaves more than 2 s behind it | a quarter of the grace: calls cost nothing |
+    | its answer | 0.8 s behind the wait | a quarter of the grace |
+    | then | two calls that do not wait, 0.6 s each: 0.8 + 0.6 + 0.6 = 2 s, so that one of them may be silent too | calls that do not wait, at a like pace: an agent that was silent is heard of within half of the grace, as what it gets at its return counts at once |
+    """  # noqa: E501
+
+    hold: float
+    answer: float
+    at_once: float  # a call for changes that does not wait
+    whole: float  # a call for the whole list
+    pause: float  # behind a call that failed, where lists are pushed
+
+    @classmethod
+    def of(cls, settings: io.Settings) -> Waits:
+        """By what the settings say of discovery and drains."""
+        if settings.list_mode is io.ListMode.ASK:
+            return cls(random.uniform(15.0, 20.0), 0.8, 0.6, 2.0, 0.0)  # no two nodes in step
+        part = min(0.5, max(0.05, settings.drain_grace_ms / 4000))
+        return cls(part, part, part, 4 * part, part * random.uniform(0.5, 1.0))
+
+
 @dataclass(frozen=True, slots=True)
 class Members:
     """One answer: entries, and where their servers listen as seen from this node."""
@@ -127,15 +159,23 @@
 
     async def get(self, target: str, timeout_s: float) -> object:
         """The JSON of one answer; raises ListError or OSError, and has then closed the connection."""
+        answer = asyncio.ensure_future(self._get(target))
+        due = time.monotonic() + timeout_s
         try:
-            async with asyncio.timeout(timeout_s):
-                return await self._get(target)
-        except TimeoutError:
-            self.close()
-            raise ListError("no answer in time") from None
+            for _ in range(LATE_TIMES):
+                await asyncio.wait({answer}, timeout=max(0.0, due - time.monotonic()))
+                late = time.monotonic() - due
+                if answer.done() or late < LATE_S:
+                    break
+                due += late + LATE_S  # the loop is late, and not discovery: what has come is read first
+            if not answer.done():
+                raise Silent("no answer in time")
+            return answer.result()
         except (OSError, ListError):
             self.close()
             raise
+        finally:
+            answer.cancel()
 
     async def _get(self, target: str) -> object:
         if self.reader is None or self.writer is None:
@@ -167,12 +207,6 @@
         self.reader = self.writer = None
 
 
-def _report(task: asyncio.Task[None]) -> None:
-    """A watch that ended by a fault of the node would else stay unseen: the task is kept, and so silent."""
-    if not task.cancelled() and (error := task.exception()) is not None:
-        log.error("the watch has ended", exc_info=error)
-
-
 class Discovery:
     """Follows the list. `told` gets each list; `failed` hears of a call that did not succeed."""
 
@@ -182,12 +216,13 @@
         clock: Clock,
         told: Callable[[Members], None],
         failed: Callable[[], None],
-        *,
-        asked: bool,
+        settings: Callable[[], io.Settings],
     ) -> None:
-        self.link, self.clock, self.told, self.failed, self.asked = _Link(address), clock, told, failed, asked
+        """settings: those in use; they say whether discovery is asked, and how long a drain may go unknown."""
+        self.link, self.clock, self.told, self.failed, self.settings = _Link(address), clock, told, failed, settings
         self.version: int | None = None  # None: the whole list is fetched first
         self.task: asyncio.Task[None] | None = None
+        self.failures = self.silences = 0  # calls in a row that failed, that fell silent
 
     def resume(self, version: int) -> None:
         """Go on from a list that is held already: only what has changed since is asked for. Guards against a fleet
@@ -197,12 +232,22 @@
 
     def watch(self, on: bool = True) -> None:
         """Begin to watch, or end it. Where discovery is asked, a failure ends it until it is begun anew."""
-        if on and (self.task is None or self.task.done()):
+        if on and self.task is None:
             self.task = asyncio.get_running_loop().create_task(self._follow())
-            self.task.add_done_callback(_report)
+            self.task.add_done_callback(self._ended)
         elif not on:
             self.stop()
 
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        """A watch that a fault of the node ended begins anew, with the whole list: its last may be half taken."""
+        if task.cancelled() or (error := task.exception()) is None:
+            return
+        log.error("the watch has ended, and begins anew", exc_info=error)
+        if self.task is task:
+            self.task, self.version = None, None
+            self.link.close()
+            task.get_loop().call_later(AGAIN_S, self.watch)
+
     def follow(self, address: Address) -> None:
         """Watch discovery at another address. The last list stays until that one tells the whole of its own:
         its versions need not be those of the old one.
@@ -210,7 +255,7 @@
         if address != self.link.address:
             log.info("discovery is now at %s:%d", *address)
             self.stop()
-            self.link, self.version = _Link(address), None
+            self.link, self.version, self.failures, self.silences = _Link(address), None, 0, 0
         self.watch()
 
     def stop(self) -> None:
@@ -220,32 +265,33 @@
         self.link.close()
 
     async def _follow(self) -> None:
-        failures = 0
         while True:
-            begun = time.monotonic()
+            begun, settings = time.monotonic(), self.settings()
+            waits, asked = Waits.of(settings), settings.list_mode is io.ListMode.ASK
             try:
-                changed = await self._call()
+                changed = await self._call(waits)
             except (ListError, OSError) as error:
-                failures += 1
-                if failures == 1:
+                self.failures += 1
+                self.silences = self.silences + 1 if isinstance(error, Silent) else 0
+                if self.failures == 1:
                     log.warning("discovery: %s", error)
-                if self.asked:
+                if asked and not 0 < self.silences <= AT_ONCE:
+                    self.task = None  # whoever hears of it may ask for a watch at once
                     self.failed()
                     return
-                wait = min(BACKOFF_MOST_S, BACKOFF_S * 2.0 ** min(failures - 1, 6))
-                await asyncio.sleep(wait * random.uniform(0.5, 1.0))  # no two nodes in step
+                await asyncio.sleep(waits.pause)
                 continue
-            if failures:
+            if self.failures:
                 log.info("discovery is back")
-            failures = 0
+            self.failures = self.silences = 0
             if not changed:  # an agent on this machine answers at once: it is asked at an even pace
-                await asyncio.sleep(max(0.0, PACE_S - (time.monotonic() - begun)))
+                await asyncio.sleep(max(0.0, min(PACE_S, waits.hold) - (time.monotonic() - begun)))
 
-    async def _call(self) -> bool:
-        target, timeout = "/catalog/members", ANSWER_S
+    async def _call(self, waits: Waits) -> bool:
+        target, timeout = "/catalog/members", waits.whole
         if self.version is not None:
-            target += f"?from={self.version}&hold_ms={HOLD_MS}"
-            timeout += HOLD_MS / 1000
+            hold, timeout = (0.001, waits.at_once) if self.silences else (waits.hold, waits.hold + waits.answer)
+            target += f"?from={self.version}&hold_ms={hold * 1000:.0f}"
         try:
             members = read_members(await self.link.get(target, timeout), self.clock)
         except Refused as error:
--- a/tests/fleet/test_first_call.py
+++ b/tests/fleet/test_first_call.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
-from loopback import Catalog, Server, play, running, target, until
+from loopback import CLASSES, Catalog, Server, play, running, target, until
 
-from cloverhold import ListMode
+from cloverhold import ListMode, Settings
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import Discovery, Members
 
@@ -33,6 +34,10 @@
     play(test)
 
 
+PUSHED = Settings(classes=CLASSES)
+ASKED = replace(PUSHED, list_mode=ListMode.ASK)
+
+
 class Forgetful(Catalog):
     """Discovery that knows no version of before."""
 
@@ -50,7 +55,7 @@
         await service.start()
         clock = Clock()
         discovery = Discovery(
-            ("127.0.0.1", service.port), clock, lambda members: told.set(), lambda: None, asked=False
+            ("127.0.0.1", service.port), clock, lambda members: told.set(), lambda: None, lambda: PUSHED
         )
         discovery.resume(41)
         discovery.watch()
@@ -89,7 +94,7 @@
             asyncio.get_running_loop().call_soon(discovery.watch)  # the module asks again in its own time
 
         await service.start()
-        discovery = Discovery(("127.0.0.1", service.port), Clock(), told.append, fails, asked=True)
+        discovery = Discovery(("127.0.0.1", service.port), Clock(), told.append, fails, lambda: ASKED)
         discovery.resume(0)
         discovery.watch()
         await until(lambda: told)
