Nothing is sent on for a client that left, at the end, or on a connection just answered

Read line by line, each found by what may cross: - `Host._expired` and `fail_all` told the module of attempts that ended while their request and all others were open: it could send once more in the step that answers them. A connection rests 20 ms. - A 200 before the request's last byte was handed on as its answer: it may have run now. - A list that turns a server away ends what is still dialled there, behind its own word. - The end: what the kernel has accepted is taken, requests that are half here and answers that are not flushed are waited for; SIGHUP and SIGTERM are held until handlers stand.

Two tests of kept connections let them rest first.

--- a/cloverhold/lifecycle.py
+++ b/cloverhold/lifecycle.py
@@ -94,6 +94,10 @@
         """Whether it has been told to stop."""
         return self.phase in OVER
 
+    def ended(self) -> bool:
+        """Whether nothing is owed any more."""
+        return self.phase is Phase.ENDED
+
     def closing(self) -> bool:
         """Whether an answer is its connection's last."""
         return self.duck or self.phase in OVER
--- a/cloverhold/net/exchange.py
+++ b/cloverhold/net/exchange.py
@@ -136,6 +136,11 @@
 
     def answer(self, exchange: Exchange, status: int, body: bytes, headers: Iterable[Field]) -> None: ...
 
+    def stands(self, exchange: Exchange) -> bool:
+        """Whether the client still waits. False where it has left, also where its end lies unread: nothing may be sent
+        on for it then.
+        """
+
 
 class PassingFront(Protocol):
     """A front that takes long answers in pieces."""
@@ -174,6 +179,10 @@
         """Write the answer. Nothing where the client has gone."""
         self.connection.answer(self, status, body, headers)
 
+    def stands(self) -> bool:
+        """Whether the client still waits for it."""
+        return self.connection.stands(self)
+
 
 def retry_after(ms: float) -> tuple[Field, ...]:
     """The field that tells a client when to come back."""
--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -29,6 +29,7 @@
 PATIENCE_S = 2.3
 BODY_PATIENCE_S, BODY_RATE = 5.0, 16 * 1024  # a body is whole by then and as long as it takes at so many bytes a second
 STARVED_S = 3.0  # a body for which there is no memory is waited for so long
+FIRST_S = 0.1  # a new connection's request is on its way for so long
 IDLE_S = 2.0  # a connection between requests is kept for this long
 LINGER_S = 0.5  # after the last answer what still comes is read and dropped for so long
 STUCK_S = 20.0  # a client that does not read on is held for this long, on a connection that closes for less
@@ -63,12 +64,14 @@
         self.rested = 0.0  # when it last had nothing open
         self.closing: float | None = None
         self.place = 0.0  # among those that a drain ends, from 0 to 1
+        self.end = select.poll()  # shows the client's end before it is read
 
     # -------------------------------------------------------------- connection
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=MOST_UNSENT)
+        self.end.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
         self.listener.made(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -99,6 +102,18 @@
             self.listener.asked(self)  # it is no longer one of those that may give way: another is the next
             self.transport.close()
 
+    def stands(self, exchange: Exchange) -> bool:
+        """Whether the client still waits. Its end lies unread behind what it sent in the same burst, while nothing is
+        read, and where the loop was late; it is asked for, since a request is sent on only while it is wanted.
+        """
+        transport = self.transport
+        if self.open is not exchange or transport is None or transport.is_closing():
+            return False
+        if self.end.poll(0):
+            transport.abort()  # `connection_lost` follows
+            return False
+        return True
+
     def idle(self) -> bool:
         return self.open is None and not self.queue
 
@@ -106,6 +121,14 @@
         """Whether a request is half here."""
         return self.begun is not None and (self.between > 0 or not self.in_head)
 
+    def owes(self, now: float) -> bool:
+        """Whether its client is owed anything: an answer, the rest of one that is written, that a request that is half
+        here is read, or that the first one is waited for a moment.
+        """
+        if self.closing is not None or not self.idle() or self.unfinished():
+            return True
+        return self in self.listener.silent and self.begun is not None and now - self.begun < FIRST_S
+
     def part(self) -> bool:
         """Close while nothing is open, unless something lies unread: that is served first; whether it closed. Guards
         against requests that cross the end of their connection: closed over, they would be reset unread.
@@ -125,6 +148,8 @@
         life, transport = self.listener.life, self.transport
         if transport is None:
             return
+        if self.paused and self.open is not None and not self.stands(self.open):
+            return  # while nothing is read its end would stay unseen
         if unread := transport.get_write_buffer_size():
             if unread != self.unread:
                 self.unread, self.unread_since = unread, now
--- a/cloverhold/net/fronts/http3.py
+++ b/cloverhold/net/fronts/http3.py
@@ -89,6 +89,10 @@
             self.client.session.answer(self.number, status, body, headers)
             self.client.front.flush_soon(self.client)
 
+    def stands(self, exchange: Exchange) -> bool:
+        """A client that leaves says so in a datagram: until that is read there is nothing to see of it."""
+        return self.client.open.get(self.number) is exchange
+
 
 class Client:
     """One connection, and the exchanges that came in by it."""
--- a/cloverhold/net/fronts/listener.py
+++ b/cloverhold/net/fronts/listener.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from itertools import islice
 
 from cloverhold.bodies.budget import Budget
@@ -13,6 +14,8 @@
 from cloverhold.net.exchange import Taker
 from cloverhold.net.fronts.http1 import ClientConnection
 
+log = logging.getLogger(__name__)
+
 SWEEP_S = 0.2
 SILENT_PART = 0.25  # of all connections may have said nothing yet before they give way first
 SPARE = 8  # so many more are taken where none can go at once
@@ -38,15 +41,18 @@
         self.successor: Callable[[], bool] = lambda: False  # whether another process of the node serves here
         self.announce = b""  # a line of every answer: that clients may come another way too (RFC 7838)
         self._servers: list[asyncio.Server] = []
+        self._waiting: socket.socket | None = None  # where connections wait that nobody else would take
         self._sweeper: asyncio.TimerHandle | None = None
 
     async def start(self, address: tuple[str, int], inherited: socket.socket | None = None) -> None:
         """Listen there, or on a socket that does already and that others may share: it is closed, never shut down."""
         loop = asyncio.get_running_loop()
         with inherited or socket.create_server(address, backlog=1024) as listening:
+            listening.setblocking(False)  # also of each duplicate: they share that
             for _ in range(ACCEPTS):
                 server = await loop.create_server(lambda: ClientConnection(self), sock=listening.dup())
                 self._servers.append(server)
+            self._waiting = listening.dup() if inherited is None else None
         self._sweeper = loop.call_later(SWEEP_S, self._sweep)
 
     def port(self) -> int:
@@ -120,22 +126,50 @@
             connection.sweep(now)
 
     def busy(self) -> bool:
-        return any(not c.idle() for c in self.connections)
+        """Whether a client is owed anything."""
+        now = time.monotonic()
+        return any(connection.owes(now) for connection in self.connections)
 
-    def stop_accepting(self) -> None:
-        """No new connection."""
+    async def stop_accepting(self) -> None:
+        """No new connection. What the kernel has accepted already is taken first: closed over, it would be reset with
+        the request that lies on it, which counts as taken.
+        """
+        loop = asyncio.get_running_loop()
         for server in self._servers:
             server.close()
+        waiting, self._waiting = self._waiting, None
+        if waiting is not None:
+            came = list(_backlog(waiting))
+            waiting.close()
+            for peer in came:
+                await loop.connect_accepted_socket(lambda: ClientConnection(self), peer)
 
     def part_all(self) -> None:
-        """Connections between requests close, the others with their answer."""
+        """Connections on which nothing is owed close, the others with their answer."""
+        now = time.monotonic()
         for connection in list(self.connections):
-            if connection.idle():
+            if not connection.owes(now):
                 connection.part()
 
     def close(self) -> None:
         if self._sweeper is not None:
             self._sweeper.cancel()
-        self.stop_accepting()
+        for server in self._servers:
+            server.close()
+        if self._waiting is not None:
+            self._waiting.close()
         for connection in list(self.connections):
             connection.close()
+
+
+def _backlog(listening: socket.socket) -> Iterator[socket.socket]:
+    """The connections that wait at a listening socket."""
+    try:
+        while True:
+            peer, _ = listening.accept()
+            peer.setblocking(False)
+            yield peer
+    except BlockingIOError:
+        return  # that was all
+    except OSError as error:  # descriptors have run out: the rest cannot be taken
+        log.warning("connections that wait at the end cannot be taken: %s", error)
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -37,6 +37,7 @@
 # What a request and its answer may spend on the way and in a busy loop: the client counts from its own clock.
 # With 2 ms, timers of 1 ms made answers to silent servers arrive just past the client's time.
 WAY_MS = 10.0
+GUARD_MS = 5.0  # behind the module's own word, which knows whether a refusal would be true
 
 
 @dataclass(slots=True)
@@ -111,6 +112,7 @@
         self.requests = 0
         self.events: deque[io.Event] = deque()
         self.handling = False
+        self.ended = False  # whether nothing more is taken
 
     # ------------------------------------------------------------- the module
 
@@ -201,6 +203,9 @@
         """A request has come: from here on it is owed one answer before its time is up."""
         now, asked = self.clock.now(), exchange.asked
         request = exchange.request
+        if self.ended:
+            exchange.answer(503, headers=self._come_back(self.settings.max_retry_after_ms))
+            return
         left = asked.budget_ms - (now - request.came_at * 1000 if request.whole else 0.0) - WAY_MS
         if left <= 0:
             exchange.answer(504)
@@ -220,7 +225,7 @@
         self.requests += 1
         ref = self.requests
         exchange.ref = ref
-        guard = self.loop.call_later(left / 1000, self._expired, ref) if request.whole else None
+        guard = self.loop.call_later((left + GUARD_MS) / 1000, self._expired, ref) if request.whole else None
         opened = self.open[ref] = Open(exchange, now + left if request.whole else math.inf, guard, cell=cell)
         if self.store is not None and asked.kind.repeat is io.Repeat.UNSAFE:
             key = request.fields.get(b"idempotency-key", b"")
@@ -237,7 +242,7 @@
             return
         left = exchange.asked.budget_ms - WAY_MS
         opened.expires_at = now + left
-        opened.guard = self.loop.call_later(max(0.0, left) / 1000, self._expired, exchange.ref)
+        opened.guard = self.loop.call_later((max(0.0, left) + GUARD_MS) / 1000, self._expired, exchange.ref)
         for attempt in opened.out.values():
             attempt.sent_at = now
         self.tell(io.Whole(exchange.ref, max(0.0, left)))
@@ -283,20 +288,29 @@
             self.tell(io.ClientGone(exchange.ref))
             self._abandon(exchange.ref, opened)
 
+    def _wanted(self, exchange: Exchange) -> bool:
+        """Whether a client still waits; one that has left is let go of at once, also before its end is read."""
+        if exchange.stands():
+            return True
+        self.client_gone(exchange)
+        return False
+
     def _expired(self, ref: int) -> None:
         """The client's time is up. The module ends requests sooner: this guards against one that does not."""
-        opened = self.open.get(ref)
-        if opened is None:
-            return
-        for number in list(opened.out):
-            self._stop(ref, opened, number, io.Status.TIMEOUT)
-        if self._final(ref, 504):
+        if self._final(ref, 504, ending=io.Status.TIMEOUT):
             self.tell(io.ClientGone(ref))
 
     def fail_all(self) -> None:
-        """Answer all that is open: the process ends."""
-        for ref in list(self.open):
-            self._expired(ref)
+        """Answer all that is open, and take nothing more: the process ends. All are closed, and the module has let go
+        of them, before it hears of any attempt: it would send a request that waits into the room that another leaves.
+        """
+        self.ended = True
+        ended = [(ref, opened) for ref in list(self.open) if (opened := self._close(ref)) is not None]
+        for ref, _ in ended:
+            self.tell(io.ClientGone(ref))
+        for ref, opened in ended:
+            self._answer(opened, 504)
+            self._abandon(ref, opened, io.Status.TIMEOUT)
 
     def _close(self, ref: int) -> Open | None:
         opened = self.open.pop(ref, None)
@@ -312,17 +326,26 @@
             self.call_ids.discard(opened.exchange.request.fields[b"x-call-id"])
         return opened
 
-    def _final(self, ref: int, status: int, body: bytes = b"", headers: Iterable[Field] = ()) -> bool:
-        """Give a request its one answer; False if it has had it."""
+    def _final(
+        self, ref: int, status: int, body: bytes = b"", headers: Iterable[Field] = (),
+        ending: io.Status = io.Status.CANCELLED,
+    ) -> bool:  # fmt: skip
+        """Give a request its one answer; False if it has had it. It is closed before the module hears how its attempts
+        ended: told so while it was open, the module could send it once more. `ending`: what these are told to be.
+        """
         opened = self._close(ref)
         if opened is None:
             return False
+        self._answer(opened, status, body, headers)
+        self._abandon(ref, opened, ending)
+        return True
+
+    def _answer(self, opened: Open, status: int, body: bytes = b"", headers: Iterable[Field] = ()) -> None:
+        """Write the one answer of a request that has been closed."""
         if opened.begun and opened.exchange.passing is not None:
             opened.exchange.passing.cut(opened.exchange)  # too late for another
         else:
             opened.exchange.answer(status, body, headers)
-        self._abandon(ref, opened)
-        return True
 
     # --------------------------------------------------------------- attempts
 
@@ -332,8 +355,11 @@
         if opened is None:
             self.tell(io.Outcome(ref, 0, server, io.Status.MOOT, 0.0, True))
             return
-        number, opened.sent = opened.sent, opened.sent + 1
         exchange = opened.exchange
+        if not self._wanted(exchange):
+            self.tell(io.Outcome(ref, opened.sent, server, io.Status.MOOT, 0.0, True))
+            return
+        number, opened.sent = opened.sent, opened.sent + 1
         left = min(opened.expires_at - now, exchange.asked.budget_ms)
         if action.timeout_ms:
             left = min(left, action.timeout_ms)
@@ -343,8 +369,9 @@
         outgoing = request_to_send(exchange, left)
         passing = Passing(self, ref, number) if exchange.passing is not None else None
         call = self.pool.call(
-            upstream, outgoing, lambda call, status: self._ended(ref, number, call, status), passing
-        )
+            upstream, outgoing, lambda call, status: self._ended(ref, number, call, status), passing,
+            lambda: self._wanted(exchange),
+        )  # fmt: skip
         attempt = opened.out[number] = Attempt(number, server, call, now)
         if self.router is not None and opened.cell is not None:
             attempt.cell, attempt.kind = opened.cell, opened.exchange.asked.kind.name
@@ -404,10 +431,10 @@
             attempt.call.give_up()
             self._outcome(ref, attempt, status)
 
-    def _abandon(self, ref: int, opened: Open) -> None:
+    def _abandon(self, ref: int, opened: Open, status: io.Status = io.Status.CANCELLED) -> None:
         """A request that is over has no attempt out, whoever ended it; each still gets its outcome."""
         for number in list(opened.out):
-            self._stop(ref, opened, number, io.Status.CANCELLED)
+            self._stop(ref, opened, number, status)
 
     # ----------------------------------------------------------------- probes
 
@@ -454,14 +481,15 @@
         """A list, or changes of it. New addresses hold before the module hears of them."""
         entries = {entry.server: entry for entry in members.entries}
         gone = [uid for uid in self.upstreams if members.full and uid not in entries]
+        past, leaving = list[Upstream](), list[Upstream]()
         for uid, entry in entries.items():
             old, address, started_at = self.upstreams.get(uid), members.addresses[uid], entry.started_at
             if old is None or (old.address, old.started_at) != (address, started_at):
                 if old is not None:
-                    self.pool.retire(old)
+                    past.append(old)
                 self.upstreams[uid] = Upstream(address, started_at)
             elif entry.lifecycle is not io.Lifecycle.READY:
-                self.pool.close_idle(old)  # it wants nothing new
+                leaving.append(old)
             if entry.lifecycle is io.Lifecycle.GONE:
                 gone.append(uid)
         kind = io.ListKind.FULL if members.full else io.ListKind.CHANGES
@@ -470,9 +498,14 @@
         self.tell(io.ServerList(kind, members.entries, members.version))
         if self.router is not None:
             self.router.members(members.entries, full=members.full)
-        for uid in gone:
-            if (upstream := self.upstreams.pop(uid, None)) is not None:
-                self.pool.retire(upstream)
+        past.extend(upstream for uid in gone if (upstream := self.upstreams.pop(uid, None)) is not None)
+        # Behind the module's word, which would else send what turns back to the same server again.
+        for upstream in past:
+            self.pool.retire(upstream)
+        for upstream in leaving:
+            self.pool.close_idle(upstream)  # it wants nothing new
+        for upstream in (*past, *leaving):
+            self.pool.turn_back(upstream)
 
     def list_failed(self) -> None:
         self.tell(io.ServerList(io.ListKind.ERROR))
--- a/cloverhold/net/upstreams/calls.py
+++ b/cloverhold/net/upstreams/calls.py
@@ -67,6 +67,13 @@
 
 
 Done = Callable[[Call, Status], None]
+# Whether an exchange is still to be sent. Whoever says no has given it up.
+Wanted = Callable[[], bool]
+
+
+def always() -> bool:
+    """As for what the node itself asks."""
+    return True
 
 
 class Upstream:
@@ -83,18 +90,28 @@
         self.idle: list[Any] = []  # of the protocol that holds them
         self.retired = False  # nothing new goes there: connections close with the answer they wait for
 
+    def rested(self, since: float) -> Any:
+        """The idle connection used last that has rested since then; None where there is none."""
+        return next((c for c in reversed(self.idle) if c.idle_since <= since), None)
+
 
 class Pool(Protocol):
     """What carries calls to all servers."""
 
     def call(
-        self, upstream: Upstream, outgoing: Outgoing, done: Done, receiver: Receiver | None = None
-    ) -> Call:
-        """Begin an exchange. `done` is never called before this returns. Without a receiver answers are held whole."""
+        self, upstream: Upstream, outgoing: Outgoing, done: Done, receiver: Receiver | None = None,
+        wanted: Wanted = always,
+    ) -> Call:  # fmt: skip
+        """Begin an exchange. `done` is never called before this returns. Without a receiver answers are held whole.
+        `wanted` is asked once more where time passes before the first byte leaves.
+        """
 
     def close_idle(self, upstream: Upstream) -> None:
         """Close the connections to a server on which nothing is open: it wants nothing new."""
 
+    def turn_back(self, upstream: Upstream) -> None:
+        """What is still on the way there, and has no byte written, ends as never begun: it wants nothing new."""
+
     def retire(self, upstream: Upstream) -> None:
         """Its process has ended, or has moved: answers that are still awaited are their connections' last."""
 
--- a/cloverhold/net/upstreams/http1.py
+++ b/cloverhold/net/upstreams/http1.py
@@ -14,13 +14,16 @@
 from cloverhold.decision.interface import Status
 from cloverhold.net.http1 import BadMessage, ResponseParser
 from cloverhold.net.messages import Response
-from cloverhold.net.upstreams.calls import Done, Outgoing, Receiver, Upstream, status_of
+from cloverhold.net.upstreams.calls import Done, Outgoing, Receiver, Upstream, Wanted, always, status_of
 
 IDLE_PART = 0.8  # part of the servers' idle time after which a connection is no longer used
 READ_SIZE = 64 * 1024
 # An answer without a length is passed on so long after the first byte of its body: a short one is whole by then, and
 # could be tried again until then.
 BEGIN_S = 0.05
+# After an answer a connection rests for so long: what still comes then belongs to nobody, and closes it. Servers may
+# send a second answer some milliseconds late; on a connection in use again it would be taken for the next request's.
+REST_S = 0.02
 SILENT_S = 20.0  # a long answer of which nothing comes for this long is broken off
 
 
@@ -74,9 +77,14 @@
 class Call:
     """One exchange on a connection."""
 
-    __slots__ = ("begun", "connection", "done", "ended", "payload", "receiver", "response", "upload", "written")
+    __slots__ = (
+        "begun", "connection", "done", "ended", "payload", "receiver", "response", "upload", "wanted", "written",
+    )  # fmt: skip
 
-    def __init__(self, outgoing: Outgoing, done: Done, receiver: Receiver | None = None) -> None:
+    def __init__(
+        self, outgoing: Outgoing, done: Done, receiver: Receiver | None = None, wanted: Wanted = always
+    ) -> None:
+        self.wanted = wanted
         self.payload, self.done, self.receiver, self.upload = payload(outgoing), done, receiver, outgoing.upload
         self.written = 0  # of the payload: the request, or a part of it
         self.ended = self.upload is None  # whether no further part will come
@@ -174,9 +182,15 @@
         if self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             self.end(Status.CONNECT_FAILED)
             return
+        if self.call is None or not self.call.wanted():
+            return
         self.pool.loop.add_reader(self.socket.fileno(), self._readable)
         self._write()
 
+    def dialling(self) -> bool:
+        """Whether it is not up yet, and so no byte of its request has left."""
+        return self.dial_timer is not None and not self.closed
+
     def fresh(self) -> bool:
         """Whether an idle connection still stands: one whose end waits to be read would reset the request."""
         return not self.closed and not self.poll.poll(0)
@@ -296,7 +310,9 @@
                 return
         call.response = response
         if not response.keep_alive or not call.sent():
-            self.end(status_of(response))
+            status = status_of(response)
+            # No server has begun a request before its last byte: this was made for another one. Which, nobody can say.
+            self.end(Status.RESET if status is Status.OK and not call.sent() else status)
             return
         self._begins_no_more()
         self.resume()
@@ -351,13 +367,17 @@
             self.idle_limit.forget(0.0)
 
     def call(
-        self, upstream: Upstream, outgoing: Outgoing, done: Done, receiver: Receiver | None = None
-    ) -> Call:
-        """Begin an exchange. `done` is never called before this returns."""
-        call = Call(outgoing, done, receiver)
-        oldest = self.loop.time() - self.idle_limit.limit_s
-        while upstream.idle:
-            connection = upstream.idle.pop()
+        self, upstream: Upstream, outgoing: Outgoing, done: Done, receiver: Receiver | None = None,
+        wanted: Wanted = always,
+    ) -> Call:  # fmt: skip
+        """Begin an exchange. `done` is never called before this returns. `wanted` is asked once more, when a connection
+        that had to be dialled is up.
+        """
+        call = Call(outgoing, done, receiver, wanted)
+        now = self.loop.time()
+        oldest = now - self.idle_limit.limit_s
+        while (connection := upstream.rested(now - REST_S)) is not None:
+            upstream.idle.remove(connection)
             del self.idle[connection]
             if connection.idle_since >= oldest and connection.fresh():
                 connection.begin(call)
@@ -395,6 +415,11 @@
         for connection in upstream.idle[:]:
             connection.close()
 
+    def turn_back(self, upstream: Upstream) -> None:
+        """What is still dialled there ends as never begun."""
+        for connection in [c for c in self.all if c.upstream is upstream and c.dialling()]:
+            connection.end(Status.CONNECT_FAILED)
+
     def retire(self, upstream: Upstream) -> None:
         """Its process has ended, or has moved: an answer that is still awaited is its connection's last."""
         upstream.retired = True
--- a/cloverhold/supervise/shell.py
+++ b/cloverhold/supervise/shell.py
@@ -25,6 +25,7 @@
 
 log = logging.getLogger(__name__)
 
+HELD = {signal.SIGHUP, signal.SIGTERM, signal.SIGINT}  # from the program's first line until their handlers stand
 SIGNALS = {Word.STOP: signal.SIGTERM, Word.RELOAD: signal.SIGHUP, Word.KILL: signal.SIGKILL}
 SAID_S = 0.25  # between two words on the living nodes
 LINE_MOST = 8 * 1024 * 1024  # a list of 10,000 servers takes some 1.5 MB
@@ -98,6 +99,7 @@
             self.loop.add_signal_handler(number, self._stop)
         self.loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.loop.add_signal_handler(signal.SIGUSR2, lambda: self.act(self.core.replace(now())))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD)  # workers inherit what is held
         if self.fellows is not None:
             await self.fellows.start(self.loop, self._tell)
         self.act(self.core.begin(now()))
--- a/tests/moments/test_uploads.py
+++ b/tests/moments/test_uploads.py
@@ -52,8 +52,9 @@
 
             node.node.host.take = count  # type: ignore[method-assign]
             reader, writer = await node.connect()
-            head = request("alerta", "long", extra="Transfer-Encoding: chunked\r\n").replace(b"Content-Length: 0\r\n", b"")
-            writer.write(head + b"".join(b"%x\r\n%s\r\n" % (len(PIECE), PIECE) for _ in range(6)))
+            head = request("alerta", "long", extra="Transfer-Encoding: chunked\r\n")
+            writer.write(head.replace(b"Content-Length: 0\r\n", b""))
+            writer.write(b"".join(b"%x\r\n%s\r\n" % (len(PIECE), PIECE) for _ in range(6)))
             answer = await read_answer(reader)
             assert answer.status in (502, 503) and answer.fields[b"connection"] == b"close"
             assert await asyncio.wait_for(reader.read(), WAIT_S) == b""
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -10,7 +10,7 @@
 
 from cloverhold import Status
 from cloverhold.net.upstreams.calls import Call, Outgoing, Upstream
-from cloverhold.net.upstreams.http1 import Pool, payload
+from cloverhold.net.upstreams.http1 import REST_S, Pool, payload
 from loopback import OK, WAIT_S, Server, play, until
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -30,6 +30,12 @@
     return _UPSTREAMS.setdefault(port, Upstream(("127.0.0.1", port)))
 
 
+def rest(pool: Pool) -> None:
+    """As if what is idle had rested for long enough to be used."""
+    for connection in pool.idle:
+        connection.idle_since -= 2 * REST_S
+
+
 async def ended(pool: Pool, port: int, outgoing: Outgoing = GET) -> tuple[Status, Call]:
     future: asyncio.Future[tuple[Status, Call]] = asyncio.get_running_loop().create_future()
     pool.call(at(port), outgoing, lambda call, status: future.set_result((status, call)))
@@ -136,6 +142,7 @@
         idle = at(server.port).idle[:]
         assert len(idle) == len(server.writers) == 2
         for _ in range(3):
+            rest(pool)
             await ended(pool, server.port)
             assert at(server.port).idle == idle
         assert len(server.writers) == 2
@@ -261,6 +268,7 @@
             pool.call(upstream, GET, lambda call, status: told.append(status))
         await until(lambda: len(told) == 2)
         kept = new.idle[:]
+        rest(pool)
         server.reply = lambda target, body: None
         pool.call(old, GET, lambda call, status: told.append(status))
         await until(lambda: len(server.requests) == 3)
