Tests of the end: open requests, halves, the kernel's queue, slow readers, early signals

Need: the mends of the end each want a crossing that is forced. On real sockets: nothing is sent in the step that answers what is open, one request or all; what comes behind that is refused; a half of a request is waited for; what the kernel has accepted is taken; an answer is whole before the process ends; SIGHUP and SIGTERM while the program still reads its file (a pipe holds it there); SIGHUP behind the end revives no watch.

--- a/tests/moments/test_connections.py
+++ b/tests/moments/test_connections.py
@@ -75,7 +75,7 @@
         async with running(first, probes=False) as node:
             await second.start()
             waiting, go_on = held(monkeypatch)
-            reader, writer = await node.connect()
+            _reader, writer = await node.connect()
             writer.write(request())
             await until(lambda: waiting)
             node.catalog.change([target("s0", first.port, "leaving"), target("s1", second.port)])
@@ -97,7 +97,7 @@
         server = Server()
         async with running(server, probes=False) as node:
             waiting, go_on = held(monkeypatch)
-            reader, writer = await node.connect()
+            _reader, writer = await node.connect()
             writer.write(request("alerta"))
             await until(lambda: waiting)
             (client,) = node.node.listener.connections
--- /dev/null
+++ b/tests/moments/test_stop.py
@@ -0,0 +1,179 @@
+"""The end of a process, with requests, halves of requests and unread answers in the way; signals before it serves."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+import pytest
+
+from loopback import OK, WAIT_S, Catalog, Server, free_ports, play, read_answer, request, running, target, until
+from test_process import ROOT, SETTINGS, config, environment
+
+NEW = {"Name": "alerta", "AimMs": 4000.0, "DeadlineMs": 8000.0, "Repeat": "non_idempotent"}
+
+
+@pytest.mark.parametrize("one", [True, False])
+def test_nothing_is_sent_in_the_step_that_answers_what_is_open(one: bool) -> None:
+    """Without the mend: the module heard of the first attempt's end while all were open, and sent it once more."""
+
+    async def test() -> None:
+        servers = [Server(lambda target, body: None) for _ in range(3)]
+        async with running(*servers) as node:
+            host, peers = node.node.host, [await node.connect() for _ in range(4)]
+            for number, (_, writer) in enumerate(peers):
+                writer.write(request(number=f"{number}"))
+            await until(lambda: sum(len(server.requests) for server in servers) == 4)
+            dialled = len(node.node.pool.all)
+            if one:
+                host._expired(min(host.open))
+                assert len(host.open) == 3
+            else:
+                host.fail_all()
+                assert not host.open and not host.balancer.requests
+            await until(lambda: len(node.node.pool.all) < dialled)
+            for reader, _ in peers[: 1 if one else 4]:
+                assert (await read_answer(reader)).status == 504
+            assert sum(len(server.requests) for server in servers) == 4
+            if not one:  # what comes behind that is refused, and reaches nobody
+                reader, writer = peers[0]
+                writer.write(request(number="late"))
+                assert (await read_answer(reader)).status == 503
+                assert sum(len(server.requests) for server in servers) == 4
+            for _, writer in peers:
+                writer.close()
+
+    play(test)
+
+
+def test_a_request_that_is_half_here_at_the_end_is_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Without the mend: its connection was closed over as one at rest."""
+    monkeypatch.setattr("cloverhold.__main__.LINGER_S", 0.05)
+
+    async def test() -> None:
+        async with running(Server()) as node:
+            reader, writer = await node.connect()
+            whole = request("alerta", body=b"x" * 10)
+            writer.write(whole[:-5])
+            await until(lambda: any(c.unfinished() for c in node.node.listener.connections))
+            drain = asyncio.create_task(node.node._drain())
+            await until(lambda: node.node.listener._waiting is None)
+            for _ in range(20):  # turns in which it was closed, or the process had gone on to its end
+                await asyncio.sleep(0.01)
+            assert not drain.done()
+            writer.write(whole[-5:])
+            assert (await read_answer(reader)).status == 200
+            await asyncio.wait_for(drain, WAIT_S)
+            writer.close()
+
+    play(test)
+
+
+def test_what_the_kernel_has_accepted_at_the_end_is_taken() -> None:
+    """Three connections with a request each lie in the queue when the listening socket closes, in one turn."""
+
+    async def test() -> None:
+        async with running(Server()) as node:
+            clients = [socket.create_connection(("127.0.0.1", node.port)) for _ in range(3)]
+            for number, client in enumerate(clients):
+                client.sendall(request(number=f"{number}"))
+            await node.node.listener.stop_accepting()
+            for client in clients:
+                reader, writer = await asyncio.open_connection(sock=client)
+                assert (await read_answer(reader)).status == 200
+                writer.close()
+            with pytest.raises(OSError):
+                await node.connect()
+
+    play(test)
+
+
+def test_an_answer_that_a_client_reads_slowly_is_whole_before_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("cloverhold.__main__.LINGER_S", 0.05)
+
+    async def test() -> None:
+        body = b"y" * (16 * 1024 * 1024)
+        server = Server(lambda target, sent: b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        async with running(server) as node:
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.connect(("127.0.0.1", node.port))
+            client.sendall(request(extra="Connection: close\r\n"))
+            await until(lambda: any(o.begun for o in node.node.host.open.values()))
+            (connection,) = node.node.listener.connections
+            drain = asyncio.create_task(node.node._drain())
+            got = bytearray()
+            client.setblocking(False)
+            loop = asyncio.get_running_loop()
+            while data := await loop.sock_recv(client, 1 << 20):
+                got += data
+                if connection.transport is not None and connection.transport.get_write_buffer_size():
+                    assert not drain.done()
+            assert got.endswith(body) and len(got) > len(body)
+            await asyncio.wait_for(drain, WAIT_S)
+            client.close()
+
+    play(test)
+
+
+@pytest.mark.parametrize("order", ["hup", "term", "hup-term"])
+def test_signals_before_the_handlers_stand(order: str, tmp_path: Path) -> None:
+    """The process is held while it reads its file, a pipe. Without the mend SIGHUP ends it there, or is lost."""
+
+    async def test() -> None:
+        server = Server(lambda target, body: OK)
+        await server.start()
+        catalog = Catalog([target("s0", server.port)])
+        await catalog.start()
+        (port,) = free_ports(1)
+        path = tmp_path / "config.json"
+        os.mkfifo(path)
+        first = config(listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{catalog.port}")
+        second = {**first, "settings": {**SETTINGS, "Profiles": [*SETTINGS["Profiles"], NEW]}}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "cloverhold", cwd=ROOT, env=environment(path), stderr=asyncio.subprocess.PIPE
+        )
+        try:
+            pipe = await asyncio.to_thread(path.open, "w")  # it has opened it, and waits for what is in it
+            for what in order.split("-"):
+                process.send_signal(signal.SIGHUP if what == "hup" else signal.SIGTERM)
+            pipe.write(json.dumps(first))
+            pipe.close()
+            if "hup" in order:  # it reads again
+                pipe = await asyncio.wait_for(asyncio.to_thread(path.open, "w"), WAIT_S)
+                pipe.write(json.dumps(second))
+                pipe.close()
+            if "term" not in order:
+                assert process.stderr is not None
+                while b"new settings, classes consulta, alerta" not in (line := await process.stderr.readline()):
+                    assert line, "the node has ended"
+                process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(process.wait(), WAIT_S) == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            catalog.stop()
+            server.stop()
+
+    play(test)
+
+
+def test_sighup_behind_the_end_revives_no_watch(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with running(Server()) as node:
+            monkeypatch.setattr("cloverhold.__main__.LINGER_S", 0.0)
+            await node.node._drain()
+            path = tmp_path / "config.json"
+            moved = config(listen=f"127.0.0.1:{node.port}", discovery="127.0.0.1:9", settings=SETTINGS)
+            path.write_text(json.dumps(moved))
+            monkeypatch.setenv("PROXY_CONFIG", str(path))
+            node.node.reload()
+            assert node.node.discovery.task is None
+
+    play(test)
