--- a/tests/moments/test_leaving.py
+++ b/tests/moments/test_leaving.py
@@ -12,6 +12,19 @@
 PIECE = b"x" * 65536
 
 
+class Deaf(Server):
+    """Reads all that comes, and answers nothing."""
+
+    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        try:
+            while await reader.read(65536):
+                pass
+        except OSError:
+            pass  # reset: it is over
+        writer.close()
+
+
 def leave(client: socket.socket, way: str) -> None:
     if way == "half-closed":
         client.shutdown(socket.SHUT_WR)
@@ -26,14 +39,17 @@
 
     async def test() -> None:
         server = Server()
-        async with running(server) as node:
-            served = len(server.requests)
+        async with running(server, probes=False) as node:
+            assert (await node.ask(request())).status == 200
+            for connection in node.node.pool.idle:  # one that could be used at once
+                connection.idle_since -= 1
+            assert node.node.pool.idle
             client = socket.create_connection(("127.0.0.1", node.port))
             client.sendall(b"".join(request("alerta", f"{n}") for n in range(count)))
             leave(client, way)
             listener = node.node.listener
-            await until(lambda: listener.came and not listener.connections)
-            assert len(server.requests) == served == 0
+            await until(lambda: listener.came == 2 and not listener.connections)
+            assert len(server.requests) == 1
             assert not node.node.host.open and not node.node.host.call_ids
             client.close()
             assert (await node.ask(request())).status == 200  # one that stays is served
@@ -45,8 +61,8 @@
     """So much of its body waits here that reading is held back: without the mend its end was never seen."""
 
     async def test() -> None:
-        server = Server(lambda target, body: None)
-        async with running(server) as node:
+        server = Deaf()
+        async with running(server, probes=False) as node:
             _, writer = await node.connect()
             head = request("alerta", extra="Transfer-Encoding: chunked\r\n").replace(b"Content-Length: 0\r\n", b"")
             writer.write(head)
--- a/tests/moments/test_stop.py
+++ b/tests/moments/test_stop.py
@@ -23,34 +23,62 @@
     """Without the mend: the module heard of the first attempt's end while all were open, and sent it once more."""
 
     async def test() -> None:
-        servers = [Server(lambda target, body: None) for _ in range(3)]
+        servers = [Server() for _ in range(3)]
         async with running(*servers) as node:
+
+            def seen() -> int:
+                return sum(len(server.requests) for server in servers)
+
+            for number in range(10):  # there is a budget for further attempts
+                assert (await node.ask(request(number=f"first {number}"))).status == 200
+            for server in servers:
+                server.reply = lambda target, body: None
             host, peers = node.node.host, [await node.connect() for _ in range(4)]
             for number, (_, writer) in enumerate(peers):
                 writer.write(request(number=f"{number}"))
-            await until(lambda: sum(len(server.requests) for server in servers) == 4)
-            dialled = len(node.node.pool.all)
+            await until(lambda: seen() == 14)
+            for connection in node.node.pool.idle:  # they could be used at once
+                connection.idle_since -= 1
             if one:
                 host._expired(min(host.open))
                 assert len(host.open) == 3
             else:
                 host.fail_all()
                 assert not host.open and not host.balancer.requests
-            await until(lambda: len(node.node.pool.all) < dialled)
             for reader, _ in peers[: 1 if one else 4]:
                 assert (await read_answer(reader)).status == 504
-            assert sum(len(server.requests) for server in servers) == 4
-            if not one:  # what comes behind that is refused, and reaches nobody
+            for server in servers:
+                server.reply = lambda target, body: OK
+            if one:  # what was sent in that step would be there by now
+                assert (await node.ask(request(number="behind"))).status == 200 and seen() == 15
+            else:  # what comes behind that is refused, and reaches nobody
                 reader, writer = peers[0]
                 writer.write(request(number="late"))
-                assert (await read_answer(reader)).status == 503
-                assert sum(len(server.requests) for server in servers) == 4
+                assert (await read_answer(reader)).status == 503 and seen() == 14
             for _, writer in peers:
                 writer.close()
 
     play(test)
 
 
+def test_what_waits_at_the_end_is_let_go_of() -> None:
+    """The module holds a request, for the replies of its probes, when all are answered."""
+
+    async def test() -> None:
+        async with running(Server(), nodes=2) as node:
+            host = node.node.host
+            host._probe = lambda server: None  # type: ignore[method-assign]
+            reader, writer = await node.connect()
+            writer.write(request())
+            await until(lambda: host.balancer.requests)
+            host.fail_all()
+            assert not host.balancer.requests and not host.open
+            assert (await read_answer(reader)).status == 504
+            writer.close()
+
+    play(test)
+
+
 def test_a_request_that_is_half_here_at_the_end_is_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
     """Without the mend: its connection was closed over as one at rest."""
     monkeypatch.setattr("cloverhold.__main__.LINGER_S", 0.05)
@@ -97,23 +125,30 @@
     monkeypatch.setattr("cloverhold.__main__.LINGER_S", 0.05)
 
     async def test() -> None:
-        body = b"y" * (16 * 1024 * 1024)
+        body = b"y" * (1024 * 1024)
         server = Server(lambda target, sent: b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
         async with running(server) as node:
             client = socket.socket()
             client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             client.connect(("127.0.0.1", node.port))
+            await until(lambda: node.node.listener.connections)
+            (connection,) = node.node.listener.connections
+            transport = connection.transport
+            assert transport is not None
+            transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
             client.sendall(request(extra="Connection: close\r\n"))
             await until(lambda: any(o.begun for o in node.node.host.open.values()))
-            (connection,) = node.node.listener.connections
-            drain = asyncio.create_task(node.node._drain())
-            got = bytearray()
+            drain, got = asyncio.create_task(node.node._drain()), bytearray()
             client.setblocking(False)
             loop = asyncio.get_running_loop()
+            while node.node.host.open:
+                got += await loop.sock_recv(client, 16384)
+            assert transport.get_write_buffer_size()  # the end of the answer waits here, and the client does not read
+            for _ in range(30):  # turns in which the process had gone on to its end
+                await asyncio.sleep(0.01)
+            assert not drain.done()
             while data := await loop.sock_recv(client, 1 << 20):
                 got += data
-                if connection.transport is not None and connection.transport.get_write_buffer_size():
-                    assert not drain.done()
             assert got.endswith(body) and len(got) > len(body)
             await asyncio.wait_for(drain, WAIT_S)
             client.close()
@@ -140,14 +175,12 @@
         )
         try:
             pipe = await asyncio.to_thread(path.open, "w")  # it has opened it, and waits for what is in it
+            path.unlink()
+            path.write_text(json.dumps(second))  # what it finds when it reads again
             for what in order.split("-"):
                 process.send_signal(signal.SIGHUP if what == "hup" else signal.SIGTERM)
             pipe.write(json.dumps(first))
             pipe.close()
-            if "hup" in order:  # it reads again
-                pipe = await asyncio.wait_for(asyncio.to_thread(path.open, "w"), WAIT_S)
-                pipe.write(json.dumps(second))
-                pipe.close()
             if "term" not in order:
                 assert process.stderr is not None
                 while b"new settings, classes consulta, alerta" not in (line := await process.stderr.readline()):
--- a/tests/moments/test_watch.py
+++ b/tests/moments/test_watch.py
@@ -137,27 +137,29 @@
 
 
 def test_an_answer_that_a_late_loop_has_not_read_is_no_silence() -> None:
-    """The loop is held up past the call's time while its answer lies in the socket."""
+    """The loop is held up past the call's time while an answer comes whose end it reads a turn later."""
 
     async def test() -> None:
         text = json.dumps(list_value(1, [target("s0", 9)])).encode()
         with socket.create_server(("127.0.0.1", 0)) as listening:
 
             def serve() -> None:
-                for _ in range(20):
-                    peer, _ = listening.accept()
-                    peer.recv(1000)
-                    peer.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
-                    said.set()
-                    kept.append(peer)
-
-            said, kept = threading.Event(), list[socket.socket]()
+                peer, _ = listening.accept()
+                peer.recv(1000)
+                kept.append(peer)
+                peer.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text[:9]))
+                said.set()
+                if rest.wait(5):
+                    peer.sendall(text[9:])
+
+            said, rest, kept = threading.Event(), threading.Event(), list[socket.socket]()
             threading.Thread(target=serve, daemon=True).start()
             loop, link = asyncio.get_running_loop(), _Link(("127.0.0.1", listening.getsockname()[1]))
 
             def hold_up() -> None:
                 assert said.wait(5)
                 time.sleep(0.4)
+                loop.call_later(0.005, rest.set)
 
             loop.call_later(0.15, hold_up)  # due in the same turn as the call's own time, or one before it
             try:
@@ -166,8 +168,8 @@
                 pytest.fail(f"taken for silence: {error}")
             assert value == json.loads(text)
             link.close()
-            for peer in kept:
-                peer.close()
+            for client in kept:
+                client.close()
 
     play(test)
 
