Parts of a body that come while a connection rests stay behind their request's head

Change: it counts as blocked until it has rested. Measured: the test of a body in two parts times out without the line and passes with it.

--- a/cloverhold/net/upstreams/http1.py
+++ b/cloverhold/net/upstreams/http1.py
@@ -202,6 +202,7 @@
         self.parser = ResponseParser(passes=call.receiver is not None)
         self.found = now - self.idle_since
         if self.found < REST_S:
+            self.blocked = True  # the parts of a body that come meanwhile stay behind its head
             self.rests = self.pool.loop.call_later(REST_S - self.found, self._rested)
         else:
             self._write()
--- a/tests/moments/test_connections.py
+++ b/tests/moments/test_connections.py
@@ -7,6 +7,8 @@
 import pytest
 
 from cloverhold import Status
+from cloverhold.bodies.budget import Budget
+from cloverhold.bodies.upload import Upload
 from cloverhold.net.upstreams import http1
 from cloverhold.net.upstreams.calls import Outgoing, Upstream
 from cloverhold.net.upstreams.http1 import Connection, Pool
@@ -50,6 +52,34 @@
     play(test)
 
 
+def test_parts_of_a_body_that_come_while_the_connection_rests_stay_behind_the_head(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Without the mend a part took the place of the head."""
+    monkeypatch.setattr(http1, "REST_S", 0.2)
+
+    async def test() -> None:
+        server = Server()
+        await server.start()
+        pool, told = make_pool(), list[tuple[Status, bytes]]()
+        upstream, upload = Upstream(("127.0.0.1", server.port)), Upload(Budget(1 << 20), 6)
+        posted = Outgoing(b"POST", b"/lote", [(b"Host", b"api")], upload=upload)
+
+        def first(call: object, status: Status) -> None:
+            ask(pool, upstream, told, posted)
+            upload.add(b"abc")
+            upload.add(b"def")
+            upload.end()
+
+        pool.call(upstream, GET, first)
+        await until(lambda: told)
+        assert told == [(Status.OK, b"ok")] and server.requests[1][2] == b"abcdef"
+        pool.close()
+        server.stop()
+
+    play(test)
+
+
 def held(monkeypatch: pytest.MonkeyPatch) -> tuple[list[Connection], Callable[[], None]]:
     """Dials come up, and the loop hears of it only when told to."""
     waiting, connected = list[Connection](), Connection._connected
