Signals held in one place, one way to turn a server away, tests share their stand-ins

Need: a reading of the whole change found the same thing written more than once. The held signals stood in three places (`cloverhold/signals.py` holds and releases them now). What a server that wants nothing new has to lose was put together from two or three calls of the pool in `Host.members`: `turn_back` closes what is idle and ends what is unsent, `retire` is that and the rest. In the tests: two scripted servers where `Scripted` was (moved to loopback.py), the settings of pushed and asked discovery twice, `rest` written out twice, two servers that nobody asked.

No behaviour, bound or assertion changes.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-import signal
+from cloverhold import signals
 
 if __name__ == "__main__":  # before the rest is loaded, which takes a while
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
+    signals.hold()
 
 import asyncio
 import gc
 import json
 import logging
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -56,9 +57,6 @@
 GC_THRESHOLD = 5000, 20, 20  # by default collections took a twentieth of a busy node's CPU
 # SIGKILL comes 0.7 s after the longest deadline, of 3 s at most.
 DEADLINE_MOST_S, STOP_S, FLUSH_S = 3.0, 0.4, 0.15
-# Held from the first line on until their handlers stand: by default each would end the process, and what SIGHUP says of
-# a file that has just been read would be lost.
-HELD = {signal.SIGHUP, signal.SIGTERM, signal.SIGINT}
 
 
 class Node:
@@ -350,7 +348,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, node.reload)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD)  # what came meanwhile is heard now
+    signals.release()
     await node.run(stop)
 
 
@@ -358,7 +356,7 @@
     """Run a node, of several workers where more than one is asked for; 0 after SIGTERM, 2 on a configuration that it
     cannot run on.
     """
-    signal.pthread_sigmask(signal.SIG_BLOCK, HELD)
+    signals.hold()  # of the command line, which did not begin here
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(message)s")
     try:
         if workers > 1:
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -503,8 +503,6 @@
         for upstream in past:
             self.pool.retire(upstream)
         for upstream in leaving:
-            self.pool.close_idle(upstream)  # it wants nothing new
-        for upstream in (*past, *leaving):
             self.pool.turn_back(upstream)
 
     def list_failed(self) -> None:
--- a/cloverhold/net/upstreams/calls.py
+++ b/cloverhold/net/upstreams/calls.py
@@ -107,13 +107,15 @@
         """
 
     def close_idle(self, upstream: Upstream) -> None:
-        """Close the connections to a server on which nothing is open: it wants nothing new."""
+        """Close the connections to a server on which nothing is open."""
 
     def turn_back(self, upstream: Upstream) -> None:
-        """What is still on the way there, and has no byte written, ends as never begun: it wants nothing new."""
+        """It wants nothing new: idle connections close, and what has no byte written yet ends as never begun."""
 
     def retire(self, upstream: Upstream) -> None:
-        """Its process has ended, or has moved: answers that are still awaited are their connections' last."""
+        """Its process has ended, or has moved: as `turn_back`, and answers that are still awaited are their
+        connections' last.
+        """
 
     def close(self) -> None:
         """Close every socket."""
--- a/cloverhold/net/upstreams/http1.py
+++ b/cloverhold/net/upstreams/http1.py
@@ -434,14 +434,15 @@
             connection.close()
 
     def turn_back(self, upstream: Upstream) -> None:
-        """What is still dialled there, or rests, ends as never begun."""
+        """It wants nothing new: idle connections close, and what is still dialled there, or rests, never begins."""
+        self.close_idle(upstream)
         for connection in [c for c in self.all if c.upstream is upstream and c.unsent()]:
             connection.end(Status.CONNECT_FAILED)
 
     def retire(self, upstream: Upstream) -> None:
         """Its process has ended, or has moved: an answer that is still awaited is its connection's last."""
         upstream.retired = True
-        self.close_idle(upstream)
+        self.turn_back(upstream)
 
     def resize(self, most: int) -> None:
         """Another bound on connections."""
--- a/cloverhold/supervise/shell.py
+++ b/cloverhold/supervise/shell.py
@@ -13,6 +13,7 @@
 from contextlib import ExitStack
 from typing import TYPE_CHECKING
 
+from cloverhold import signals
 from cloverhold.fleet.wire.clock import now_ms
 from cloverhold.roster import Roster
 from cloverhold.supervise.core import Action, Finish, Note, Start, Supervisor, Tell, Word
@@ -25,7 +26,6 @@
 
 log = logging.getLogger(__name__)
 
-HELD = {signal.SIGHUP, signal.SIGTERM, signal.SIGINT}  # from the program's first line until their handlers stand
 SIGNALS = {Word.STOP: signal.SIGTERM, Word.RELOAD: signal.SIGHUP, Word.KILL: signal.SIGKILL}
 SAID_S = 0.25  # between two words on the living nodes
 LINE_MOST = 8 * 1024 * 1024  # a list of 10,000 servers takes some 1.5 MB
@@ -99,7 +99,7 @@
             self.loop.add_signal_handler(number, self._stop)
         self.loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.loop.add_signal_handler(signal.SIGUSR2, lambda: self.act(self.core.replace(now())))
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD)  # workers inherit what is held
+        signals.release()  # before any worker starts: it would inherit what is held
         if self.fellows is not None:
             await self.fellows.start(self.loop, self._tell)
         self.act(self.core.begin(now()))
--- a/tests/fleet/test_first_call.py
+++ b/tests/fleet/test_first_call.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 
-from loopback import CLASSES, Catalog, Server, play, running, target, until
+from loopback import ASKED, PUSHED, Catalog, Server, play, running, target, until
 
-from cloverhold import ListMode, Settings
+from cloverhold import ListMode
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import Discovery, Members
 
@@ -34,10 +33,6 @@
     play(test)
 
 
-PUSHED = Settings(classes=CLASSES)
-ASKED = replace(PUSHED, list_mode=ListMode.ASK)
-
-
 class Forgetful(Catalog):
     """Discovery that knows no version of before."""
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -7,9 +7,10 @@
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import ExitStack, asynccontextmanager
+from dataclasses import replace
 from typing import Any
 
-from cloverhold import ClassSettings, Group, Repeat, Settings
+from cloverhold import ClassSettings, Group, ListMode, Repeat, Settings
 from cloverhold.__main__ import Node
 from cloverhold.cells.table import CellsTable
 from cloverhold.platform import Config
@@ -26,6 +27,8 @@
     ClassSettings("alerta", 4000, 8000, Repeat.UNSAFE),
     ClassSettings("lote", 4000, 8000, Repeat.KEYED, Group.CELL, key_ttl_ms=2500),
 )
+PUSHED = Settings(classes=CLASSES)
+ASKED = replace(PUSHED, list_mode=ListMode.ASK)
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 Peer = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -126,6 +129,30 @@
         return answer is not None
 
 
+class Scripted(Server):
+    """A server whose connections are played by a script, after the head of each request."""
+
+    def __init__(self, script: Callable[[bytes, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]) -> None:
+        super().__init__()
+        self.script, self.heads, self.bodies = script, list[bytes](), list[bytes]()
+
+    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if b"/_load" in head:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+                    continue
+                self.heads.append(head)
+                await self.script(head, reader, writer)
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
+            return
+        finally:
+            self.ended += 1
+            writer.close()
+
+
 def target(uid: str, port: int, state: str = "active") -> dict[str, Any]:
     return {
         "uid": uid,
--- a/tests/moments/test_leaving.py
+++ b/tests/moments/test_leaving.py
@@ -7,22 +7,16 @@
 
 import pytest
 
-from loopback import Server, play, request, running, until
+from loopback import Scripted, Server, play, request, running, until
+from test_upstream import rest
 
 PIECE = b"x" * 65536
 
 
-class Deaf(Server):
+async def deaf(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Reads all that comes, and answers nothing."""
-
-    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.writers.append(writer)
-        try:
-            while await reader.read(65536):
-                pass
-        except OSError:
-            pass  # reset: it is over
-        writer.close()
+    while await reader.read(65536):
+        pass
 
 
 def leave(client: socket.socket, way: str) -> None:
@@ -41,8 +35,7 @@
         server = Server()
         async with running(server, probes=False) as node:
             assert (await node.ask(request())).status == 200
-            for connection in node.node.pool.idle:  # one that could be used at once
-                connection.idle_since -= 1
+            rest(node.node.pool)  # one could be used at once
             assert node.node.pool.idle
             client = socket.create_connection(("127.0.0.1", node.port))
             client.sendall(b"".join(request("alerta", f"{n}") for n in range(count)))
@@ -61,24 +54,19 @@
     """So much of its body waits here that reading is held back: without the mend its end was never seen."""
 
     async def test() -> None:
-        server = Deaf()
+        server = Scripted(deaf)
         async with running(server, probes=False) as node:
             _, writer = await node.connect()
             head = request("alerta", extra="Transfer-Encoding: chunked\r\n").replace(b"Content-Length: 0\r\n", b"")
             writer.write(head)
             host = node.node.host
-
-            class Stuck:  # no server takes anything: the attempt is out, its body waits here
-                def __call__(self) -> bytes:
-                    return b""
-
             for _ in range(4):
                 writer.write(b"%x\r\n%s\r\n" % (len(PIECE), PIECE))
             await until(lambda: host.open)
             (client,) = node.node.listener.connections
             upload = client.incoming.upload
             assert upload is not None
-            upload.take = Stuck()  # type: ignore[method-assign]
+            upload.take = lambda: b""  # type: ignore[method-assign]  # the server takes no more: it waits here
             while not client.paused:
                 writer.write(b"%x\r\n%s\r\n" % (len(PIECE), PIECE))
                 await asyncio.sleep(0.005)
--- a/tests/moments/test_stop.py
+++ b/tests/moments/test_stop.py
@@ -14,6 +14,7 @@
 
 from loopback import OK, WAIT_S, Catalog, Server, free_ports, play, read_answer, request, running, target, until
 from test_process import ROOT, SETTINGS, config, environment
+from test_upstream import rest
 
 NEW = {"Name": "alerta", "AimMs": 4000.0, "DeadlineMs": 8000.0, "Repeat": "non_idempotent"}
 
@@ -37,8 +38,7 @@
             for number, (_, writer) in enumerate(peers):
                 writer.write(request(number=f"{number}"))
             await until(lambda: seen() == 14)
-            for connection in node.node.pool.idle:  # they could be used at once
-                connection.idle_since -= 1
+            rest(node.node.pool)  # they could be used at once
             if one:
                 host._expired(min(host.open))
                 assert len(host.open) == 3
--- a/tests/moments/test_uploads.py
+++ b/tests/moments/test_uploads.py
@@ -8,32 +8,20 @@
 
 import pytest
 
-from loopback import WAIT_S, Server, play, read_answer, request, running, until
+from loopback import WAIT_S, Scripted, Server, play, read_answer, request, running, until
 
 PIECE = b"x" * 65536
 
 
-class Early(Server):
-    """Answers long requests at their head, and reads no more; counts them by id."""
-
-    def __init__(self, said: bytes) -> None:
-        super().__init__()
-        self.said, self.ran = said, list[bytes]()
-
-    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.writers.append(writer)
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                if b"/_load" in head:
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
-                    continue
-                self.ran.append(head.split(b"X-Call-Id: ")[1].split(b"\r\n")[0])
-                writer.write(self.said)
-        except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError):
-            return
-        finally:
-            writer.close()
+def early(said: bytes) -> Scripted:
+    """Answers at a request's head, and drops what follows."""
+
+    async def script(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(said)
+        while await reader.read(65536):
+            pass
+
+    return Scripted(script)
 
 
 @pytest.mark.parametrize("status", [b"500 Sorry", b"503 Full\r\nX-Rejected: 1"])
@@ -41,7 +29,7 @@
     """Seen: the module's timer was lost with the exception, and every request behind it waited out its whole time."""
 
     async def test() -> None:
-        server = Early(b"HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n" % status)
+        server = early(b"HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n" % status)
         async with running(server) as node:
             begun = list[int]()
             take = node.node.host.take
@@ -60,7 +48,7 @@
             assert await asyncio.wait_for(reader.read(), WAIT_S) == b""
             writer.close()
             await until(lambda: not node.node.listener.connections)
-            assert begun.count(b"long") == 1 and server.ran.count(b"long") <= 4
+            assert begun.count(b"long") == 1 and sum(b"X-Call-Id: long\r\n" in head for head in server.heads) <= 4
             balancer = node.node.host.balancer
             assert not balancer.requests and not node.node.host.open
 
--- a/tests/moments/test_watch.py
+++ b/tests/moments/test_watch.py
@@ -12,13 +12,9 @@
 
 import pytest
 
-from cloverhold import ListMode, Settings
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import AT_ONCE, Discovery, ListError, Members, Waits, _Link
-from loopback import CLASSES, Catalog, Server, list_value, play, running, target, until
-
-PUSHED = Settings(classes=CLASSES)
-ASKED = replace(PUSHED, list_mode=ListMode.ASK)
+from loopback import ASKED, PUSHED, Catalog, Server, free_ports, list_value, play, running, target, until
 
 
 class Mute(Catalog):
@@ -72,10 +68,7 @@
     """A drain that it got meanwhile counts at once. Without the mend: known after up to 22 s."""
 
     async def test() -> None:
-        servers = Server(), Server()
-        for server in servers:
-            await server.start()
-        lines = [target(f"s{i}", server.port) for i, server in enumerate(servers)]
+        lines = [target("s0", 9), target("s1", 9)]
         agent, told = Mute(lines), list[Members]()
         await agent.start()
         discovery = Discovery(("127.0.0.1", agent.port), Clock(), told.append, lambda: None, lambda: PUSHED)
@@ -89,8 +82,6 @@
         assert time.monotonic() - back < 5.0  # wide: machines are slow at times
         discovery.stop()
         agent.stop()
-        for server in servers:
-            server.stop()
 
     play(test)
 
@@ -99,8 +90,7 @@
     """Without the mend it was ignored, as the task that tells so had not ended, and nobody watched any more."""
 
     async def test() -> None:
-        (port,) = [socket.create_server(("127.0.0.1", 0)).getsockname()[1]]  # nobody answers: it is closed again
-        calls = list[int]()
+        (port,), calls = free_ports(1), list[int]()
 
         def failed() -> None:
             calls.append(1)
--- a/tests/ops/test_passing.py
+++ b/tests/ops/test_passing.py
@@ -11,7 +11,7 @@
 
 from cloverhold.net.fronts import http1 as front
 from cloverhold.net.http1 import ResponseParser
-from loopback import WAIT_S, Running, Server, play, read_answer, request, running, until
+from loopback import WAIT_S, Running, Scripted, play, read_answer, request, running, until
 
 MB = 1024 * 1024
 LONG = bytes(range(256)) * 4096  # 1 MiB
@@ -23,30 +23,6 @@
     return b"".join(b"%x;x=y\r\n%s\r\n" % (len(p), p) for p in parts) + b"0\r\nT: trailer\r\n\r\n"
 
 
-class Scripted(Server):
-    """A server whose connections are played by a script, after the head of each request."""
-
-    def __init__(self, script: Callable[[bytes, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]) -> None:
-        super().__init__()
-        self.script, self.heads, self.bodies = script, list[bytes](), list[bytes]()
-
-    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.writers.append(writer)
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                if b"/_load" in head:
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
-                    continue
-                self.heads.append(head)
-                await self.script(head, reader, writer)
-        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
-            return
-        finally:
-            self.ended += 1
-            writer.close()
-
-
 async def body_of(head: bytes, reader: asyncio.StreamReader) -> bytes:
     """The body of a request, of either framing."""
     if b"transfer-encoding: chunked" not in head.lower():
