Where discovery is asked, its return is asked for twice before its news counts as told

One refused call at the return, and the next word came 10 s behind it; with 60 s between calls allowed, a minute.

Change: the back-off ends at 2 s, so that two further calls lie within the 6 s. Ruled out: pushed lists (their pace is a part of the drain's grace, `Waits`), and silent calls (asked again at once, twice).

Result: arithmetic held by a test for four settings, failing without the line for three of them.

--- a/cloverhold/decision/decide.py
+++ b/cloverhold/decision/decide.py
@@ -47,10 +47,10 @@
     def ask_after(self, kind: ListKind) -> float | None:
         """After which time to subscribe (anew); None where there is nothing to ask for."""
         if kind is ListKind.ERROR:
-            # Back off with jitter: the list service is one for all nodes and small. Never past the time
-            # after which this node would be held to have heard what it has not.
+            # Back off with jitter: the list service is one for all nodes and small. Two more calls lie within
+            # the 6 s after which this node would be held to have heard what it has not.
             self.failures += 1
-            most = (self.settings.must_ask_ms or 10000.0) / 2
+            most = min(2000.0, (self.settings.must_ask_ms or math.inf) / 2)
             return min(most, 500.0 * 2.0 ** min(self.failures, 6)) * self.random.uniform(0.5, 1.0)
         self.failures = 0
         return 0.0 if kind is ListKind.REMEMBERED and self.settings.list_mode is ListMode.ASK else None
--- a/tests/moments/test_watch.py
+++ b/tests/moments/test_watch.py
@@ -12,6 +12,8 @@
 
 import pytest
 
+from cloverhold import ListKind, ServerList, SetTimer, Timer
+from cloverhold.decision.decide import Balancer
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import AT_ONCE, Discovery, ListError, Members, Waits, _Link
 from loopback import ASKED, PUSHED, Catalog, Server, free_ports, list_value, play, running, target, until
@@ -42,6 +44,19 @@
         assert pushed.hold + pushed.answer + pushed.pause + 2 * pushed.at_once < 6.0
 
 
+@pytest.mark.parametrize("must_ask", [None, 1000.0, 10000.0, 60000.0])
+def test_a_service_that_is_back_is_asked_twice_before_its_news_counts_as_told(must_ask: float | None) -> None:
+    """6 s behind its return, however long it was away and whatever else the settings allow. Without the mend the second
+    call came after up to 10 s, or up to 60.
+    """
+    balancer, waits = Balancer(replace(ASKED, must_ask_ms=must_ask), 1), Waits.of(ASKED)
+    for failure in range(40):
+        now = 100_000.0 * failure
+        (delay,) = [a.delay_ms for a in balancer.handle(now, ServerList(ListKind.ERROR)) if isinstance(a, SetTimer)]
+        assert 2 * (delay + 1000 * waits.at_once) < 6000 and delay <= (must_ask or 4000.0) / 2
+        balancer.handle(now + delay, Timer(failure + 1))
+
+
 def test_two_silent_calls_in_a_row_cost_a_node_that_asks_no_news(monkeypatch: pytest.MonkeyPatch) -> None:
     """Without the mend: the next call came 22 s later, and behind a back-off."""
 
