--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -252,14 +252,17 @@
         return retry_after(min(wait_ms, self.settings.max_retry_after_ms) if self.settings.retry_after else 0.0)
 
     def _recorded(self, ref: int, how: How) -> None:
-        """What became of a request's record. Only what is durable goes on; the rest never ran."""
+        """What became of a request's record. Only what is durable goes on, and only under the effect that it was asked
+        for with: new settings may have come meanwhile, and the module goes by those. The rest never ran.
+        """
         opened = self.open.get(ref)
         if opened is None:
             return
-        if how == "durable":
-            self._begin(ref, opened)
-        elif how == "known":  # it may have run at another worker
+        asked = opened.exchange.asked.kind
+        if how == "known":  # it may have run at another worker
             self._final(ref, 409)
+        elif how == "durable" and self.classes.get(asked.name, asked).repeat is asked.repeat:
+            self._begin(ref, opened)
         else:
             self._final(ref, 503, headers=self._come_back(self.settings.max_retry_after_ms))
 
--- a/tests/moments/test_connections.py
+++ b/tests/moments/test_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections.abc import Callable
 
@@ -223,3 +224,33 @@
             writer.close()
 
     play(test)
+
+
+def test_a_dial_that_comes_up_in_the_turn_in_which_it_is_given_up() -> None:
+    """Both lie in one batch of the loop's poll: what gives it up was ready first, and the connection is up behind it."""
+
+    async def test() -> None:
+        server, loop = Server(), asyncio.get_running_loop()
+        await server.start()
+        pool, told, calls = make_pool(), list[tuple[Status, bytes]](), list[Call]()
+        upstream, (reads, writes) = Upstream(("127.0.0.1", server.port)), socket.socketpair()
+
+        def give_up() -> None:
+            reads.recv(1)
+            calls[-1].give_up()
+
+        loop.add_reader(reads, give_up)
+        for number in range(1, 11):
+            writes.send(b"x")
+            calls.append(pool.call(upstream, GET, lambda call, status: told.append((status, b""))))
+            time.sleep(0.02)  # the loop is held up: the connection is up in the kernel
+            # Its server has read to the end of each connection: all that was ever written there.
+            await until(lambda number=number: server.ended == number)
+            assert not told and not server.requests and not pool.all
+        loop.remove_reader(reads)
+        for end in (reads, writes):
+            end.close()
+        pool.close()
+        server.stop()
+
+    play(test)
--- a/tests/moments/test_leaving.py
+++ b/tests/moments/test_leaving.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 
 import pytest
 
@@ -158,3 +159,28 @@
             client.close()
 
     play(test)
+
+
+@pytest.mark.parametrize("way", ["closed", "reset"])
+def test_a_client_that_leaves_with_its_answer_unread(way: str) -> None:
+    """Most of the answer still comes from its server: that is let go of with it, and what waits behind is not begun."""
+
+    async def test() -> None:
+        body = b"y" * (8 * 1024 * 1024)
+        server = Server(lambda target, sent: b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        async with running(server, probes=False) as node:
+            client = socket.create_connection(("127.0.0.1", node.port))
+            client.sendall(request(number="1") + request("alerta", number="2"))
+            host = node.node.host
+            await until(lambda: any(o.begun for o in host.open.values()))
+            (connection,) = node.node.listener.connections
+            await until(lambda: connection.stuffed)  # it is sent no more until it reads
+            if way == "reset":
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            client.close()
+            await until(lambda: not node.node.listener.connections)
+            assert not host.open and not host.call_ids and not [c for c in node.node.pool.all if c.call is not None]
+            assert len(server.requests) == 1
+            await until(lambda: server.ended)
+
+    play(test)
--- a/tests/moments/test_watch.py
+++ b/tests/moments/test_watch.py
@@ -12,11 +12,11 @@
 
 import pytest
 
-from cloverhold import ListKind, ServerList, SetTimer, Timer
+from cloverhold import ListKind, ServerList, SetTimer, Settings, Timer
 from cloverhold.decision.decide import Balancer
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import AT_ONCE, Discovery, ListError, Members, Waits, _Link
-from loopback import ASKED, PUSHED, Catalog, Server, free_ports, list_value, play, running, target, until
+from loopback import ASKED, PUSHED, Catalog, Server, free_ports, list_value, play, request, running, target, until
 
 
 class Mute(Catalog):
@@ -191,3 +191,27 @@
             new.stop()
 
     play(test)
+
+
+@pytest.mark.parametrize("mode", [ASKED, PUSHED])
+def test_watches_that_are_reset_just_before_a_drain(mode: Settings) -> None:
+    """Reset and drain lie in one turn of discovery; the watch is begun anew, and nothing goes there since."""
+
+    async def test() -> None:
+        first, second = Server(), Server()
+        async with running(first, second, list_mode=mode.list_mode, probes=False) as node:
+            lines, calls = node.catalog.targets, len(node.catalog.requests)
+            if mode is ASKED:
+                await until(lambda: any("from=" in asked for asked, _, _ in node.catalog.requests))
+            begun = time.monotonic()
+            for writer in node.catalog.writers:
+                writer.transport.abort()
+            node.catalog.change([{**lines[0], "state": "leaving"}, lines[1]])
+            servers = node.node.host.balancer.table.servers
+            await until(lambda: not servers["s0"].ready)
+            assert time.monotonic() - begun < 3.0 and len(node.catalog.requests) > calls  # its first back-off is 1 s
+            for number in range(8):
+                assert (await node.ask(request(number=f"{number}"))).status == 200
+            assert not first.requests and len(second.requests) == 8
+
+    play(test)
