A keyed repeat leaves while its group remembers the first attempt, or not at all

Change: `Send.within_ms` says until when an attempt's last byte may leave, from the first attempt that may have run; the host asks before the first byte behind a dial or a rest, and before each further part, and ends what is late as moot (never sent).

--- a/cloverhold/decision/decide.py
+++ b/cloverhold/decision/decide.py
@@ -228,7 +228,7 @@
 
     def _send(self, request: RequestState, server: Server, now: float) -> None:
         self.learned.pace(server, now)
-        place = self.table.load(server) + 1
+        place, within = self.table.load(server) + 1, request.leaves_by(self.settings) - now
         attempt = Attempt(request, server, now, place, (place - 1) * self.learned.mix + request.work)
         attempt.silent = (SILENT_HINTED if request.event.cost_ms else SILENT) * attempt.expected
         request.attempts.append(attempt)
@@ -238,7 +238,7 @@
         if not request.arriving:
             self._counts(attempt)
         self.attempts[(request.id, attempt.number)] = attempt
-        self.out.append(Send(request.id, server.entry.server))
+        self.out.append(Send(request.id, server.entry.server, within_ms=within))
         if server.warm < WARM:
             self.warming.spend(server, request.work)
         self.health.sent(server, now)
--- a/cloverhold/decision/health.py
+++ b/cloverhold/decision/health.py
@@ -119,7 +119,7 @@
             closed = opens > now
             due = min(due, max(now, self.warming.next_step(server)), opens if closed else math.inf)
         aged = False
-        if table.many() and not (aged := table.aged(server, now)):
+        if table.many and not (aged := table.aged(server, now)):
             due = min(due, server.heard_at + table.crowd_ms)
         server.closed = closed
         zone = server.entry.zone if table.by_zone else ""
@@ -158,7 +158,7 @@
 
     def replied(self, server: Server, now: float) -> None:
         """A probe's end has been counted."""
-        if server.lost_probes >= 2 or not self.table.looks_well(server) or self.table.many():
+        if server.lost_probes >= 2 or not self.table.looks_well(server) or self.table.many:
             self.review(server, now)
         else:
             self.table.place(server)
--- a/cloverhold/decision/interface.py
+++ b/cloverhold/decision/interface.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 from typing import Union
@@ -269,11 +270,14 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start an attempt. Attempts of a request count from 0. timeout_ms 0: until the client gives up."""
+    """Start an attempt. Attempts of a request count from 0. timeout_ms 0: until the client gives up. within_ms: its
+    last byte leaves within this time; what would leave later is not sent, and ends as moot.
+    """
 
     id: int
     server: str
     timeout_ms: float = 0.0
+    within_ms: float = math.inf
 
 
 @dataclass(slots=True)
--- a/cloverhold/decision/state.py
+++ b/cloverhold/decision/state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from cloverhold.decision.interface import Group, Repeat, ServerEntry, Settings, Status
 from cloverhold.decision.records import Attempt, RequestRecord
 
@@ -33,11 +35,14 @@
             return None
         if not ran or self.kind.repeat is Repeat.SAFE:
             return Group.ALL
-        # Keyed: only while the group still remembers the first attempt that may have run, less a margin for
-        # the way there.
-        if now > ran[0].sent_at + 0.9 * self.kind.key_ttl_ms - 2 * settings.tick_ms:
-            return None
-        return self.kind.group
+        return self.kind.group if now <= self.leaves_by(settings) else None
+
+    def leaves_by(self, settings: Settings) -> float:
+        """Until when the last byte of a further attempt may leave. A keyed one: only while the group still remembers
+        the first that may have run, less a margin for the way there.
+        """
+        ran = [a.sent_at for a in self.attempts if a.may_have_run and self.kind.repeat is Repeat.KEYED]
+        return ran[0] + 0.9 * self.kind.key_ttl_ms - 2 * settings.tick_ms if ran else math.inf
 
     def first(self) -> ServerEntry:
         """Where the first attempt went that may have run; there must be one."""
--- a/cloverhold/decision/table.py
+++ b/cloverhold/decision/table.py
@@ -49,7 +49,7 @@
         # Members of a group that a keyed repeat keeps to. Zones are few and part of the profile.
         self.cells: dict[tuple[str, int], Choice[Server]] = {}
         self.by_cell = False
-        self._many = True
+        self.many = True  # whether nodes are so many that this one's requests tell little of theirs
         self.rows = 0  # sum over ready servers
         self.sizes = 0.0  # likewise
         self.stale = 2 * STALE  # part of the reports that this node knows to be old; at first, till shown
@@ -162,7 +162,7 @@
 
     def aged(self, server: Server, now: float) -> bool:
         """Guards against nodes that flock to what was low long ago."""
-        return self.many() and now - server.heard_at > self.crowd_ms
+        return self.many and now - server.heard_at > self.crowd_ms
 
     # ------------------------------------------------------------------------------------------------- rows
 
@@ -194,21 +194,17 @@
         server.surplus += step * (others - self.usual() - server.surplus)
         server.heard_at = now
         if self.old():
-            others = max(self.likely(server), others) if self.shared else 0.0
+            others = max(self.usual() + server.surplus, others) if self.shared else 0.0
         server.row = len(server.out) + round(max(0.0, others))
 
     def old(self) -> bool:
         """Whether reports are old, or too few of each server: what is likely tells more then."""
-        return self.stale > STALE or self._many
-
-    def many(self) -> bool:
-        """Whether nodes are so many that this one's requests tell little of theirs."""
-        return self._many
+        return self.stale > STALE or self.many
 
     def counted(self) -> bool:
         """A list has been taken over, `many` holds for it from now on; whether it has turned."""
-        before, self._many = self._many, self.settings.nodes > 2 * len(self.ready)
-        return before != self._many
+        before, self.many = self.many, self.settings.nodes > 2 * len(self.ready)
+        return before != self.many
 
     def usual(self) -> float:
         """What others hold at a server, by what this node holds now: a rise of all traffic shows at once."""
@@ -233,9 +229,6 @@
             return len(server.out) + max(server.surplus, -self.usual())
         return server.row if server.replies else len(server.out)
 
-    def likely(self, server: Server) -> float:
-        return max(0.0, self.usual() + server.surplus) if self.shared else 0.0
-
     def probes(self, pool: Pool | None = None) -> list[Server]:
         """D distinct random ones, on average, of the servers that this node keeps to, of the pool if it has
         one; one probe at a time each, as servers take only a few.
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -304,14 +304,17 @@
         """
         return min(min(opened.expires_at, until) - self.clock.now(), opened.exchange.asked.budget_ms)
 
-    def _in_time(self, ref: int, opened: Open) -> bool:
-        """Whether a client's time still runs, or its answer is on its way; one that is over is answered here, as by
-        its guard a step later.
+    def _in_time(self, ref: int, opened: Open, number: int, leaves_by: float) -> bool:
+        """Whether an attempt may still leave: a client's time runs, or its answer is on its way, and the module's word
+        holds. A request that is over is answered here, as by its guard a step later.
         """
-        if opened.begun or self._left(opened) > 0:
-            return True
-        self._expired(ref)
-        return False
+        if not opened.begun and self._left(opened) <= 0:
+            self._expired(ref)
+            return False
+        if self.clock.now() > leaves_by:
+            self._stop(ref, opened, number, io.Status.MOOT)
+            return False
+        return True
 
     def _expired(self, ref: int) -> None:
         """The client's time is up. The module ends requests sooner: this guards against one that does not."""
@@ -387,7 +390,7 @@
         passing = Passing(self, ref, number) if exchange.passing is not None else None
         call = self.pool.call(
             upstream, outgoing, lambda call, status: self._ended(ref, number, call, status), passing,
-            lambda: self._wanted(exchange) and self._in_time(ref, opened),
+            lambda: self._wanted(exchange) and self._in_time(ref, opened, number, now + action.within_ms),
         )  # fmt: skip
         attempt = opened.out[number] = Attempt(number, server, call, now)
         if self.router is not None and opened.cell is not None:
--- a/tests/moments/test_connections.py
+++ b/tests/moments/test_connections.py
@@ -6,16 +6,17 @@
 import socket
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
-from cloverhold import Status
+from cloverhold import Event, Outcome, Status
 from cloverhold.bodies.budget import Budget
 from cloverhold.bodies.upload import Upload
 from cloverhold.net.upstreams import http1
 from cloverhold.net.upstreams.calls import Outgoing, Upstream
 from cloverhold.net.upstreams.http1 import Call, Pool
-from loopback import OK, Running, Server, held, play, read_answer, request, running, target, until
+from loopback import CLASSES, OK, Running, Server, held, play, read_answer, request, running, target, until
 from test_upstream import GET, make_pool
 
 STALE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
@@ -227,7 +228,7 @@
 
 
 def test_a_dial_that_comes_up_in_the_turn_in_which_it_is_given_up() -> None:
-    """Both lie in one batch of the loop's poll: what gives it up was ready first, and the connection is up behind it."""
+    """Both lie in one batch of the loop's poll: what gives it up is ready first, and the connection up behind it."""
 
     async def test() -> None:
         server, loop = Server(), asyncio.get_running_loop()
@@ -254,3 +255,41 @@
         server.stop()
 
     play(test)
+
+
+@pytest.mark.parametrize("late", ["a dial", "a rest"])
+def test_a_keyed_repeat_leaves_while_its_group_remembers_or_not_at_all(
+    late: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was chosen within the window, and its connection is ready behind it. Without the mend it left all the same."""
+    classes = tuple(replace(c, key_ttl_ms=300.0) if c.name == "lote" else c for c in CLASSES)
+    monkeypatch.setattr(http1, "REST_S", 0.4)
+    kept = b"" if late == "a rest" else b"Connection: close\r\n"
+
+    async def test() -> None:
+        server = Server(lambda target, body: b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n%s\r\n" % kept)
+        async with running(server, probes=False, classes=classes) as node:
+            waiting, go_on = held(monkeypatch)
+            host, ended = node.node.host, list[Status]()
+            tell = host.tell
+
+            def heard(event: Event) -> None:
+                ended.extend([event.status] if isinstance(event, Outcome) else [])
+                tell(event)
+
+            monkeypatch.setattr(host, "tell", heard)
+            reader, writer = await node.connect()
+            writer.write(request("lote"))
+            await until(lambda: waiting)
+            (opened,) = host.open.values()
+            go_on()
+            await until(lambda: opened.sent == 2)
+            if late == "a dial":
+                await until(lambda: len(waiting) == 2)
+                await asyncio.sleep(0.4)
+                go_on()
+            assert (await read_answer(reader)).status == 502
+            assert ended == [Status.ERROR, Status.MOOT] and len(server.requests) == 1 and not host.open
+            writer.close()
+
+    play(test)
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -345,7 +345,7 @@
     # zone+mass: while servers are few beside nodes there was no bound at all, and up to 38 waited at one server.
     node = Node(servers=4, nodes=100, probe_price=0.08)
     table = node.balancer.table
-    assert table.many()
+    assert table.many
     table.others, table.own = 6.0, 0.01
     for ref in range(8):
         node.request(ref, "unsafe")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,7 @@
 """The four rules, with their near misses, and each outcome for each repeat class."""
 
+import math
+
 import pytest
 from helpers import Node, entries, make_settings, of
 
@@ -54,6 +56,22 @@
         assert getattr(first, same) == getattr(second, same)
 
 
+@pytest.mark.parametrize("kind", ["safe", "keyed", "zoned", "shared", "unsafe"])
+def test_each_attempt_says_until_when_it_may_leave(kind: str) -> None:
+    """A keyed one from the second on: from the first that may have run, however many came between."""
+    node = Node()
+    sends = [*of(node.request(1, kind), Send)]
+    for status in (Status.FULL, Status.ERROR, Status.ERROR):
+        node.now += 20
+        sends += of(node.outcome(1, status), Send)
+    within = [send.within_ms for send in sends]
+    if kind in ("safe", "unsafe"):
+        assert within == [math.inf] * (4 if kind == "safe" else 2)
+    else:
+        window = 0.9 * 300 - 2 * node.balancer.settings.tick_ms
+        assert within == [math.inf, math.inf, pytest.approx(window - 20), pytest.approx(window - 40)]
+
+
 def test_keyed_repeat_ends_with_the_window() -> None:
     node = Node(servers=8)
     node.request(1, "keyed")
