Membership: no turn walks over all members, and what it draws is what it drew before

Need: the size that is coming is 6,600 members. Each turn sorted the living anew (`_others`), each heal walked over all numbers, each view was drawn whole, each part of the entries and each forgetting walked over the entries; in doubt each turn walked over the living, also where no further check had room. It is a real node's processor time as well.

Change: the book holds the living in order beside their set, the entries' numbers in a list, those not alive in a set, and the view until somebody comes or goes; one that is away is found by bisection. Chance is asked as before, so that every pick is the same one.

--- a/cloverhold/fleet/membership/book.py
+++ b/cloverhold/fleet/membership/book.py
@@ -1,5 +1,8 @@
 """What a node holds of each number: the latest claim, and since when. Pure.
 
+What is asked at each turn (one of the others, one that is away, a part of the entries) costs no walk over the numbers:
+the living lie in order beside their set, and the entries in a list beside their table.
+
 | held  | claim of a later key | same key, alive | same key, dead           | same key, left |
 | ----- | -------------------- | --------------- | ------------------------ | -------------- |
 | none  | NEWS                 |                 |                          |                |
@@ -12,9 +15,11 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from enum import Enum
+from random import Random
 
 from cloverhold.fleet.membership.rings import Rings
 from cloverhold.fleet.wire.datagrams import Claim, Digest, State
@@ -52,6 +57,10 @@
         self.entries: dict[int, Entry] = {}
         self.rings = Rings(rings)
         self.living: set[int] = set()
+        self.order: list[int] = []  # the same, the lowest first
+        self.drawn: tuple[int, ...] | None = None  # the same as a view; None where it is to be drawn anew
+        self.numbers: list[int] = []  # of the entries, in the order in which they came
+        self.fallen: set[int] = set()  # entries that are not alive
         self.sum = 0  # of the living
         self.changes = 0  # rises with each change of who is alive
         self.cursor = 0  # where the next part of the entries begins
@@ -76,16 +85,23 @@
             self.sum ^= _hash(old.claim)
         if claim.state is State.ALIVE:
             self.sum ^= _hash(claim)
-        alive = claim.state is State.ALIVE
-        if alive and claim.number not in self.living:
-            self.living.add(claim.number)
-            self.rings.add(claim.number)
-            self.changes += 1
-        elif not alive and claim.number in self.living:
-            self.living.discard(claim.number)
-            self.rings.remove(claim.number)
-            self.changes += 1
-        self.entries[claim.number] = Entry(claim, now, why)
+        number, alive = claim.number, claim.state is State.ALIVE
+        if alive and number not in self.living:
+            self.living.add(number)
+            insort(self.order, number)
+            self.rings.add(number)
+            self.fallen.discard(number)
+            self.changes, self.drawn = self.changes + 1, None
+        elif not alive and number in self.living:
+            self.living.discard(number)
+            del self.order[bisect_left(self.order, number)]
+            self.rings.remove(number)
+            self.changes, self.drawn = self.changes + 1, None
+        if not alive:
+            self.fallen.add(number)
+        if old is None:
+            self.numbers.append(number)
+        self.entries[number] = Entry(claim, now, why)
 
     def bury(self, number: int, now: float, why: str) -> None:
         """A living number is dead."""
@@ -96,21 +112,50 @@
         entry = self.entries.get(number)
         return entry.claim if entry is not None and entry.claim.state is State.ALIVE else None
 
+    # ----------------------------------------------------------------------------------------------- the living
+
+    def view(self) -> tuple[int, ...]:
+        """The living, the lowest number first."""
+        if self.drawn is None:
+            self.drawn = tuple(self.order)
+        return self.drawn
+
+    def others(self, me: int) -> int:
+        """How many live beside this one."""
+        return len(self.order) - (me in self.living)
+
+    def some(self, chance: Random, count: int, me: int) -> list[int]:
+        """So many of the others, or all, drawn without putting back."""
+        others = self.others(me)
+        at = bisect_left(self.order, me) if me in self.living else others
+        return [self.order[n + (n >= at)] for n in chance.sample(range(others), min(count, others))]
+
+    def away(self, chance: Random, me: int, peers: int) -> int | None:
+        """One of the numbers below `peers` that is neither alive nor `me`; None where there is none."""
+        known = self.living if me in self.living or me >= peers else {*self.living, me}
+        order = self.order if known is self.living else sorted(known)
+        within = bisect_left(order, peers)
+        if within == peers:
+            return None
+        nth = chance.choice(range(peers - within))
+        # Below order[n] lie order[n] - n numbers that are away.
+        return nth + bisect_left(range(within), nth + 1, key=lambda n: order[n] - n)
+
     def digest(self) -> Digest:
         return Digest(self.sum, len(self.living))
 
     def forget(self, now: float, after_ms: float) -> None:
         """Drop the dead and those that left that have been so for long enough."""
-        gone = [
-            number for number, entry in self.entries.items()
-            if entry.claim.state is not State.ALIVE and now - entry.since > after_ms
-        ]  # fmt: skip
+        gone = [number for number in self.fallen if now - self.entries[number].since > after_ms]
         for number in gone:
             del self.entries[number]
+            self.fallen.discard(number)
+        if gone:
+            self.numbers = list(self.entries)
 
     def part(self, most: int) -> Iterator[Claim]:
         """Up to so many entries, going on where the last part ended."""
-        numbers = list(self.entries)
+        numbers = self.numbers
         for step in range(min(most, len(numbers))):
             claim = self.entries[numbers[(self.cursor + step) % len(numbers)]].claim
             yield claim
@@ -119,7 +164,11 @@
     def clear(self) -> None:
         """Know nobody."""
         self.entries.clear()
+        self.numbers.clear()
+        self.fallen.clear()
         self.living.clear()
+        self.order.clear()
+        self.drawn = None
         self.rings.replace(())
         self.sum = 0
         self.changes += 1
--- a/cloverhold/fleet/membership/core.py
+++ b/cloverhold/fleet/membership/core.py
@@ -64,8 +64,7 @@
         if self.phase in (Phase.MEMBER, Phase.CUT):
             left = replace(self.claim, state=State.LEFT)
             near = self.book.rings.watchers(self.me) | self.book.rings.subjects(self.me)
-            others = sorted(self.book.living - {self.me})
-            near |= set(self.chance.sample(others, min(PUSHED_TO, len(others))))
+            near |= set(self.book.some(self.chance, PUSHED_TO, self.me))
             for number in sorted(near):
                 self._send(number, Kind.PUSH, (left,))
         self._turn_to(Turn.LEAVE, now, "told to stop")
@@ -89,7 +88,7 @@
             return None  # it has slept, and no turn has noticed yet
         if len(self.book.living) == 1 and self.peers > CUT_LEAST:
             return None
-        return tuple(sorted(self.book.living))
+        return self.book.view()
 
     def standings(self, now: float) -> list[Standing]:
         """All that is held, by number, as operators see it."""
@@ -220,7 +219,8 @@
     def _count(self, now: float) -> None:
         if self.phase is not Phase.MEMBER:
             return
-        if self.doubts:  # most of what it watches is gone, and so may the watchers of others be: look around
+        # Most of what it watches is gone, and so may the watchers of others be: look around, as far as there is room.
+        if self.doubts and len(self.checked) < MOST_CHECKS:
             for number in self.book.living - self.links.held.keys() - {self.me}:
                 if number not in self.voted:
                     self._look_into(self.book.entries[number].claim, now)
@@ -241,14 +241,15 @@
     # --------------------------------------------------------------------------------------------- passing on
 
     def _spread(self, now: float) -> None:
-        others = self._others()
+        others = self.book.others(self.me)
         if others and now - self.pushed >= PUSH_MS and self.rumours.fresh():
             self.pushed = now
-            for number in self.chance.sample(others, min(PUSHED_TO, len(others))):
+            for number in self.book.some(self.chance, PUSHED_TO, self.me):
                 self._send(number, Kind.PUSH, self._load(number, now))
         if others and now - self.synced >= SYNC_MS:
             self.synced = now
-            self._send(self.chance.choice(others), Kind.PING, (self.book.digest(),), 0)
+            (number,) = self.book.some(self.chance, 1, self.me)
+            self._send(number, Kind.PING, (self.book.digest(),), 0)
         if now - self.healed >= (HEAL_MS if others else HEAL_MS / 8):
             self.healed = now
             self._heal(now)
@@ -256,15 +257,11 @@
             self.tidied = now
             self.book.forget(now, self.rules.forget_ms)
 
-    def _others(self) -> list[int]:
-        return sorted(self.book.living - {self.me})
-
     def _heal(self, now: float) -> None:
         """Look whether a number that is not alive here is: halves that lost each other find each other so."""
-        away = [n for n in range(self.peers) if n not in self.book.living and n != self.me]
-        if not away:
+        number = self.book.away(self.chance, self.me, self.peers)
+        if number is None:
             return
-        number = self.chance.choice(away)
         held = self.book.entries.get(number)
         self._look_into(Claim(State.ALIVE, number, 0, 0) if held is None else held.claim, now)
         if held is not None:
