--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -305,6 +305,16 @@
             server.stop()
 
 
+def part(writer: asyncio.StreamWriter, way: str) -> None:
+    """Leave as a client may: closed, half-closed or reset."""
+    if way == "reset":
+        writer.transport.abort()
+    elif way == "half-closed":
+        writer.write_eof()
+    else:
+        writer.close()
+
+
 def held(monkeypatch: pytest.MonkeyPatch) -> tuple[list[Connection], Callable[[], None]]:
     """Dials come up, and the loop hears of it only when told to."""
     waiting, connected = list[Connection](), Connection._connected
--- a/tests/moments/test_connections.py
+++ b/tests/moments/test_connections.py
@@ -16,7 +16,7 @@
 from cloverhold.net.upstreams import http1
 from cloverhold.net.upstreams.calls import Outgoing, Upstream
 from cloverhold.net.upstreams.http1 import Call, Pool
-from loopback import CLASSES, OK, Running, Server, held, play, read_answer, request, running, target, until
+from loopback import CLASSES, OK, Running, Server, held, part, play, read_answer, request, running, target, until
 from test_upstream import GET, make_pool
 
 STALE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
@@ -120,12 +120,7 @@
             (client,) = node.node.listener.connections
             assert client.transport is not None
             client.transport.pause_reading()
-            if way == "reset":
-                writer.transport.abort()
-            elif way == "half-closed":
-                writer.write_eof()
-            else:
-                writer.close()
+            part(writer, way)
             await until(lambda: client.end.poll(0))
             go_on()
             assert not node.node.host.open and not node.node.host.call_ids
--- a/tests/moments/test_store_waits.py
+++ b/tests/moments/test_store_waits.py
@@ -2,29 +2,47 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import pytest
 
-from cloverhold import Repeat
+from cloverhold import ClassSettings, Repeat
 from cloverhold.store.sent import Told
 from cloverhold.store.table import StoreTable
-from loopback import CLASSES, Running, Server, play, read_answer, request, running, until
+from loopback import CLASSES, Peer, Running, Server, part, play, read_answer, request, running, until
 
 
-def held_records(node: Running, monkeypatch: pytest.MonkeyPatch) -> list[Told]:
-    """Records become durable, and the node hears of it only when the test says so."""
-    store, told = node.node.store, list[Told]()
-    assert store is not None
-    record = store.record
+@dataclass
+class Waiting:
+    """A node with a store, and a client whose unsafe request waits for its record."""
 
-    def hold(call_id: bytes, key: bytes, tell: Told) -> int | None:
-        told.append(tell)
-        return record(call_id, key, lambda how: None)
+    node: Running
+    server: Server
+    told: list[Told]  # records are durable, and the node hears of each only by these
+    peer: Peer
 
-    monkeypatch.setattr(store, "record", hold)
-    return told
+
+@asynccontextmanager
+async def waiting(folder: Path, monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[Waiting]:
+    server, told = Server(), list[Told]()
+    async with running(server, store=StoreTable(str(folder / "store")), probes=False) as node:
+        store = node.node.store
+        assert store is not None
+        record = store.record
+
+        def hold(call_id: bytes, key: bytes, tell: Told) -> int | None:
+            told.append(tell)
+            return record(call_id, key, lambda how: None)
+
+        monkeypatch.setattr(store, "record", hold)
+        peer = await node.connect()
+        peer[1].write(request("alerta"))
+        await until(lambda: told)
+        yield Waiting(node, server, told, peer)
+        peer[1].close()
 
 
 @pytest.mark.parametrize("way", ["closed", "half-closed", "reset"])
@@ -32,68 +50,44 @@
     way: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def test() -> None:
-        server = Server()
-        async with running(server, store=StoreTable(str(tmp_path / "store")), probes=False) as node:
-            told, host = held_records(node, monkeypatch), node.node.host
-            _reader, writer = await node.connect()
-            writer.write(request("alerta"))
-            await until(lambda: told)
-            if way == "reset":
-                writer.transport.abort()
-            elif way == "half-closed":
-                writer.write_eof()
-            else:
-                writer.close()
+        async with waiting(tmp_path, monkeypatch) as w:
+            host = w.node.node.host
+            part(w.peer[1], way)
             await until(lambda: not host.open)
-            told[0]("durable")
+            w.told[0]("durable")
             assert not host.open and not host.call_ids and not host.balancer.requests
             # It never left the node: the same id is new again.
-            reader, other = await node.connect()
+            reader, other = await w.node.connect()
             other.write(request("alerta"))
-            await until(lambda: len(told) == 2)
-            told[1]("durable")
-            assert (await read_answer(reader)).status == 200 and len(server.requests) == 1
-            writer.close()
+            await until(lambda: len(w.told) == 2)
+            w.told[1]("durable")
+            assert (await read_answer(reader)).status == 200 and len(w.server.requests) == 1
             other.close()
 
     play(test)
 
 
-@pytest.mark.parametrize(("now", "served"), [(Repeat.SAFE, False), (Repeat.KEYED, False), (Repeat.UNSAFE, True)])
-def test_a_class_that_changes_its_effect_while_a_record_is_written(
-    now: Repeat, served: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """The module goes by the new settings and could send it twice: it is refused, as it never ran."""
-
-    async def test() -> None:
-        server = Server()
-        async with running(server, store=StoreTable(str(tmp_path / "store")), probes=False) as node:
-            told, host = held_records(node, monkeypatch), node.node.host
-            reader, writer = await node.connect()
-            writer.write(request("alerta"))
-            await until(lambda: told)
-            classes = tuple(replace(c, repeat=now, aim_ms=3000.0) if c.name == "alerta" else c for c in CLASSES)
-            host.settle(replace(host.settings, classes=classes))
-            told[0]("durable")
-            assert (await read_answer(reader)).status == (200 if served else 503)
-            assert len(server.requests) == served and not host.open
-            writer.close()
+def changed(now: Repeat | None) -> tuple[ClassSettings, ...]:
+    """The classes with another effect of the one that is asked for, or without it."""
+    if now is None:
+        return tuple(c for c in CLASSES if c.name != "alerta")
+    return tuple(replace(c, repeat=now, aim_ms=3000.0) if c.name == "alerta" else c for c in CLASSES)
 
-    play(test)
 
+@pytest.mark.parametrize(
+    ("now", "served"), [(Repeat.SAFE, False), (Repeat.KEYED, False), (Repeat.UNSAFE, True), (None, False)]
+)
+def test_a_class_that_changes_its_effect_or_goes_while_a_record_is_written(
+    now: Repeat | None, served: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The module goes by the new settings and could send it twice: it is refused, as it never ran."""
 
-def test_a_class_that_goes_while_a_record_is_written(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
-        server = Server()
-        async with running(server, store=StoreTable(str(tmp_path / "store")), probes=False) as node:
-            told, host = held_records(node, monkeypatch), node.node.host
-            reader, writer = await node.connect()
-            writer.write(request("alerta"))
-            await until(lambda: told)
-            host.settle(replace(host.settings, classes=tuple(c for c in CLASSES if c.name != "alerta")))
-            told[0]("durable")
-            assert (await read_answer(reader)).status == 503
-            assert not server.requests and not host.open and not host.call_ids
-            writer.close()
+        async with waiting(tmp_path, monkeypatch) as w:
+            host = w.node.node.host
+            host.settle(replace(host.settings, classes=changed(now)))
+            w.told[0]("durable")
+            assert (await read_answer(w.peer[0])).status == (200 if served else 503)
+            assert len(w.server.requests) == served and not host.open and not host.call_ids
 
     play(test)
