A keyed repeat whose answer began before it had left ends with its window, and is cut off

A server may begin a long answer before the last byte of a keyed repeat; the answer is passed on, and the rest of the body then comes behind the window. `Host._in_time` ended the attempt as moot, the module had no attempt left and owed no answer ("streaming"), and nobody ended the client's: it would have waited for ever.

Change: where the answer has begun the request ends, which cuts its client off, as for any answer that can't be whole. Result: forced on real sockets; without the change the test waits 20 s and fails. Tests of moments passed.

--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -306,15 +306,17 @@
 
     def _in_time(self, ref: int, opened: Open, number: int, leaves_by: float) -> bool:
         """Whether an attempt may still leave: a client's time runs, or its answer is on its way, and the module's word
-        holds. A request that is over is answered here, as by its guard a step later.
+        holds. A request that is over is answered here, as by its guard a step later; an answer that began before its
+        request had left, which now may not, is cut off.
         """
-        if not opened.begun and self._left(opened) <= 0:
+        late = self.clock.now() > leaves_by
+        if late if opened.begun else self._left(opened) <= 0:
             self._expired(ref)
-            return False
-        if self.clock.now() > leaves_by:
+        elif late:
             self._stop(ref, opened, number, io.Status.MOOT)
-            return False
-        return True
+        else:
+            return True
+        return False
 
     def _expired(self, ref: int) -> None:
         """The client's time is up. The module ends requests sooner: this guards against one that does not."""
--- a/tests/moments/test_connections.py
+++ b/tests/moments/test_connections.py
@@ -16,7 +16,9 @@
 from cloverhold.net.upstreams import http1
 from cloverhold.net.upstreams.calls import Outgoing, Upstream
 from cloverhold.net.upstreams.http1 import Call, Pool
-from loopback import CLASSES, OK, Running, Server, held, part, play, read_answer, request, running, target, until
+from loopback import (
+    CLASSES, OK, WAIT_S, Running, Scripted, Server, held, part, play, read_answer, request, running, target, until,
+)  # fmt: skip
 from test_upstream import GET, make_pool
 
 STALE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
@@ -288,3 +290,38 @@
             writer.close()
 
     play(test)
+
+
+def test_a_keyed_repeat_that_is_answered_while_it_comes_ends_with_its_window() -> None:
+    """Its answer is on the way in pieces when the rest of its body comes, too late to leave: the client sees an end."""
+    classes = tuple(replace(c, key_ttl_ms=300.0) if c.name == "lote" else c for c in CLASSES)
+    piece = b"%x\r\n%s\r\n" % (150_000, 150_000 * b"x")
+
+    async def early(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(server.heads) == 1:
+            writer.write(b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + 500_000 * b"y")
+        while data := await reader.read(65536):
+            got.extend(data)
+
+    async def test() -> None:
+        async with running(server, probes=False, classes=classes) as node:
+            reader, writer = await node.connect()
+            head = request("lote", extra="Transfer-Encoding: chunked\r\n").replace(b"Content-Length: 0\r\n", b"")
+            writer.write(head + piece)
+            await until(lambda: any(o.begun for o in node.node.host.open.values()))
+            await asyncio.sleep(0.4)  # its window is over
+            writer.write(b"3\r\nend\r\n0\r\n\r\n")
+            try:
+                async with asyncio.timeout(WAIT_S):
+                    while await reader.read(65536):
+                        pass
+            except ConnectionResetError:
+                pass
+            await until(lambda: server.ended == 2)
+            assert len(server.heads) == 2 and not got.endswith(b"0\r\n\r\n") and not node.node.host.open
+            writer.close()
+
+    server, got = Scripted(early), bytearray()
+    play(test)
