Tests take ports below those that the system gives to connections

Its second life listens at a port that the first has left, drawn from the range that connections are given (32768 up), where any other test's connection may have come to lie meanwhile. That is read and not seen: the test threw away what the node had said. It prints it now.

Change: `free_ports` draws below that range. The check is the same. 15 tests of the store and of inherited sockets passed.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import json
+import random
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import ExitStack, asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager, suppress
 from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -34,6 +36,7 @@
 ASKED = replace(PUSHED, list_mode=ListMode.ASK)
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 Peer = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+PORTS = Path("/proc/sys/net/ipv4/ip_local_port_range")
 
 
 async def until(true: Callable[[], object]) -> None:
@@ -44,12 +47,17 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """So many ports on which nobody listens now."""
+    """So many ports on which nobody listens now, below those that the system gives to connections: one of those could
+    be taken by any test's connection before it is listened on, or between two lives of a node.
+    """
+    given_from, draw, found = int(PORTS.read_text().split()[0]), random.SystemRandom(), list[int]()
     with ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [probe.getsockname()[1] for probe in probes]
+        while len(found) < count:
+            probe = stack.enter_context(socket.socket())
+            with suppress(OSError):
+                probe.bind(("127.0.0.1", draw.randrange(10_000, given_from)))
+                found.append(probe.getsockname()[1])
+    return found
 
 
 def is_free(port: int) -> bool:
--- a/tests/store/test_store_node.py
+++ b/tests/store/test_store_node.py
@@ -52,8 +52,10 @@
     )
     try:
         assert process.stderr is not None
+        said = list[bytes]()
         while b"listening" not in (line := await process.stderr.readline()):
-            assert line, "the node has ended"
+            assert line, f"the node has ended: {said}"
+            said.append(line)
         yield process
     finally:
         if process.returncode is None:
