--- a/cloverhold/decision/state.py
+++ b/cloverhold/decision/state.py
@@ -38,8 +38,8 @@
         return self.kind.group if now <= self.leaves_by(settings) else None
 
     def leaves_by(self, settings: Settings) -> float:
-        """Until when the last byte of a further attempt may leave. A keyed one: only while the group still remembers
-        the first that may have run, less a margin for the way there.
+        """Until when the last byte of a further attempt may leave. A keyed one: only while the group still
+        remembers the first that may have run, less a margin for the way there.
         """
         ran = [a.sent_at for a in self.attempts if a.may_have_run and self.kind.repeat is Repeat.KEYED]
         return ran[0] + 0.9 * self.kind.key_ttl_ms - 2 * settings.tick_ms if ran else math.inf
