The module's timers count from their event, and have their word before a request's guard

At fault: `Host._act` counted a delay that the module gave from the event's time from whenever it came to arm it.

Change: an event carries the time at which it happened; a timer is due that time plus its delay; the guard (`_overdue`) lets timers that are due have their word first, so no pause between two lines decides who speaks. A keyed repeat's window (`within_ms`) counts from the event as well: it was longer by what deciding took.

Stand-ins that took the place of `tell` and of the queue of events take the time too; what they assert is unchanged.

--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -110,15 +110,19 @@
         self.open: dict[int, Open] = {}
         self.call_ids: set[bytes] = set()  # of the open requests
         self.requests = 0
-        self.events: deque[io.Event] = deque()
+        self.events: deque[tuple[float, io.Event]] = deque()  # with the time at which each happened
+        self.at = 0.0  # the time of the event in hand
+        self.rings: dict[int, float] = {}  # when the module's timers are due, by their tokens
         self.handling = False
         self.ended = False  # whether nothing more is taken
 
     # ------------------------------------------------------------- the module
 
-    def tell(self, event: io.Event) -> None:
-        """Hand an event to the module, behind those that wait, and carry out what it decides."""
-        self.events.append(event)
+    def tell(self, event: io.Event, at: float | None = None) -> None:
+        """Hand an event to the module, behind those that wait, and carry out what it decides. at: when it happened
+        (ms, no earlier than the event before it), where its own times count from an instant that was read already.
+        """
+        self.events.append((self.clock.now() if at is None else at, event))
         if not self.handling:
             self._run()
 
@@ -127,15 +131,16 @@
         self.handling = True
         try:
             while self.events:
-                self._handle(self.events.popleft())
+                self._handle(*self.events.popleft())
         finally:
             self.handling = False
             if self.events:
                 self.loop.call_soon(self._run)
 
-    def _handle(self, event: io.Event) -> None:
+    def _handle(self, at: float, event: io.Event) -> None:
+        self.at = at
         try:
-            actions = self.balancer.handle(self.clock.now(), event)
+            actions = self.balancer.handle(at, event)
         except Exception:  # a fault of the module must not cost the other requests their answers
             log.exception("the module failed on %s", type(event).__name__)
             if isinstance(event, (io.Request, io.Outcome)) and self._final(event.id, 500):
@@ -161,7 +166,9 @@
             case io.Probe(server=server):
                 self._probe(server)
             case io.SetTimer(delay_ms=delay, token=token):
-                self.loop.call_later(delay / 1000, self.tell, io.Timer(token))
+                # Counted from its event, not from now: what deciding took would put it off, behind the guards.
+                self.rings[token] = due = self.at + delay
+                self.loop.call_later(max(0.0, due - self.clock.now()) / 1000, self._ring, token)
             case io.Cancel(id=ref, attempt=number):
                 if (opened := self.open.get(ref)) is not None:
                     self._stop(ref, opened, number, io.Status.CANCELLED)
@@ -179,6 +186,11 @@
             case _:
                 log.warning("%s is not for this node", type(action).__name__)
 
+    def _ring(self, token: int) -> None:
+        """A timer of the module is due; once."""
+        if self.rings.pop(token, None) is not None:
+            self.tell(io.Timer(token))
+
     def settle(self, settings: io.Settings) -> None:
         """Other settings from now on. Whoever holds the classes sees the new ones."""
         self.settings = settings
@@ -225,7 +237,7 @@
         self.requests += 1
         ref = self.requests
         exchange.ref = ref
-        guard = self.loop.call_later((left + GUARD_MS) / 1000, self._expired, ref) if request.whole else None
+        guard = self.loop.call_later((left + GUARD_MS) / 1000, self._overdue, ref) if request.whole else None
         opened = self.open[ref] = Open(exchange, now + left if request.whole else math.inf, guard, cell=cell)
         if self.store is not None and asked.kind.repeat is io.Repeat.UNSAFE:
             key = request.fields.get(b"idempotency-key", b"")
@@ -242,10 +254,10 @@
             return
         left = exchange.asked.budget_ms - WAY_MS
         opened.expires_at = now + left
-        opened.guard = self.loop.call_later((max(0.0, left) + GUARD_MS) / 1000, self._expired, exchange.ref)
+        opened.guard = self.loop.call_later((max(0.0, left) + GUARD_MS) / 1000, self._overdue, exchange.ref)
         for attempt in opened.out.values():
             attempt.sent_at = now
-        self.tell(io.Whole(exchange.ref, max(0.0, left)))
+        self.tell(io.Whole(exchange.ref, max(0.0, left)), now)
 
     def _come_back(self, wait_ms: float) -> tuple[Field, ...]:
         """When to come back, where the settings let a node say so."""
@@ -268,8 +280,8 @@
 
     def _begin(self, ref: int, opened: Open) -> None:
         """Hand a request to the module."""
-        asked, cell, arriving = opened.exchange.asked, opened.cell, opened.guard is None
-        left = asked.budget_ms if arriving else max(0.0, opened.expires_at - self.clock.now())
+        asked, cell, arriving, now = opened.exchange.asked, opened.cell, opened.guard is None, self.clock.now()
+        left = asked.budget_ms if arriving else max(0.0, opened.expires_at - now)
         self.tell(
             io.Request(
                 id=ref,
@@ -282,7 +294,8 @@
                 is_write=asked.kind.repeat is not io.Repeat.SAFE,
                 pool=cell.pool if cell is not None else None,
                 arriving=arriving,
-            )
+            ),
+            now,
         )
 
     def client_gone(self, exchange: Exchange) -> None:
@@ -318,6 +331,15 @@
             return True
         return False
 
+    def _overdue(self, ref: int) -> None:
+        """The guard of a request: its client's time is over. A loop that was held up may come here before it comes to
+        the module's timers that were due sooner: these have their word first.
+        """
+        now = self.clock.now()
+        for token in [token for token, due in self.rings.items() if due <= now]:
+            self._ring(token)
+        self._expired(ref)
+
     def _expired(self, ref: int) -> None:
         """The client's time is up. The module ends requests sooner: this guards against one that does not."""
         if self._final(ref, 504, ending=io.Status.TIMEOUT):
@@ -390,9 +412,10 @@
             return
         outgoing = request_to_send(exchange, lambda: self._left(opened, until))
         passing = Passing(self, ref, number) if exchange.passing is not None else None
+        leaves_by = self.at + action.within_ms
         call = self.pool.call(
             upstream, outgoing, lambda call, status: self._ended(ref, number, call, status), passing,
-            lambda: self._wanted(exchange) and self._in_time(ref, opened, number, now + action.within_ms),
+            lambda: self._wanted(exchange) and self._in_time(ref, opened, number, leaves_by),
         )  # fmt: skip
         attempt = opened.out[number] = Attempt(number, server, call, now)
         if self.router is not None and opened.cell is not None:
--- a/tests/moments/test_connections.py
+++ b/tests/moments/test_connections.py
@@ -270,9 +270,9 @@
             host, ended = node.node.host, list[Status]()
             tell = host.tell
 
-            def heard(event: Event) -> None:
+            def heard(event: Event, at: float | None = None) -> None:
                 ended.extend([event.status] if isinstance(event, Outcome) else [])
-                tell(event)
+                tell(event, at)
 
             monkeypatch.setattr(host, "tell", heard)
             reader, writer = await node.connect()
--- a/tests/moments/test_uploads.py
+++ b/tests/moments/test_uploads.py
@@ -67,7 +67,7 @@
             def act(action: object) -> None:
                 done.append(action)
                 if action == "first":
-                    host.events.append("event")  # type: ignore[arg-type]
+                    host.events.append((0.0, "event"))  # type: ignore[arg-type]
                     raise RuntimeError("a fault")
 
             class Plain:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import json
+import time
 from asyncio import StreamWriter as Writer
 from typing import Any
 
 import pytest
 
 from cloverhold import Event, Outcome, Request, Timer
+from cloverhold.net.host import Host
 from loopback import (
     OK,
     WAIT_S,
@@ -136,6 +138,46 @@
     play(test)
 
 
+class Late:
+    """A loop that was held up between the reading of the clock and the arming of each of the module's timers."""
+
+    def __init__(self, host: Host) -> None:
+        self.host, self.loop = host, host.loop
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    def call_later(self, delay: float, call: Any, *args: Any) -> asyncio.TimerHandle:
+        return self.loop.call_later(delay + (0.03 if call == self.host._ring else 0.0), call, *args)
+
+
+@pytest.mark.parametrize("held_up", ["deciding", "arming"])
+def test_the_module_has_its_word_before_the_guard_however_long_it_took(
+    held_up: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What may be repeated is refused, not failed: 504 says that it may have run and gives no time to return."""
+
+    async def test() -> None:
+        async with running(Server(lambda target, body: None)) as node:
+            host = node.node.host
+            if held_up == "arming":
+                host.loop = Late(host)  # type: ignore[assignment]
+            handle = host.balancer.handle
+
+            def slow(now: float, event: Event) -> list[Any]:
+                actions = handle(now, event)
+                if held_up == "deciding" and isinstance(event, Request):
+                    time.sleep(0.03)
+                return actions
+
+            monkeypatch.setattr(host.balancer, "handle", slow)
+            response = await node.ask(request(budget="300m"))
+            assert (response.status, response.header(b"retry-after")) == (503, b"1.000")
+            assert not host.open and not host.rings
+
+    play(test)
+
+
 @pytest.mark.parametrize("kind", [Request, Outcome])
 def test_a_fault_of_the_module_costs_one_answer_and_no_other(
     kind: type[Event], monkeypatch: pytest.MonkeyPatch
