The kit dates a request by when its bytes came, not by when its late loop read them

A new connection takes four turns (accepted, taken up, made, read), and each may be late; the margin holds one. Ruled out: a retry under the same id (ids carry the try's number), a foreign port (its connection was this node's).

Change: `Peer.on_message_begin` asks the kernel how long the newest bytes have been there (tcp_info's last_data_recv, less a tick of 10 ms), before it reads its clock. Margins and rules stay as they are: the date is better, not the check looser.

--- a/cloverhold/rehearsal/peer.py
+++ b/cloverhold/rehearsal/peer.py
@@ -12,6 +12,7 @@
 
 from cloverhold.rehearsal.ledger import Arrival, Dial
 from cloverhold.rehearsal.machine import Job
+from cloverhold.rehearsal.sockets import unread_s
 from cloverhold.rehearsal.spoil import spoilt
 from cloverhold.rehearsal.wire import Known, answer, digest
 
@@ -40,7 +41,7 @@
     _numbers = 0
 
     def __init__(self, server: Server, node: int, accepted: socket.socket) -> None:
-        self.server, self.node, self.world = server, node, server.world
+        self.server, self.node, self.world, self.accepted = server, node, server.world, accepted
         Peer._numbers += 1
         self.number = Peer._numbers
         self.transport: asyncio.Transport | None = None
@@ -136,7 +137,7 @@
 
     def on_message_begin(self) -> None:
         """The first byte of a request has come."""
-        server = self.server
+        server, since_s = self.server, unread_s(self.accepted)  # asked first: what comes between makes it later
         arrival = Arrival(
             server.plan.uid,
             server.life,
@@ -146,7 +147,7 @@
             "",
             "",
             None,
-            self.world.now(),
+            self.world.now() - since_s,
         )
         self.incoming = Request(arrival)
 
--- a/cloverhold/rehearsal/sockets.py
+++ b/cloverhold/rehearsal/sockets.py
@@ -7,10 +7,15 @@
 from __future__ import annotations
 
 import socket
+import struct
 from collections.abc import Iterator
 
 LOOPBACK = "127.0.0.1"
 BACKLOG = 512
+# Of Linux's `struct tcp_info` (linux/tcp.h): tcpi_last_data_recv, ms since the newest bytes came. The kernel counts in
+# ticks of 10 ms at the most.
+_LAST_DATA = struct.Struct("=52xI")
+TICK_S = 0.01
 
 
 def hold() -> socket.socket:
@@ -46,6 +51,14 @@
         yield connection
 
 
+def unread_s(connection: socket.socket) -> float:
+    """For how long at least, in seconds, the newest bytes of a TCP connection have been in the kernel: a loop that is
+    busy reads them late, and a new connection's bytes several turns late.
+    """
+    info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_DATA.size)
+    return float(max(0.0, _LAST_DATA.unpack(info)[0] / 1000 - TICK_S))
+
+
 class Plug:
     """Makes a listening socket that nobody accepts on swallow new connections: they never come up.
 
