Checks: the compiled build is made beside the environment, from a copy of the sources

The wheel waited for the whole environment, though all that it needs is pip.

Change: `bare` (the empty environment) and `made` part; the wheel is built from a copy under build/, as two builds in one tree write the same files.

--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,9 @@
 rehearse: $(VENV)/made
 	$(BIN)/cloverhold rehearse
 
-# What needs one core each goes side by side; the tests, which start processes of their own, have the machine to themselves.
-check: $(VENV)/made
+# What needs one core each goes side by side, the environment and the compiled build first; the tests, which start
+# processes of their own, have the machine to themselves.
+check:
 	$(MAKE) --output-sync=target -j 3 lint types wheel
 	$(MAKE) test compiled-tests
 
@@ -28,11 +29,14 @@
 	$(BIN)/python -m pytest -q -p no:cacheprovider $(ALONE)
 	$(BIN)/python -m pytest -q -p no:cacheprovider -n $(TESTERS) --dist worksteal $(addprefix --ignore=,$(ALONE))
 
-# The module's tests once more, on the compiled build of the same sources.
+# The module's tests once more, on the compiled build of the same sources. Built from a copy: the environment is made
+# meanwhile from the tree itself, and each build writes beside its sources.
 COMPILED := build/compiled
-wheel: $(VENV)/made
-	rm -rf build/wheel $(COMPILED)
-	CLOVERHOLD_COMPILE=1 $(BIN)/pip wheel --quiet --disable-pip-version-check --no-deps --wheel-dir build/wheel .
+wheel: $(VENV)/bare
+	rm -rf build/wheel build/sources $(COMPILED)
+	mkdir -p build/sources
+	cp -r cloverhold pyproject.toml setup.py README.md build/sources
+	CLOVERHOLD_COMPILE=1 $(BIN)/pip wheel --quiet --disable-pip-version-check --no-deps --wheel-dir build/wheel ./build/sources
 	$(BIN)/python -m zipfile -e build/wheel/*.whl $(COMPILED)
 
 compiled: wheel
@@ -43,8 +47,11 @@
 		-o pythonpath=$(COMPILED) tests/test_compiled.py tests/test_index.py tests/test_scale.py tests/test_path.py tests/test_rules.py \
 		tests/test_health.py tests/test_found.py tests/test_random.py tests/test_odd_days.py tests/test_pools.py
 
-$(VENV)/made: pyproject.toml setup.py
+$(VENV)/bare:
 	python3 -m venv $(VENV)
+	touch $@
+
+$(VENV)/made: pyproject.toml setup.py | $(VENV)/bare
 	$(BIN)/pip install --quiet --disable-pip-version-check --editable ".[dev]"
 	touch $@
 
