Scale tests: slopes, settled and hollow fleets, moments of membership, state of one node

Need: figures for 6,600 nodes and 79,000 servers that say how far they can be trusted.

A member's shell counts what it sends; `/_members` shows it. Nothing of it is imported in `run` (tested).

--- /dev/null
+++ b/benchmarks/scale/__init__.py
@@ -0,0 +1,1 @@
+"""Scale tests: what docs/CAPACITY.md rests on."""
--- a/cloverhold/fleet/command.py
+++ b/cloverhold/fleet/command.py
@@ -1,4 +1,5 @@
-"""`cloverhold fleet`: what a node knows of its fellows, asked over its management address. docs/membership.md.
+"""`cloverhold fleet`: what a node knows of its fellows, asked over its management address (docs/membership.md), and
+what a fleet of some size asks (docs/CAPACITY.md).
 
 Exit status 0: answered; 1: the node does not answer, or has no membership; 2: bad input.
 """
@@ -54,6 +55,28 @@
     """Nodes among nodes, as one of them sees it: a hint for routing, never a permission."""
 
 
+@main.command()
+@click.option("--nodes", type=click.IntRange(2), default=6_600, show_default=True)
+@click.option("--servers", type=click.IntRange(1), default=79_000, show_default=True)
+@click.option("--services", type=click.IntRange(1), default=3_100, show_default=True)
+@click.option("--requests", type=click.FloatRange(0, min_open=True), default=650_000.0, show_default=True,
+              help="A second, of all nodes.")  # fmt: skip
+@click.option("--tenants", type=click.IntRange(1), default=190_000, show_default=True)
+@click.option("--slopes", is_flag=True, help="The measured slopes instead: what the table is reckoned from.")
+def capacity(nodes: int, servers: int, services: int, requests: float, tenants: int, slopes: bool) -> None:
+    """What a fleet of this size asks of each role, beside its budget (docs/CAPACITY.md). Past the sizes that were
+    measured it is a line drawn on, and no more.
+
+    Example: cloverhold fleet capacity --nodes 200 --servers 2400 --services 90 --tenants 5000 --requests 20000
+    """
+    from cloverhold.fleet.capacity.page import measured, reckoned, sloped
+    from cloverhold.fleet.capacity.reckoning import Size
+
+    size = Size(nodes, servers, services, requests, tenants=tenants)
+    found = measured()
+    click.echo("\n".join(sloped(found.values()) if slopes else reckoned(size, found)))
+
+
 @main.command()
 @click.option("--at", type=_At(), required=True, help="A node's management address, host:port.")
 @click.option("--json", "as_json", is_flag=True, help="For programs.")
--- a/cloverhold/fleet/membership/shell.py
+++ b/cloverhold/fleet/membership/shell.py
@@ -37,6 +37,7 @@
         self.fleet = fleet_of(table.fleet)
         self.member = Member(number, len(peers), life, table.rules(), Random(life), now_ms(), program=program)
         self.dropped: Counter[str] = Counter()
+        self.sent = self.sent_bytes = 0  # datagrams, and their bytes
         self.shown: tuple[int, ...] | None = None
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -132,7 +133,9 @@
             if isinstance(action, Changed):
                 log.info("members: %d is %s (%d): %s", action.number, action.state, action.incarnation, action.why)
             elif self.transport is not None and action.to < len(self.peers):
-                self.transport.sendto(encode(action.datagram, self.fleet), self.peers[action.to])
+                data = encode(action.datagram, self.fleet)
+                self.sent, self.sent_bytes = self.sent + 1, self.sent_bytes + len(data)
+                self.transport.sendto(data, self.peers[action.to])
 
     def overlaid(self, settings: Settings) -> Settings:
         """Settings with the living members in place of the number that they state, where there is a view to go by."""
@@ -163,6 +166,7 @@
             "acts_on_view": self.member.view(now) is not None,
             "in_doubt": self.member.doubts,
             "dropped": {**self.dropped, "old": self.member.dropped},
+            "sent": {"datagrams": self.sent, "bytes": self.sent_bytes},
             "members": [
                 {
                     "number": s.number, "state": s.state, "incarnation": s.incarnation,
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -27,6 +27,7 @@
         "words",
     )),
     *(f"cloverhold/fleet/agreement/{name}.py" for name in ("interface", "log", "voter")),
+    *(f"cloverhold/fleet/capacity/{name}.py" for name in ("reckoning", "slopes")),
     "cloverhold/fleet/wire/datagrams.py",
     "cloverhold/roster.py",
     "cloverhold/settings.py",
@@ -37,8 +38,8 @@
         "wire", "members",
     )),
     *(f"cloverhold/simulation/{name}.py" for name in (
-        "days", "figures", "fleet", "members", "network", "nodes", "registry", "servers", "shares", "timeline",
-        "voters",
+        "days", "figures", "fleet", "hollow/settled", "members", "network", "nodes", "registry", "servers", "shares",
+        "timeline", "voters",
     )),
 )  # fmt: skip
 NODE = (
