--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv-dev
 BIN := $(VENV)/bin
 
-.PHONY: rehearse check lint types test wheel compiled compiled-tests clean
+.PHONY: rehearse check lint types test wheel compiled compiled-tests scale clean
 
 rehearse: $(VENV)/made
 	$(BIN)/cloverhold rehearse
@@ -55,5 +55,9 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check --editable ".[dev]"
 	touch $@
 
+# What docs/CAPACITY.md rests on: some half an hour and 9 GB. Ctrl-c ends all that it started.
+scale: $(VENV)/made
+	$(BIN)/python benchmarks/scale/run.py
+
 clean:
 	rm -rf $(VENV) build
--- a/benchmarks/scale/run.py
+++ b/benchmarks/scale/run.py
@@ -1,15 +1,18 @@
 """Play the scale tests and keep their slopes: python benchmarks/scale/run.py [--only NAME ...] [--jobs N] [--small]
 [--into FOLDER]. `make scale` is all of it; docs/measurements/capacity.md says how long that takes.
 
-Each play is a process of its own that ends with this one, also at ctrl-c. What was measured goes to
+Each play is a process of its own that ends with this one, also at ctrl-c or when it is killed. What was measured goes to
 cloverhold/fleet/capacity/slopes.json, by name, with the commit; the charts to docs/measurements/capacity/.
 """
 
 from __future__ import annotations
 
 import argparse
+import multiprocessing
+import os
 import subprocess
 import sys
+import threading
 from collections.abc import Callable, Iterable
 from concurrent.futures import Future, ProcessPoolExecutor, as_completed
 from dataclasses import dataclass
@@ -88,6 +91,18 @@
     return subprocess.run(words, cwd=ROOT, capture_output=True, text=True, check=True).stdout.strip()
 
 
+def _end_with_parent() -> None:
+    """In a play: end when whoever started it has ended, however it did. (A pool's process would go on to its end.)"""
+    parent = multiprocessing.parent_process()
+    assert parent is not None
+
+    def watch() -> None:
+        parent.join()
+        os._exit(1)
+
+    threading.Thread(target=watch, daemon=True).start()
+
+
 def slopes_of(play: Play, found: dict[int, list[dict[str, float]]], at: str) -> Iterable[Slope]:
     """What all plays of one kind come to."""
     sizes = sorted(found)
@@ -111,7 +126,7 @@
     ]
     todo.sort(key=lambda job: -job[1] / max(job[0].sizes))
     bar = Progress(TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeElapsedColumn())
-    with bar, ProcessPoolExecutor(jobs, max_tasks_per_child=1) as pool:
+    with bar, ProcessPoolExecutor(jobs, initializer=_end_with_parent, max_tasks_per_child=1) as pool:
         line = bar.add_task("playing", total=len(todo))
         running: dict[Future[dict[str, float]], tuple[Play, int]] = {}
         try:
--- a/cloverhold/fleet/capacity/reckoning.py
+++ b/cloverhold/fleet/capacity/reckoning.py
@@ -82,10 +82,10 @@
 LINES: Sequence[_Line] = (
     _Line(PATH, "quiet", "rows of all servers", "MB", "decision/table.py", "table_bytes",
           lambda at, s: at(s.servers) / 1e6, lambda s: s.memory_mb),
-    _Line(PATH, "cold", "one turn of the loop that enters them", "ms", "decision/decide.py", "table_ms",
-          lambda at, s: at(s.servers), lambda s: s.added_ms),
+    _Line(PATH, "cold", "one turn of the loop that enters them", "s", "decision/decide.py", "table_ms",
+          lambda at, s: at(s.servers) / 1000, lambda s: s.in_force_s),
     _Line(PATH, "quiet", "tenants that have asked once", "MB", "cells/tenancy.py", "tenants_bytes",
-          lambda at, s: at(s.tenants), lambda s: s.memory_mb),
+          lambda at, s: at(s.tenants) / 1e6, lambda s: s.memory_mb),
     _Line(PATH, "quiet", "routes and services", "", "none yet", built=False),
     _Line(PATH, "peak", "added to a request, 99 in 100, control beside it", "ms", "net/host.py"),
     _Line(CONTROL, "cold", "the whole list in one answer", "MB", "net/discovery.py", "list_bytes",
--- a/tests/scale/test_hollow.py
+++ b/tests/scale/test_hollow.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import subprocess
 import sys
 import time
@@ -132,13 +133,14 @@
     assert fleet.process.wait(20) == 0
 
 
-def test_an_interrupted_run_leaves_no_process_behind(tmp_path: Path) -> None:
+@pytest.mark.parametrize(("by", "status"), [(signal.SIGINT, 130), (signal.SIGTERM, -15), (signal.SIGKILL, -9)])
+def test_a_run_that_is_ended_leaves_no_process_behind(by: signal.Signals, status: int) -> None:
     words = [sys.executable, "benchmarks/scale/run.py", "--only", "rest", "--jobs", "2"]
     run = subprocess.Popen(words, cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
     until(lambda: len(_children(run.pid)) >= 2, "two plays")
     children = _children(run.pid)
-    run.send_signal(2)
-    assert run.wait(20) == 130
+    run.send_signal(by)
+    assert run.wait(20) == status
     end = time.monotonic() + 10
     while time.monotonic() < end and any(Path(f"/proc/{child}/stat").exists() for child in children):
         time.sleep(0.05)
