Reckoning: a figure far past what was played is not drawn on; terms of two slopes

Cause: halves that meet were played up to 192 nodes, and the table showed a figure for 6,600, 34 times as many. What a restarted node sends, and what a restart costs the others, are not linear: told 189,528 and 588 bytes, came 130,374 and 869.

Change: past 4.5 times the largest size that was played a line shows that size's figure, over where it was over there already, else not known. Those two are taken for log and flat from now on, chosen after they were seen.

--- a/benchmarks/scale/run.py
+++ b/benchmarks/scale/run.py
@@ -1,8 +1,8 @@
-"""Play the scale tests and keep their slopes: python benchmarks/scale/run.py [--only NAME ...] [--jobs N] [--small]
-[--into FOLDER]. `make scale` is all of it; docs/measurements/capacity.md says how long that takes.
+"""Play the scale tests and keep their slopes: python benchmarks/scale/run.py [--only NAME ...] [--jobs N] [--small].
+`make scale` is all of it; docs/measurements/capacity.md says how long that takes.
 
-Each play is a process of its own that ends with this one, also at ctrl-c or when it is killed. What was measured goes to
-cloverhold/fleet/capacity/slopes.json, by name, with the commit; the charts to docs/measurements/capacity/.
+Each play is a process of its own that ends with this one, also at ctrl-c or when it is killed. What was measured goes
+to cloverhold/fleet/capacity/slopes.json, by name, with the commit; the charts to docs/measurements/capacity/.
 """
 
 from __future__ import annotations
@@ -73,8 +73,8 @@
         ("zone_mean_bytes", "a twelfth dies, bytes of the mean node in the dearest second", "B", "linear"))),
     Play("restart", members.restart, "nodes", FLEETS, 2, (
         ("restart_all_ms", "one restart, until all hold its life", "ms", "log"),
-        ("restart_own_bytes", "one restart, bytes that it sends in 8 s", "B", "linear"),
-        ("restart_extra_bytes", "one restart, bytes beyond rest in 8 s, a node", "B", "linear"))),
+        ("restart_own_bytes", "one restart, bytes that it sends in 8 s", "B", "log"),
+        ("restart_extra_bytes", "one restart, bytes beyond rest in 8 s, a node", "B", "flat"))),
     Play("cold", members.cold, "nodes", (50, 100, 200, 400, 800), 2, (
         ("cold_all_ms", "all from cold, until one view", "ms", "linear"),
         ("cold_worst_bytes", "all from cold, bytes of the dearest node in a second", "B", "linear"),
--- a/cloverhold/fleet/capacity/page.py
+++ b/cloverhold/fleet/capacity/page.py
@@ -39,8 +39,12 @@
 def _line(row: Row) -> tuple[str, ...]:
     factor, unit = row.factor(), f" {row.unit}" if row.unit else ""
     verdict = f"over, {factor:.3g} times" if row.verdict == "over" and factor is not None else row.verdict
+    value = shown(row.value) + (unit if row.value is not None else "")
+    if row.played is not None:
+        value += f" at {row.played:,.0f}"
+        verdict += " already" if row.verdict == "over" else " past it"
     return (
-        row.role, row.moment, row.figure, shown(row.value) + (unit if row.value is not None else ""),
+        row.role, row.moment, row.figure, value,
         shown(row.budget) + (unit if row.budget is not None else ""), row.carried_by, row.slope or "-", verdict,
     )  # fmt: skip
 
--- a/cloverhold/fleet/capacity/reckoning.py
+++ b/cloverhold/fleet/capacity/reckoning.py
@@ -13,6 +13,7 @@
 from cloverhold.fleet.capacity.slopes import Slope
 
 DAY_S = 86_400.0
+REACH = 4.5  # times the largest size that was played, up to which a line is drawn on
 Verdict = Literal["holds", "over", "not built", "not known"]
 
 
@@ -45,7 +46,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """One line. value and budget: in `unit`, None where there is none; slope: where the value comes from."""
+    """One line. value and budget: in `unit`, None where there is none; slope: where the value comes from. played: the
+    largest size that was played, where the one asked for lies too far past it: the value is then that size's.
+    """
 
     role: str
     moment: str
@@ -56,6 +59,7 @@
     carried_by: str
     slope: str
     verdict: Verdict
+    played: float | None = None
 
     def factor(self) -> float | None:
         """How often the budget goes into it."""
@@ -130,18 +134,24 @@
 
 
 def rows(size: Size, slopes: Mapping[str, Slope]) -> Iterator[Row]:
-    """The table. A line whose slope is not there is not known."""
+    """The table. A line whose slope is not there is not known; nor is one far past what was played, but where it was
+    over at the largest size already.
+    """
     for line in LINES:
         slope = slopes.get(line.slope)
-        value = None
+        value = played = None
         if line.value is not None and (slope is not None or not line.slope):
-            curve = slope.whole() if slope is not None else None
-            value = line.value(curve.at if curve is not None else lambda n: n, size)
+            at: Callable[[float], float] = slope.whole().at if slope is not None else lambda n: n
+            if slope is not None and getattr(size, slope.of) > REACH * slope.sizes[-1]:
+                played, at = slope.sizes[-1], lambda n, last=slope.values[-1]: last  # type: ignore[misc]
+            value = line.value(at, size)
         budget = line.budget(size) if line.budget is not None else None
         verdict: Verdict = "not built" if not line.built else "not known"
         if line.built and value is not None and budget is not None:
-            verdict = "holds" if value <= budget else "over"
-        yield Row(line.role, line.moment, line.figure, value, budget, line.unit, line.carried_by, line.slope, verdict)
+            verdict = "over" if value > budget else "holds" if played is None else "not known"
+        yield Row(
+            line.role, line.moment, line.figure, value, budget, line.unit, line.carried_by, line.slope, verdict, played,
+        )  # fmt: skip
 
 
 def alone(size: Size) -> Iterator[tuple[str, float, str]]:
