The kit begins its script when the members have found one another

Cause: test_a_node_with_a_planted_fault_fails[RefutationLost-members-halves] failed in a clean checkout's checks. One of fourteen plays, seven side by side, showed why: at 0.04 s nodes 4 and 5 held (4, 5) alone and the others (0, 1, 2, 3). The cut came at 0.5 s between fleets that had never met, so nobody was called dead and no refutation could be lost. Ruled out: a stop noticed by a late loop (incarnations stayed 1).

Change: where a scenario asks for views, the stage waits until each node says that it holds all, for ten seconds at most.

--- a/cloverhold/rehearsal/stage.py
+++ b/cloverhold/rehearsal/stage.py
@@ -17,7 +17,7 @@
 from cloverhold.rehearsal.front import Front
 from cloverhold.rehearsal.hostile import Strangers, patience_s
 from cloverhold.rehearsal.lag import LagMeter
-from cloverhold.rehearsal.ledger import FaultSpan, Ledger, Probes
+from cloverhold.rehearsal.ledger import FaultSpan, Ledger, Probes, Seen
 from cloverhold.rehearsal.nodes import COMMAND, READY_S, Node, NodeFailed
 from cloverhold.rehearsal.plan import ServerPlan, Step, make_plan
 from cloverhold.rehearsal.relays import Relays
@@ -28,6 +28,7 @@
 from cloverhold.rehearsal.world import World
 
 LEAD_S = 0.2  # between the last node's readiness and the load
+FOUND_S = 10.0  # members that have not found one another by then do not: the judge will say so
 POISONED = -2  # the cause of what a poisoned request did to a server, beside the numbers of faults
 TAIL_S = 1.0  # after the last deadline, for what is late
 
@@ -130,6 +131,16 @@
             if self.world.now() > until:
                 raise NodeFailed(f"a node was not ready within {READY_S:g} s")
             await asyncio.sleep(0.02)
+        until = self.world.now() + FOUND_S
+        while self.scenario.goals.members is not None and not self._found() and self.world.now() < until:
+            if self.stopped.is_set():
+                return
+            await asyncio.sleep(0.02)
+
+    def _found(self) -> bool:
+        """Whether each node says that it holds all: the script's cuts are meant for a fleet that has found itself."""
+        told = {row.node: row.alive for row in self.world.ledger.of(Seen)}
+        return all(len(told.get(node.number, ())) == len(self.nodes) for node in self.nodes)
 
     async def play(self) -> None:
         """The load and the script, to the end or until it is stopped."""
--- a/tests/rehearsal/test_members_played.py
+++ b/tests/rehearsal/test_members_played.py
@@ -5,7 +5,8 @@
 import sys
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 import uvloop
@@ -15,7 +16,7 @@
 from cloverhold.rehearsal.ledger import Ledger, NodeLife, Seen
 from cloverhold.rehearsal.members import members
 from cloverhold.rehearsal.scenario import Scenario
-from cloverhold.rehearsal.stage import rehearse
+from cloverhold.rehearsal.stage import Stage, rehearse
 from small import small
 from test_kit import kept
 
@@ -91,6 +92,21 @@
     assert any(said in line for line in found), found
 
 
+def test_the_script_begins_with_members_that_have_found_one_another() -> None:
+    """Two that a loaded machine let find each other alone were never called dead by the others: a planted fault that
+    loses the refutation went unseen.
+    """
+
+    def found(*rows: Seen) -> bool:
+        nodes = [SimpleNamespace(number=n) for n in range(3)]
+        stage = SimpleNamespace(nodes=nodes, world=SimpleNamespace(ledger=Ledger(rows=list(rows))))
+        return Stage._found(cast(Stage, stage))
+
+    assert not found() and not found(*ALL[:2])
+    assert not found(*ALL[:2], seen(2, 0.1, 2)) and not found(*ALL, seen(1, 0.2, 1, 2))
+    assert found(*ALL) and found(seen(0, 0.05, 0), *ALL)
+
+
 def test_the_judge_passes_what_is_right() -> None:
     scenario = asked({"stay": [0, 2], "known_s": 2.0, "blind": [1]}, KILL)
     after = [seen(0, 3.5, 0, 2), seen(2, 3.6, 0, 2)]
