Scale tests read a process's time with the benchmark that had it already

Cause: benchmarks/scale/real.py wrote again what benchmarks/node_cost.py has; felt.py takes it from there.

Change: real.py does too.

--- a/benchmarks/scale/real.py
+++ b/benchmarks/scale/real.py
@@ -19,6 +19,7 @@
 from tempfile import TemporaryDirectory
 from typing import Any
 
+from benchmarks.node_cost import cpu_s
 from cloverhold.simulation.hollow.process import address
 
 ROOT = Path(__file__).parents[2]
@@ -32,13 +33,6 @@
                    "FallMultiple": 2.5},
     "Profiles": [{"Name": "get", "AimMs": 4000.0, "DeadlineMs": 8000.0, "Repeat": "read_like"}],
 }  # fmt: skip
-TICKS = os.sysconf("SC_CLK_TCK")
-
-
-def cpu_s(pid: int) -> float:
-    """Processor time of a process, all its threads (proc(5): utime and stime)."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS
 
 
 class Real:
