--- a/tests/scale/test_hollow.py
+++ b/tests/scale/test_hollow.py
@@ -49,9 +49,9 @@
 def test_membership_at_rest_says_the_same_at_each_size() -> None:
     found = [members.rest(nodes, 1) for nodes in (40, 80, 160)]
     for row in found:
-        assert 50 < row["rest_datagrams"] < 70
+        assert 55 < row["rest_datagrams"] < 70
         assert row["rest_bytes"] < 2300 and row["rest_worst_bytes"] < 3 * row["rest_bytes"]
-    assert found[2]["rest_datagrams"] < 1.12 * found[0]["rest_datagrams"]
+    assert found[2]["rest_datagrams"] < 1.1 * found[0]["rest_datagrams"]
 
 
 def test_counts_are_the_same_each_time() -> None:
