--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,7 +1,7 @@
 """Tests that fail for a real fault that waits to be mended: `KNOWN-RED.txt` at the root names them, and only these.
 
-One line each, `test id | command and seed | what was seen | issue`. They run; that they fail does not fail the checks, and
-each is printed at the end, also one that passes by now: it is to be taken out of the file.
+One line each, `test id | command and seed | what was seen | issue`. They run; that they fail does not fail the checks,
+and each is printed at the end, also one that passes by now: it is to be taken out of the file.
 """
 
 from __future__ import annotations
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -11,6 +11,7 @@
 from known_red import Red, known, read
 
 HERE = Path(__file__).parent
+LISTED = "tests/test_two.py::{test} | pytest -k two, seed 3 | it counts twice | 45\n"
 TESTS = "def test_red():\n    assert False\n\ndef test_other():\n    assert {other}\n"
 
 
@@ -26,16 +27,17 @@
 
 
 def test_what_is_listed_is_passed_over_and_printed(tmp_path: Path) -> None:
-    done = run(tmp_path, "tests/test_two.py::test_red | pytest -k two, seed 3 | it counts twice | 45\n")
-    assert done.returncode == 0 and "KNOWN RED tests/test_two.py::test_red: it counts twice; pytest -k two, seed 3 (45)" in done.stdout
+    done = run(tmp_path, LISTED.format(test="test_red"))
+    assert done.returncode == 0
+    assert "KNOWN RED tests/test_two.py::test_red: it counts twice; pytest -k two, seed 3 (45)" in done.stdout
 
 
 def test_what_is_not_listed_fails(tmp_path: Path) -> None:
-    assert run(tmp_path, "tests/test_two.py::test_red | pytest -k two, seed 3 | it counts twice | 45\n", other=False).returncode == 1
+    assert run(tmp_path, LISTED.format(test="test_red"), other=False).returncode == 1
 
 
 def test_one_that_passes_by_now_is_said_so(tmp_path: Path) -> None:
-    done = run(tmp_path, "tests/test_two.py::test_other | pytest -k two, seed 3 | it counts twice | 45\n")
+    done = run(tmp_path, LISTED.format(test="test_other"))
     assert done.returncode == 1 and "test_other: passes now: take it out (45)" in done.stdout
 
 
@@ -46,7 +48,7 @@
         "tests/test_two.py | pytest -k two, seed 3 | it counts twice | 45",
         "tests/test_two.py::test_red | it counts twice | 45",
         "tests/test_two.py::test_red | pytest -k two, seed 3 | | 45",
-        2 * "tests/test_two.py::test_red | pytest -k two, seed 3 | it counts twice | 45\n",
+        2 * LISTED.format(test="test_red"),
     ],
 )
 def test_a_file_that_is_not_whole_ends_the_run(text: str, tmp_path: Path) -> None:
