--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 lint: $(VENV)/made
 	$(BIN)/python tests/layout.py
 	$(BIN)/ruff check .
+	$(BIN)/ruff format --check --quiet .
 
 types: $(VENV)/made
 	$(BIN)/mypy
--- a/benchmarks/scale/felt.py
+++ b/benchmarks/scale/felt.py
@@ -111,9 +111,7 @@
             (folder / "operator.toml").write_text("[membership]\nfleet = 'hollow'\nrouting = false\n")
             env = {**env, "CLOVERHOLD_CONFIG": str(folder / "operator.toml")}
             words = [sys.executable, "-m", "cloverhold.simulation.hollow.process", str(fellows + 1), "1", str(fellows)]
-            thin = stack.enter_context(
-                started(words, rest, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
-            )
+            thin = stack.enter_context(started(words, rest, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE))
             assert thin.stdin is not None and thin.stdout is not None
             thin.stdout.readline()
         node = stack.enter_context(started(command, own, env=env, cwd=ROOT, stderr=subprocess.DEVNULL))
--- a/cloverhold/benchlink.py
+++ b/cloverhold/benchlink.py
@@ -238,9 +238,7 @@
             return io.ServerList(kind, (), version)
         return io.ServerList(kind, _word(self.lists, int(f[3]), "list number"), version)
 
-    def _handle(
-        self, now: float, values: list[str], make: _Make, count: int, name: str, out: list[str]
-    ) -> None:
+    def _handle(self, now: float, values: list[str], make: _Make, count: int, name: str, out: list[str]) -> None:
         if len(values) != count:
             raise WireError(f"{name} needs {count} values, got {len(values)}")
         who = int(values[0])
--- a/cloverhold/decision/health.py
+++ b/cloverhold/decision/health.py
@@ -141,9 +141,7 @@
                 self.away[name].pop(server, None)
         server.spoilt = spoilt
         return tuple(
-            in_steps(2 * math.log2(pace * self.cost(server, c)), 2)
-            if self.serves(server, c.name, now)
-            else None
+            in_steps(2 * math.log2(pace * self.cost(server, c)), 2) if self.serves(server, c.name, now) else None
             for c in self.classes
         ), until
 
--- a/cloverhold/decision/index.py
+++ b/cloverhold/decision/index.py
@@ -285,9 +285,7 @@
         while self.wells < count and self.edge < len(items):
             self.edge += 1
             self._enter(items[self.edge - 1])
-        while self.edge and (
-            self.wells > count or (self.wells == count and items[self.edge - 1] not in self.well)
-        ):
+        while self.edge and (self.wells > count or (self.wells == count and items[self.edge - 1] not in self.well)):
             self.edge -= 1
             self._leave(items[self.edge])
         while self.first > min(count, len(items)):
--- a/cloverhold/h3/streams.py
+++ b/cloverhold/h3/streams.py
@@ -305,9 +305,7 @@
             found.state = state
         return state
 
-    def _turn_away(
-        self, stream: int, found: _Stream, error: BadRequest, *, more: bool = True
-    ) -> Iterator[Action]:
+    def _turn_away(self, stream: int, found: _Stream, error: BadRequest, *, more: bool = True) -> Iterator[Action]:
         self._remove(stream)
         if more:
             self._add(stream, State.DEAF, found.begun_s)
--- a/cloverhold/net/exchange.py
+++ b/cloverhold/net/exchange.py
@@ -167,9 +167,7 @@
 
     __slots__ = ("asked", "connection", "passing", "ref", "request", "resume")
 
-    def __init__(
-        self, connection: Front, request: Incoming, asked: Asked, passing: PassingFront | None = None
-    ) -> None:
+    def __init__(self, connection: Front, request: Incoming, asked: Asked, passing: PassingFront | None = None) -> None:
         """passing: the front, where it takes answers in pieces."""
         self.connection, self.request, self.asked, self.passing = connection, request, asked, passing
         self.ref = -1  # its number at the host
--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -406,9 +406,7 @@
         head.append(b"Connection: close\r\n\r\n" if close else b"\r\n")
         return b"".join(head)
 
-    def _write(
-        self, status: int, body: bytes, headers: Iterable[Field], *, close: bool, bare: bool = False
-    ) -> None:
+    def _write(self, status: int, body: bytes, headers: Iterable[Field], *, close: bool, bare: bool = False) -> None:
         """A whole answer; bare: without its body, to HEAD."""
         transport = self.transport
         if transport is None or transport.is_closing():
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -422,9 +422,7 @@
             attempt.cell, attempt.kind = opened.cell, opened.exchange.asked.kind.name
             self.router.sent(ref, opened.cell, server)
         if action.timeout_ms:
-            attempt.timer = self.loop.call_later(
-                left / 1000, self._stop, ref, opened, number, io.Status.TIMEOUT
-            )
+            attempt.timer = self.loop.call_later(left / 1000, self._stop, ref, opened, number, io.Status.TIMEOUT)
 
     def _ended(self, ref: int, number: int, call: Call, status: io.Status) -> None:
         opened = self.open.get(ref)
@@ -460,9 +458,7 @@
             if not opened.exchange.passing.piece(opened.exchange, data):
                 call.pause()
 
-    def _outcome(
-        self, ref: int, attempt: Attempt, status: io.Status, load: io.LoadReport | None = None
-    ) -> None:
+    def _outcome(self, ref: int, attempt: Attempt, status: io.Status, load: io.LoadReport | None = None) -> None:
         spent = attempt.begun_after if attempt.begun_after is not None else self.clock.now() - attempt.sent_at
         opened = self.open.get(ref)
         again = opened is not None and opened.exchange.request.repeatable()
--- a/cloverhold/net/upstreams/http1.py
+++ b/cloverhold/net/upstreams/http1.py
@@ -384,9 +384,7 @@
 class Pool:
     """All connections to servers: reused most recently used first, bounded in number and in idle time."""
 
-    def __init__(
-        self, loop: asyncio.AbstractEventLoop, dial_timeout_s: float, idle_s: float, most: int
-    ) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, dial_timeout_s: float, idle_s: float, most: int) -> None:
         self.loop, self.dial_timeout_s, self.most = loop, dial_timeout_s, most
         self.idle_limit = IdleLimit(IDLE_PART * idle_s)
         self.all: set[Connection] = set()
--- a/cloverhold/rehearsal/relays.py
+++ b/cloverhold/rehearsal/relays.py
@@ -75,7 +75,8 @@
                 if sender != to:
                     way = self.ways[sender, to] = _Way(self, sender, to)
                     way.transport, _ = await self.world.loop.create_datagram_endpoint(
-                        lambda way=way: way, local_addr=(LOOPBACK, 0)  # type: ignore[misc]
+                        lambda way=way: way,
+                        local_addr=(LOOPBACK, 0),  # type: ignore[misc]
                     )
 
     def addresses(self, node: int) -> list[str]:
--- a/cloverhold/simulation/days.py
+++ b/cloverhold/simulation/days.py
@@ -262,4 +262,3 @@
         kind, seed, scenario, zones, uneven(Random(f"uneven:{kind}:{seed}"), nodes), draft.shift, tuple(draft.cuts),
         tuple(draft.losses),
     )  # fmt: skip
-
--- a/cloverhold/simulation/figures.py
+++ b/cloverhold/simulation/figures.py
@@ -60,9 +60,7 @@
     return tuple(round(got[at] / asked[at], 4) for at in sorted(asked))
 
 
-def _prices(
-    day: Day, fleet: Fleet, live: dict[str, float], *, dials: int, tries: int, held: int
-) -> dict[str, float]:
+def _prices(day: Day, fleet: Fleet, live: dict[str, float], *, dials: int, tries: int, held: int) -> dict[str, float]:
     """The kit's prices at the day's rates, and those that only a fleet pays."""
     prices, first = day.prices, max(1, len(fleet.plan.arrivals))
     probes = sum(node.seen.probes for node in fleet.nodes)
--- a/cloverhold/simulation/fleet.py
+++ b/cloverhold/simulation/fleet.py
@@ -129,9 +129,7 @@
         """The front's shares anew: who is alive, and how the zones' traffic has shifted."""
         late = 2 * self.timeline.now >= 1000 * self.scenario.length_s
         shift = dict(zip(self.day.zones, self.day.shift, strict=False)) if late else {}
-        self._weights = list(
-            accumulate(self.day.weights[n] * shift.get(self.nodes[n].zone, 1.0) for n in self.dealt)
-        )
+        self._weights = list(accumulate(self.day.weights[n] * shift.get(self.nodes[n].zone, 1.0) for n in self.dealt))
 
     def _try(self, first: FirstTry, number: int) -> None:
         """A client sends a request, for the first time or again."""
--- a/cloverhold/store/shell.py
+++ b/cloverhold/store/shell.py
@@ -56,9 +56,7 @@
         self._roster, self._dirty, self._listed_at = Roster(), False, -LIST_MS
         if (kept := self._kept(LIST)) is not None:
             self._roster.take(kept)
-        self._moves: dict[bytes, list[Any]] = {
-            key: self._kept(key) for key in self.log.index if key.startswith(MOVES)
-        }
+        self._moves: dict[bytes, list[Any]] = {key: self._kept(key) for key in self.log.index if key.startswith(MOVES)}
 
     def known(self) -> Any:
         """The last list that was kept, in discovery's form; None where there is none."""
--- a/cloverhold/supervise/worker.py
+++ b/cloverhold/supervise/worker.py
@@ -16,6 +16,7 @@
 BEAT_S = 0.5
 LINE_MOST = 1024 * 1024  # of the supervisor's words; far more than the numbers of a fleet
 
+
 class Attached:
     """The channel to the supervisor: a line of JSON a message, the remembered list first."""
 
--- a/tests/fleet/test_first_call.py
+++ b/tests/fleet/test_first_call.py
@@ -73,7 +73,7 @@
             return True
         if calls < 4:
             self.requests.append((asked, head, body))
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"rev\": 7, \"all\": true, ")
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{"rev": 7, "all": true, ')
             writer.close()
             return False
         return await super().serve(asked, head, body, writer)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -65,9 +65,7 @@
 class Node:
     """One balancer, its clock, and the rules as far as a node can see them."""
 
-    def __init__(
-        self, settings: Settings | None = None, servers: int = 4, seed: int = 1, **changes: Any
-    ) -> None:
+    def __init__(self, settings: Settings | None = None, servers: int = 4, seed: int = 1, **changes: Any) -> None:
         self.settings = settings or make_settings(**changes)
         self.kinds = {c.name: c for c in self.settings.classes}
         self.balancer = Balancer(self.settings, seed)
@@ -181,9 +179,7 @@
             self.run(min(WAIT_PART * aim, expires))
         return self.actions[first:]
 
-    def outcome(
-        self, ref: int, status: Status, attempt: int = -1, closed: bool | None = None
-    ) -> list[Action]:
+    def outcome(self, ref: int, status: Status, attempt: int = -1, closed: bool | None = None) -> list[Action]:
         tries = self.sends[ref]
         number = attempt if attempt >= 0 else len(tries) - 1
         done = tries[number]
@@ -191,9 +187,7 @@
             closed = status is Status.OK or ref not in self.owed
         return self.give(Outcome(ref, number, done["server"], status, self.now - done["at"], closed))
 
-    def reply(
-        self, server: str, inflight: float = 0.0, status: Status = Status.OK, **more: Any
-    ) -> list[Action]:
+    def reply(self, server: str, inflight: float = 0.0, status: Status = Status.OK, **more: Any) -> list[Action]:
         if server in self.probes:
             self.probes.remove(server)
         load = LoadReport(inflight=inflight, **more) if status is Status.OK else None
--- a/tests/http3/test_fuzz.py
+++ b/tests/http3/test_fuzz.py
@@ -38,9 +38,7 @@
         for _ in range(6):
             pair.now += 0.4
             pair.turn(lambda data: spoil(data, source))
-        assert len({e.stream for e in pair.seen if isinstance(e, Take)}) == sum(
-            isinstance(e, Take) for e in pair.seen
-        )
+        assert len({e.stream for e in pair.seen if isinstance(e, Take)}) == sum(isinstance(e, Take) for e in pair.seen)
         over(pair.session, bench)
 
 
--- a/tests/ops/test_passing.py
+++ b/tests/ops/test_passing.py
@@ -259,6 +259,7 @@
 @pytest.mark.parametrize(("said", "status"), [(b"200 OK", 502), (b"503 Full\r\nX-Rejected: 1", 503)])
 def test_an_answer_before_the_request_has_come_ends_it(said: bytes, status: int) -> None:
     """A server begins a request at its last byte: a 200 before that was made for another one, and serves nobody."""
+
     async def test() -> None:
         async def early(asked: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readexactly(1000)
--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -301,9 +301,7 @@
 def test_the_judge_agrees_with_a_second_reading(generated: list[Row]) -> None:
     seen = ledger(*generated, nodes=2)
     verdict = judge(SCENARIO, seen)
-    mine = {
-        (name, v.server if name == "cold_kept" else v.id) for name, found in verdict.rules.items() for v in found
-    }
+    mine = {(name, v.server if name == "cold_kept" else v.id) for name, found in verdict.rules.items() for v in found}
     assert mine == second_reading.read(SCENARIO, seen)
 
 
--- a/tests/rehearsal/test_machine.py
+++ b/tests/rehearsal/test_machine.py
@@ -77,9 +77,7 @@
     slots=st.integers(1, 4),
     jobs=st.lists(st.tuples(st.integers(0, 30), st.integers(1, 30), st.integers(0, 200)), min_size=1, max_size=8),
 )
-def test_it_agrees_with_a_slow_reading_in_small_steps(
-    cores: int, slots: int, jobs: list[tuple[int, int, int]]
-) -> None:
+def test_it_agrees_with_a_slow_reading_in_small_steps(cores: int, slots: int, jobs: list[tuple[int, int, int]]) -> None:
     """Each job: when it comes (in 5 ms), its work, and after how many ms it leaves (past 100: never)."""
     m = machine(cores=cores, slots=slots, queue=99)
     come = [(5 * at, Job(float(work)), 5 * at + leaves if leaves <= 100 else None) for at, work, leaves in sorted(jobs)]
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -49,9 +49,7 @@
 
 
 def lines_of(count: int, start: int = 0) -> str:
-    return "\n".join(
-        f"ITEM 10.0.0.{i}:80 north kind {i % 2} healthy 1 -" for i in range(start, start + count)
-    )
+    return "\n".join(f"ITEM 10.0.0.{i}:80 north kind {i % 2} healthy 1 -" for i in range(start, start + count))
 
 
 def batch(now: float, *lines: str) -> str:
@@ -192,9 +190,7 @@
     assert done.stderr.startswith("benchlink: line ") and (line[:20] in done.stderr or "GO" in done.stderr)
 
 
-@pytest.mark.parametrize(
-    "key", ["GroupSize", "Guarantees", "Limits", "Profiles", "RegistryMode", "ResolutionMs"]
-)
+@pytest.mark.parametrize("key", ["GroupSize", "Guarantees", "Limits", "Profiles", "RegistryMode", "ResolutionMs"])
 def test_missing_setting_is_named(key: str) -> None:
     info = {k: v for k, v in INFO.items() if k != key}
     with pytest.raises(WireError, match=key):
@@ -227,7 +223,5 @@
 def test_the_readme_example_runs() -> None:
     code = re.findall(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S)
     assert len(code) == 1
-    done = subprocess.run(
-        [sys.executable, "-c", code[0]], capture_output=True, text=True, cwd=ROOT, check=True
-    )
+    done = subprocess.run([sys.executable, "-c", code[0]], capture_output=True, text=True, cwd=ROOT, check=True)
     assert done.stdout == "send request 1 to a listed server: True\n"
--- a/tests/test_index.py
+++ b/tests/test_index.py
@@ -226,9 +226,7 @@
     assert agenda.at == plain
 
 
-@given(
-    st.lists(st.tuples(st.sampled_from(("add", "remove", "turn", "count")), st.integers(0, 30)), max_size=80)
-)
+@given(st.lists(st.tuples(st.sampled_from(("add", "remove", "turn", "count")), st.integers(0, 30)), max_size=80))
 def test_a_prefix_ends_at_the_nth_that_is_well(steps: list[tuple[str, int]]) -> None:
     told: set[int] = set()
     prefix: Prefix[int] = Prefix(told.add)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -368,9 +368,7 @@
     play(test)
 
 
-@pytest.mark.parametrize(
-    "body", [b"{", b"[" * 60000, b'{"inflight":1e400}', b'{"inflight":"x","queue":NaN}', b"[]"]
-)
+@pytest.mark.parametrize("body", [b"{", b"[" * 60000, b'{"inflight":1e400}', b'{"inflight":"x","queue":NaN}', b"[]"])
 def test_a_load_report_that_cannot_be_read_harms_nothing(body: bytes) -> None:
     async def test() -> None:
         class Liar(Server):
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -147,4 +147,3 @@
             event = node.balancer.requests.get(ref_sent)
             pool = event.event.pool if event is not None else None
             assert pool is None or all(t["server"] in (pool.servers or ()) for t in tries)
-
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -48,9 +48,7 @@
                 is_retry=chance.random() < 0.2,
             )
         elif roll < 0.8:
-            pending = [
-                (r, n) for r, tries in node.sends.items() for n, t in enumerate(tries) if t["status"] is None
-            ]
+            pending = [(r, n) for r, tries in node.sends.items() for n, t in enumerate(tries) if t["status"] is None]
             if pending:
                 which, number = chance.choice(pending)
                 node.outcome(which, chance.choice(STATUSES), number)
