--- a/cloverhold/decision/health.py
+++ b/cloverhold/decision/health.py
@@ -140,8 +140,9 @@
             else:
                 self.away[name].pop(server, None)
         server.spoilt = spoilt
+        cost = self.cost
         return tuple(
-            in_steps(2 * math.log2(pace * self.cost(server, c)), 2) if self.serves(server, c.name, now) else None
+            in_steps(2 * math.log2(pace * cost(server, c)), 2) if self.serves(server, c.name, now) else None
             for c in self.classes
         ), until
 
