Renames in the host and the fronts: the field's terms for what the incident touches

Change: names only. tell -> dispatch, rings -> timers, guard -> deadline timer, Passing -> ResponseStream, piece -> write_chunk, cut -> abort_answer, stands -> is_client_connected, owes -> has_pending_work, part -> close_if_idle, _give_way -> _evict_one, silent/halves/resting -> new/partial/idle, and the listener's events by what happened to the connection.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -295,7 +295,7 @@
         if self.config.listen_fd is None:
             await asyncio.sleep(LINGER_S)
             await self.listener.stop_accepting()
-            self.listener.part_all()
+            self.listener.close_idle_connections()
             await asyncio.sleep(0.02)  # what lay unread on one of them is taken
         else:  # what waits there is another process's; connections here end with an answer, or late
             await self.listener.stop_accepting()
--- a/cloverhold/net/exchange.py
+++ b/cloverhold/net/exchange.py
@@ -136,7 +136,7 @@
 
     def answer(self, exchange: Exchange, status: int, body: bytes, headers: Iterable[Field]) -> None: ...
 
-    def stands(self, exchange: Exchange) -> bool:
+    def is_client_connected(self, exchange: Exchange) -> bool:
         """Whether the client still waits. False where it has left, also where its end lies unread: nothing may be sent
         on for it then.
         """
@@ -148,13 +148,13 @@
     def begin(self, exchange: Exchange, headers: Iterable[Field], length: int | None) -> None:
         """The head of an answer of status 200; length: of its body, None where only its end will show."""
 
-    def piece(self, exchange: Exchange, data: bytes) -> bool:
+    def write_chunk(self, exchange: Exchange, data: bytes) -> bool:
         """Part of its body; whether more may follow at once. If not, `Exchange.resume` is called when it may."""
 
     def finish(self, exchange: Exchange) -> None:
         """It is whole."""
 
-    def cut(self, exchange: Exchange) -> None:
+    def abort_answer(self, exchange: Exchange) -> None:
         """It will never be whole, and the client is to see that."""
 
 
@@ -177,9 +177,9 @@
         """Write the answer. Nothing where the client has gone."""
         self.connection.answer(self, status, body, headers)
 
-    def stands(self) -> bool:
+    def is_client_connected(self) -> bool:
         """Whether the client still waits for it."""
-        return self.connection.stands(self)
+        return self.connection.is_client_connected(self)
 
 
 def retry_after(ms: float) -> tuple[Field, ...]:
--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -72,7 +72,7 @@
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=MOST_UNSENT)
         self.end.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        self.listener.made(self)
+        self.listener.connection_made(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
@@ -80,7 +80,7 @@
             if request.upload is not None:
                 request.upload.drop()
         self.queue.clear()
-        self.listener.lost(self)
+        self.listener.connection_lost(self)
         exchange, self.open = self.open, None
         if exchange is not None:
             self.listener.taker.client_gone(exchange)
@@ -99,10 +99,10 @@
     def close(self) -> None:
         if self.transport is not None and self.closing is None:
             self.closing = time.monotonic()
-            self.listener.asked(self)  # it is no longer one of those that may give way: another is the next
+            self.listener.left_waiting(self)  # it is no longer one of those that may give way: another is the next
             self.transport.close()
 
-    def stands(self, exchange: Exchange) -> bool:
+    def is_client_connected(self, exchange: Exchange) -> bool:
         """Whether the client still waits. Its end lies unread behind what it sent in the same burst, while nothing is
         read, and where the loop was late; it is asked for, since a request is sent on only while it is wanted.
         """
@@ -121,15 +121,15 @@
         """Whether a request is half here."""
         return self.begun is not None and (self.between > 0 or not self.in_head)
 
-    def owes(self, now: float) -> bool:
+    def has_pending_work(self, now: float) -> bool:
         """Whether its client is owed anything: an answer, the rest of one that is written, that a request that is half
         here is read, or that the first one is waited for a moment.
         """
         if self.closing is not None or not self.idle() or self.unfinished():
             return True
-        return self in self.listener.silent and self.begun is not None and now - self.begun < FIRST_S
+        return self in self.listener.new and self.begun is not None and now - self.begun < FIRST_S
 
-    def part(self) -> bool:
+    def close_if_idle(self) -> bool:
         """Close while nothing is open, unless something lies unread: that is served first; whether it closed. Guards
         against requests that cross the end of their connection: closed over, they would be reset unread.
         """
@@ -148,7 +148,7 @@
         life, transport = self.listener.life, self.transport
         if transport is None:
             return
-        if self.paused and self.open is not None and not self.stands(self.open):
+        if self.paused and self.open is not None and not self.is_client_connected(self.open):
             return  # while nothing is read its end would stay unseen
         if unread := transport.get_write_buffer_size():
             if unread != self.unread:
@@ -160,7 +160,7 @@
                 transport.abort()
         elif life.closing() and self.idle() and not self.unfinished():
             if now > life.rests_until(self.rested or self.begun or now, self.place):
-                self.part()
+                self.close_if_idle()
         elif self.starved is not None:
             if now - self.starved > STARVED_S and self.open is None:
                 self._turn_away(BadRequest(503, "no memory for a body"), close=True)
@@ -168,7 +168,7 @@
             if now > self.begun + self._patience():
                 self._overdue()
         elif self.idle() and now - self.rested > IDLE_S:
-            self.part()
+            self.close_if_idle()
 
     def _patience(self) -> float:
         """How long the request that comes may take in all, so far."""
@@ -194,8 +194,8 @@
     def data_received(self, data: bytes) -> None:
         if self.broken is not None or self.closing is not None:
             return
-        if self in self.listener.silent:
-            self.listener.spoke(self)
+        if self in self.listener.new:
+            self.listener.received_first_bytes(self)
         self.between += len(data)
         try:
             self.parser.feed_data(data)
@@ -275,7 +275,7 @@
             incoming.body = bytes(self.body)
         if len(self.queue) >= MOST_PIPELINED:
             self._fail(400, "too many requests at once")
-        self.listener.asked(self)
+        self.listener.left_waiting(self)
         self.queue.append(incoming)
 
     def _fail(self, status: int, why: str) -> None:
@@ -305,7 +305,7 @@
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         upload = self.incoming.upload
         if upload is not None and (upload.size > HOLD or self.listener.budget.spent()):
-            self.listener.asked(self)
+            self.listener.left_waiting(self)
             self._begin(self.incoming)
 
     def _hold(self) -> None:
@@ -370,7 +370,7 @@
             framing = b"Content-Length: %d\r\n" % length
         self.transport.write(self._head(200, headers, framing, close=self.closes))
 
-    def piece(self, exchange: Exchange, data: bytes) -> bool:
+    def write_chunk(self, exchange: Exchange, data: bytes) -> bool:
         if self.open is exchange and self.transport is not None and not self.transport.is_closing():
             if self.chunked:
                 data = b"%x\r\n%s\r\n" % (len(data), data)
@@ -386,7 +386,7 @@
         self._written(close=self.closes)
         self._after()
 
-    def cut(self, exchange: Exchange) -> None:
+    def abort_answer(self, exchange: Exchange) -> None:
         if self.open is exchange:
             self.open = None
             if self.transport is not None:
@@ -432,7 +432,7 @@
                 self.close()
         elif self.idle() and self.incoming.whole:
             self.rested = time.monotonic()
-            self.listener.rests(self)
+            self.listener.became_idle(self)
 
     def _linger(self) -> None:
         """The last answer is written while a request still comes: that is read and dropped for a while, as closing
--- a/cloverhold/net/fronts/http3.py
+++ b/cloverhold/net/fronts/http3.py
@@ -89,7 +89,7 @@
             self.client.session.answer(self.number, status, body, headers)
             self.client.front.flush_soon(self.client)
 
-    def stands(self, exchange: Exchange) -> bool:
+    def is_client_connected(self, exchange: Exchange) -> bool:
         """A client that leaves says so in a datagram: until that is read there is nothing to see of it."""
         return self.client.open.get(self.number) is exchange
 
--- a/cloverhold/net/fronts/listener.py
+++ b/cloverhold/net/fronts/listener.py
@@ -17,26 +17,28 @@
 log = logging.getLogger(__name__)
 
 SWEEP_S = 0.2
-SILENT_PART = 0.25  # of all connections may have said nothing yet before they give way first
-SPARE = 8  # so many more are taken where none can go at once
-LOOKS = 8  # connections looked at for one that can go
+NEW_SHARE = 0.25  # of all connections may have said nothing yet before they give way first
+EXTRA_CONNECTIONS = 8  # so many more are taken where none can go at once
+EVICTION_CANDIDATES = 8  # connections looked at for one that can go
 # uvloop takes one connection a turn from each listening handle. In a surge with turns of some ms that is less
 # than what comes: requests then lie unseen behind connections that are not accepted.
-ACCEPTS = 8
-SPREAD = 0.6180339887498949  # of places in a drain: multiples of the golden ratio lie evenly, however many they are
+ACCEPT_HANDLES = 8
+GOLDEN_RATIO_CONJUGATE = (
+    0.6180339887498949  # of places in a drain: multiples of the golden ratio lie evenly, however many they are
+)
 
 
 class Listener:
     """The listening socket and the connections that came in by it."""
 
-    def __init__(self, taker: Taker, life: Life, budget: Budget, most: int, most_resting: int) -> None:
-        self.taker, self.life, self.budget, self.most, self.most_resting = taker, life, budget, most, most_resting
+    def __init__(self, taker: Taker, life: Life, budget: Budget, most: int, most_idle: int) -> None:
+        self.taker, self.life, self.budget, self.most, self.most_idle = taker, life, budget, most, most_idle
         self.connections: set[ClientConnection] = set()
         # Those that have said nothing, whose first request is half here, and that are between requests; the longest so
         # first.
-        self.silent: dict[ClientConnection, None] = {}
-        self.halves: dict[ClientConnection, None] = {}
-        self.resting: dict[ClientConnection, None] = {}
+        self.new: dict[ClientConnection, None] = {}
+        self.partial: dict[ClientConnection, None] = {}
+        self.idle: dict[ClientConnection, None] = {}
         self.came = 0
         self.successor: Callable[[], bool] = lambda: False  # whether another process of the node serves here
         self.announce = b""  # a line of every answer: that clients may come another way too (RFC 7838)
@@ -49,7 +51,7 @@
         loop = asyncio.get_running_loop()
         with inherited or socket.create_server(address, backlog=1024) as listening:
             listening.setblocking(False)  # also of each duplicate: they share that
-            for _ in range(ACCEPTS):
+            for _ in range(ACCEPT_HANDLES):
                 server = await loop.create_server(lambda: ClientConnection(self), sock=listening.dup())
                 self._servers.append(server)
             self._waiting = listening.dup() if inherited is None else None
@@ -65,58 +67,62 @@
             return not self.life.duck and self.successor()
         return self.taker.ready() and self.life.healthy()
 
-    def made(self, connection: ClientConnection) -> None:
+    def connection_made(self, connection: ClientConnection) -> None:
         """Keep connections to their number, so that descriptors never run out and accepting goes on."""
         self.connections.add(connection)
         self.came += 1
-        connection.place = self.came * SPREAD % 1
-        self.silent[connection] = None
+        connection.place = self.came * GOLDEN_RATIO_CONJUGATE % 1
+        self.new[connection] = None
         if len(self.connections) > self.most:
-            self._give_way(connection)
+            self._evict_one(connection)
 
-    def _give_way(self, new: ClientConnection) -> None:
+    def _evict_one(self, new: ClientConnection) -> None:
         """End one connection, the oldest that has said nothing or rests, but none on which a request lies unread.
 
         Guards against hundreds that connect and say nothing: they go before any that has ever asked. As long as they
         are few, they are clients whose first request is about to come, and one that rests goes first. A request that is
         half here is given up only where nobody else can go: some take seconds to write one.
         """
-        few = len(self.silent) <= SILENT_PART * self.most
-        first, then = (self.resting, self.silent) if few else (self.silent, self.resting)
-        for connection in (*islice(first, LOOKS), *islice(then, LOOKS), *islice(self.halves, LOOKS)):
-            if connection is not new and connection.part():
+        few = len(self.new) <= NEW_SHARE * self.most
+        first, then = (self.idle, self.new) if few else (self.new, self.idle)
+        for connection in (
+            *islice(first, EVICTION_CANDIDATES),
+            *islice(then, EVICTION_CANDIDATES),
+            *islice(self.partial, EVICTION_CANDIDATES),
+        ):
+            if connection is not new and connection.close_if_idle():
                 return
-        if len(self.connections) > self.most + SPARE:  # all are owed something
+        if len(self.connections) > self.most + EXTRA_CONNECTIONS:  # all are owed something
             new.close()
 
-    def spoke(self, connection: ClientConnection) -> None:
+    def received_first_bytes(self, connection: ClientConnection) -> None:
         """The first bytes of its first request have come."""
-        del self.silent[connection]
-        self.halves[connection] = None
+        del self.new[connection]
+        self.partial[connection] = None
 
-    def asked(self, connection: ClientConnection) -> None:
-        self.silent.pop(connection, None)
-        self.halves.pop(connection, None)
-        self.resting.pop(connection, None)
+    def left_waiting(self, connection: ClientConnection) -> None:
+        self.new.pop(connection, None)
+        self.partial.pop(connection, None)
+        self.idle.pop(connection, None)
 
-    def rests(self, connection: ClientConnection) -> None:
+    def became_idle(self, connection: ClientConnection) -> None:
         """Guards against clients that ask once and keep their connection: clients as a whole may hold only so
         many, and were left with none for requests while this node stood idle.
         """
-        self.resting[connection] = None
-        if len(self.resting) > self.most_resting:
-            next(iter(self.resting)).part()
+        self.idle[connection] = None
+        if len(self.idle) > self.most_idle:
+            next(iter(self.idle)).close_if_idle()
 
-    def resize(self, most: int, most_resting: int) -> None:
+    def resize(self, most: int, most_idle: int) -> None:
         """Other bounds; the longest at rest go first where these are lower."""
-        self.most, self.most_resting = most, most_resting
-        over = max(len(self.resting) - most_resting, len(self.connections) - most)
-        for connection in list(self.resting)[: max(0, over)]:
-            connection.part()
+        self.most, self.most_idle = most, most_idle
+        over = max(len(self.idle) - most_idle, len(self.connections) - most)
+        for connection in list(self.idle)[: max(0, over)]:
+            connection.close_if_idle()
 
-    def lost(self, connection: ClientConnection) -> None:
+    def connection_lost(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
-        self.asked(connection)
+        self.left_waiting(connection)
 
     def _sweep(self) -> None:
         """One look at all connections in a while, in place of a timer for each."""
@@ -128,7 +134,7 @@
     def busy(self) -> bool:
         """Whether a client is owed anything."""
         now = time.monotonic()
-        return any(connection.owes(now) for connection in self.connections)
+        return any(connection.has_pending_work(now) for connection in self.connections)
 
     async def stop_accepting(self) -> None:
         """No new connection. What the kernel has accepted already is taken first: closed over, it would be reset with
@@ -144,12 +150,12 @@
             for peer in came:
                 await loop.connect_accepted_socket(lambda: ClientConnection(self), peer)
 
-    def part_all(self) -> None:
+    def close_idle_connections(self) -> None:
         """Connections on which nothing is owed close, the others with their answer."""
         now = time.monotonic()
         for connection in list(self.connections):
-            if not connection.owes(now):
-                connection.part()
+            if not connection.has_pending_work(now):
+                connection.close_if_idle()
 
     def close(self) -> None:
         if self._sweeper is not None:
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -36,8 +36,8 @@
 PROBE = Outgoing(b"GET", b"/_load", [(b"Host", NO_HOST)])
 # What a request and its answer may spend on the way and in a busy loop: the client counts from its own clock.
 # With 2 ms, timers of 1 ms made answers to silent servers arrive just past the client's time.
-WAY_MS = 10.0
-GUARD_MS = 5.0  # behind the module's own word, which knows whether a refusal would be true
+TRANSIT_MS = 10.0
+DEADLINE_TIMER_DELAY_MS = 5.0  # behind the module's own word, which knows whether a refusal would be true
 
 
 @dataclass(slots=True)
@@ -60,7 +60,7 @@
 
     exchange: Exchange
     expires_at: float
-    guard: asyncio.TimerHandle | None
+    deadline_timer: asyncio.TimerHandle | None
     sent: int = 0
     cell: Cell | None = None  # where it is confined to
     record: int | None = None  # the store's ticket
@@ -68,7 +68,7 @@
     begun: bool = False  # whether its answer is on the way in pieces
 
 
-class Passing:
+class ResponseStream:
     """Takes a long answer of one attempt."""
 
     __slots__ = ("host", "number", "ref")
@@ -79,8 +79,8 @@
     def begun(self, call: Call, response: Response) -> None:
         self.host.begun(self.ref, self.number, call, response)
 
-    def piece(self, call: Call, data: bytes) -> None:
-        self.host.passed(self.ref, call, data)
+    def write_chunk(self, call: Call, data: bytes) -> None:
+        self.host.chunk(self.ref, call, data)
 
 
 class Host:
@@ -112,13 +112,13 @@
         self.requests = 0
         self.events: deque[tuple[float, io.Event]] = deque()  # with the time at which each happened
         self.at = 0.0  # the time of the event in hand
-        self.rings: dict[int, float] = {}  # when the module's timers are due, by their tokens
+        self.timers: dict[int, float] = {}  # when the module's timers are due, by their tokens
         self.handling = False
         self.ended = False  # whether nothing more is taken
 
     # ------------------------------------------------------------- the module
 
-    def tell(self, event: io.Event, at: float | None = None) -> None:
+    def dispatch(self, event: io.Event, at: float | None = None) -> None:
         """Hand an event to the module, behind those that wait, and carry out what it decides. at: when it happened
         (ms, no earlier than the event before it), where its own times count from an instant that was read already.
         """
@@ -144,7 +144,7 @@
         except Exception:  # a fault of the module must not cost the other requests their answers
             log.exception("the module failed on %s", type(event).__name__)
             if isinstance(event, (io.Request, io.Outcome)) and self._final(event.id, 500):
-                self.tell(io.ClientGone(event.id))
+                self.dispatch(io.ClientGone(event.id))
             return
         self._carry_out(iter(actions))
 
@@ -167,8 +167,8 @@
                 self._probe(server)
             case io.SetTimer(delay_ms=delay, token=token):
                 # Counted from its event, not from now: what deciding took would put it off, behind the guards.
-                self.rings[token] = due = self.at + delay
-                self.loop.call_later(max(0.0, due - self.clock.now()) / 1000, self._ring, token)
+                self.timers[token] = due = self.at + delay
+                self.loop.call_later(max(0.0, due - self.clock.now()) / 1000, self._fire_timer, token)
             case io.Cancel(id=ref, attempt=number):
                 if (opened := self.open.get(ref)) is not None:
                     self._stop(ref, opened, number, io.Status.CANCELLED)
@@ -186,10 +186,10 @@
             case _:
                 log.warning("%s is not for this node", type(action).__name__)
 
-    def _ring(self, token: int) -> None:
+    def _fire_timer(self, token: int) -> None:
         """A timer of the module is due; once."""
-        if self.rings.pop(token, None) is not None:
-            self.tell(io.Timer(token))
+        if self.timers.pop(token, None) is not None:
+            self.dispatch(io.Timer(token))
 
     def settle(self, settings: io.Settings) -> None:
         """Other settings from now on. Whoever holds the classes sees the new ones."""
@@ -198,7 +198,7 @@
         self.classes.update((c.name, c) for c in settings.classes)
         if self.router is not None:
             self.router.settings = settings
-        self.tell(io.NewSettings(settings))
+        self.dispatch(io.NewSettings(settings))
 
     def longest_ms(self) -> float:
         """The longest deadline, of the settings and of what is open."""
@@ -218,7 +218,7 @@
         if self.ended:
             exchange.answer(503, headers=self._come_back(self.settings.max_retry_after_ms))
             return
-        left = asked.budget_ms - (now - request.came_at * 1000 if request.whole else 0.0) - WAY_MS
+        left = asked.budget_ms - (now - request.came_at * 1000 if request.whole else 0.0) - TRANSIT_MS
         if left <= 0:
             exchange.answer(504)
             return
@@ -237,8 +237,10 @@
         self.requests += 1
         ref = self.requests
         exchange.ref = ref
-        guard = self.loop.call_later((left + GUARD_MS) / 1000, self._overdue, ref) if request.whole else None
-        opened = self.open[ref] = Open(exchange, now + left if request.whole else math.inf, guard, cell=cell)
+        deadline_timer = (
+            self.loop.call_later((left + DEADLINE_TIMER_DELAY_MS) / 1000, self._overdue, ref) if request.whole else None
+        )
+        opened = self.open[ref] = Open(exchange, now + left if request.whole else math.inf, deadline_timer, cell=cell)
         if self.store is not None and asked.kind.repeat is io.Repeat.UNSAFE:
             key = request.fields.get(b"idempotency-key", b"")
             opened.record = self.store.record(call_id, key, lambda how: self._recorded(ref, how))
@@ -250,14 +252,16 @@
     def whole(self, exchange: Exchange) -> None:
         """The last byte has come of a request that was taken before: its time begins."""
         opened, now = self.open.get(exchange.ref), self.clock.now()
-        if opened is None or opened.guard is not None or opened.begun:
+        if opened is None or opened.deadline_timer is not None or opened.begun:
             return
-        left = exchange.asked.budget_ms - WAY_MS
+        left = exchange.asked.budget_ms - TRANSIT_MS
         opened.expires_at = now + left
-        opened.guard = self.loop.call_later((max(0.0, left) + GUARD_MS) / 1000, self._overdue, exchange.ref)
+        opened.deadline_timer = self.loop.call_later(
+            (max(0.0, left) + DEADLINE_TIMER_DELAY_MS) / 1000, self._overdue, exchange.ref
+        )
         for attempt in opened.out.values():
             attempt.sent_at = now
-        self.tell(io.Whole(exchange.ref, max(0.0, left)), now)
+        self.dispatch(io.Whole(exchange.ref, max(0.0, left)), now)
 
     def _come_back(self, wait_ms: float) -> tuple[Field, ...]:
         """When to come back, where the settings let a node say so."""
@@ -280,9 +284,9 @@
 
     def _begin(self, ref: int, opened: Open) -> None:
         """Hand a request to the module."""
-        asked, cell, arriving, now = opened.exchange.asked, opened.cell, opened.guard is None, self.clock.now()
+        asked, cell, arriving, now = opened.exchange.asked, opened.cell, opened.deadline_timer is None, self.clock.now()
         left = asked.budget_ms if arriving else max(0.0, opened.expires_at - now)
-        self.tell(
+        self.dispatch(
             io.Request(
                 id=ref,
                 class_name=asked.kind.name,
@@ -301,12 +305,12 @@
     def client_gone(self, exchange: Exchange) -> None:
         """The client has left: nothing more is owed."""
         if (opened := self._close(exchange.ref)) is not None:
-            self.tell(io.ClientGone(exchange.ref))
+            self.dispatch(io.ClientGone(exchange.ref))
             self._abandon(exchange.ref, opened)
 
-    def _wanted(self, exchange: Exchange) -> bool:
+    def _is_wanted(self, exchange: Exchange) -> bool:
         """Whether a client still waits; one that has left is let go of at once, also before its end is read."""
-        if exchange.stands():
+        if exchange.is_client_connected():
             return True
         self.client_gone(exchange)
         return False
@@ -336,14 +340,14 @@
         the module's timers that were due sooner: these have their word first.
         """
         now = self.clock.now()
-        for token in [token for token, due in self.rings.items() if due <= now]:
-            self._ring(token)
+        for token in [token for token, due in self.timers.items() if due <= now]:
+            self._fire_timer(token)
         self._expired(ref)
 
     def _expired(self, ref: int) -> None:
         """The client's time is up. The module ends requests sooner: this guards against one that does not."""
         if self._final(ref, 504, ending=io.Status.TIMEOUT):
-            self.tell(io.ClientGone(ref))
+            self.dispatch(io.ClientGone(ref))
 
     def fail_all(self) -> None:
         """Answer all that is open, and take nothing more: the process ends. All are closed, and the module has let go
@@ -352,7 +356,7 @@
         self.ended = True
         ended = [(ref, opened) for ref in list(self.open) if (opened := self._close(ref)) is not None]
         for ref, _ in ended:
-            self.tell(io.ClientGone(ref))
+            self.dispatch(io.ClientGone(ref))
         for ref, opened in ended:
             self._answer(opened, 504)
             self._abandon(ref, opened, io.Status.TIMEOUT)
@@ -360,8 +364,8 @@
     def _close(self, ref: int) -> Open | None:
         opened = self.open.pop(ref, None)
         if opened is not None:
-            if opened.guard is not None:
-                opened.guard.cancel()
+            if opened.deadline_timer is not None:
+                opened.deadline_timer.cancel()
             if (upload := opened.exchange.request.upload) is not None:
                 upload.drop()
             if self.router is not None and opened.cell is not None:
@@ -388,7 +392,7 @@
     def _answer(self, opened: Open, status: int, body: bytes = b"", headers: Iterable[Field] = ()) -> None:
         """Write the one answer of a request that has been closed."""
         if opened.begun and opened.exchange.passing is not None:
-            opened.exchange.passing.cut(opened.exchange)  # too late for another
+            opened.exchange.passing.abort_answer(opened.exchange)  # too late for another
         else:
             opened.exchange.answer(status, body, headers)
 
@@ -398,24 +402,24 @@
         ref, server, now = action.id, action.server, self.clock.now()
         opened, upstream = self.open.get(ref), self.upstreams.get(server)
         if opened is None:
-            self.tell(io.Outcome(ref, 0, server, io.Status.MOOT, 0.0, True))
+            self.dispatch(io.Outcome(ref, 0, server, io.Status.MOOT, 0.0, True))
             return
         exchange = opened.exchange
-        if not self._wanted(exchange):
-            self.tell(io.Outcome(ref, opened.sent, server, io.Status.MOOT, 0.0, True))
+        if not self._is_wanted(exchange):
+            self.dispatch(io.Outcome(ref, opened.sent, server, io.Status.MOOT, 0.0, True))
             return
         number, opened.sent = opened.sent, opened.sent + 1
         until = now + action.timeout_ms if action.timeout_ms else math.inf
         left = self._left(opened, until)
         if upstream is None or left <= 0 or not exchange.request.repeatable():
-            self.tell(io.Outcome(ref, number, server, io.Status.MOOT, 0.0, again=exchange.request.repeatable()))
+            self.dispatch(io.Outcome(ref, number, server, io.Status.MOOT, 0.0, again=exchange.request.repeatable()))
             return
         outgoing = request_to_send(exchange, lambda: self._left(opened, until))
-        passing = Passing(self, ref, number) if exchange.passing is not None else None
+        passing = ResponseStream(self, ref, number) if exchange.passing is not None else None
         leaves_by = self.at + action.within_ms
         call = self.pool.call(
             upstream, outgoing, lambda call, status: self._ended(ref, number, call, status), passing,
-            lambda: self._wanted(exchange) and self._in_time(ref, opened, number, leaves_by),
+            lambda: self._is_wanted(exchange) and self._in_time(ref, opened, number, leaves_by),
         )  # fmt: skip
         attempt = opened.out[number] = Attempt(number, server, call, now)
         if self.router is not None and opened.cell is not None:
@@ -433,7 +437,7 @@
         passing = opened.exchange.passing
         if opened.begun and passing is not None:
             self._close(ref)
-            (passing.finish if status is io.Status.OK else passing.cut)(opened.exchange)
+            (passing.finish if status is io.Status.OK else passing.abort_answer)(opened.exchange)
         elif status is io.Status.OK and response is not None:
             self._final(ref, 200, response.body, response.passed)
         self._outcome(ref, attempt, status, load)
@@ -444,18 +448,18 @@
         if opened is None or opened.exchange.passing is None or (attempt := opened.out.get(number)) is None:
             return
         opened.begun, opened.exchange.resume = True, call.resume
-        for timer in (opened.guard, attempt.timer):
+        for timer in (opened.deadline_timer, attempt.timer):
             if timer is not None:
                 timer.cancel()
         opened.exchange.passing.begin(opened.exchange, response.passed, response.length())
         attempt.begun_after = self.clock.now() - attempt.sent_at
-        self.tell(io.Streaming(ref, number, attempt.server, attempt.begun_after))
+        self.dispatch(io.Streaming(ref, number, attempt.server, attempt.begun_after))
 
-    def passed(self, ref: int, call: Call, data: bytes) -> None:
+    def chunk(self, ref: int, call: Call, data: bytes) -> None:
         """Part of an answer that has begun."""
         opened = self.open.get(ref)
         if opened is not None and opened.exchange.passing is not None:
-            if not opened.exchange.passing.piece(opened.exchange, data):
+            if not opened.exchange.passing.write_chunk(opened.exchange, data):
                 call.pause()
 
     def _outcome(self, ref: int, attempt: Attempt, status: io.Status, load: io.LoadReport | None = None) -> None:
@@ -464,7 +468,7 @@
         again = opened is not None and opened.exchange.request.repeatable()
         if self.router is not None and attempt.cell is not None:
             self.router.ended(ref, attempt.cell, attempt.kind, attempt.server, status, spent)
-        self.tell(io.Outcome(ref, attempt.number, attempt.server, status, spent, opened is None, load, again))
+        self.dispatch(io.Outcome(ref, attempt.number, attempt.server, status, spent, opened is None, load, again))
 
     def _stop(self, ref: int, opened: Open, number: int, status: io.Status) -> None:
         """Wait no longer for an attempt, if it is still out."""
@@ -482,14 +486,14 @@
     def _probe(self, server: str) -> None:
         upstream, sent_at = self.upstreams.get(server), self.clock.now()
         if upstream is None:
-            self.tell(io.ProbeReply(server, io.Status.CONNECT_FAILED, 0.0))
+            self.dispatch(io.ProbeReply(server, io.Status.CONNECT_FAILED, 0.0))
             return
 
         def told(status: io.Status, load: io.LoadReport | None = None) -> None:
             now = self.upstreams.get(server)
             if now is None or now.started_at != upstream.started_at:
                 return  # of a process that has ended: its successor has a row of its own
-            self.tell(io.ProbeReply(server, status, self.clock.now() - sent_at, load))
+            self.dispatch(io.ProbeReply(server, status, self.clock.now() - sent_at, load))
 
         def done(call: Call, status: io.Status) -> None:
             timer.cancel()
@@ -536,7 +540,7 @@
         kind = io.ListKind.FULL if members.full else io.ListKind.CHANGES
         if remembered:
             kind = io.ListKind.REMEMBERED
-        self.tell(io.ServerList(kind, members.entries, members.version))
+        self.dispatch(io.ServerList(kind, members.entries, members.version))
         if self.router is not None:
             self.router.members(members.entries, full=members.full)
         past.extend(upstream for uid in gone if (upstream := self.upstreams.pop(uid, None)) is not None)
@@ -547,7 +551,7 @@
             self.pool.turn_back(upstream)
 
     def list_failed(self) -> None:
-        self.tell(io.ServerList(io.ListKind.ERROR))
+        self.dispatch(io.ServerList(io.ListKind.ERROR))
 
 
 def _taken(opened: Open, number: int) -> Attempt | None:
--- a/cloverhold/net/upstreams/calls.py
+++ b/cloverhold/net/upstreams/calls.py
@@ -69,7 +69,7 @@
     def begun(self, call: Call, response: Response) -> None:
         """Its head. From here on nothing may be tried again."""
 
-    def piece(self, call: Call, data: bytes) -> None: ...
+    def write_chunk(self, call: Call, data: bytes) -> None: ...
 
 
 Done = Callable[[Call, Status], None]
--- a/cloverhold/net/upstreams/http1.py
+++ b/cloverhold/net/upstreams/http1.py
@@ -320,7 +320,7 @@
         self.moved = self.pool.loop.time()
         for piece in self.parser.take():
             if call.receiver is not None and self.call is call:  # else it was given up over the one before
-                call.receiver.piece(call, piece)
+                call.receiver.write_chunk(call, piece)
 
     def silent(self, now: float) -> bool:
         """Whether an answer that is passed on has stopped coming."""
--- a/tests/moments/test_connections.py
+++ b/tests/moments/test_connections.py
@@ -268,13 +268,13 @@
         async with running(server, probes=False, classes=classes) as node:
             waiting, go_on = held(monkeypatch)
             host, ended = node.node.host, list[Status]()
-            tell = host.tell
+            dispatch = host.dispatch
 
             def heard(event: Event, at: float | None = None) -> None:
                 ended.extend([event.status] if isinstance(event, Outcome) else [])
-                tell(event, at)
+                dispatch(event, at)
 
-            monkeypatch.setattr(host, "tell", heard)
+            monkeypatch.setattr(host, "dispatch", heard)
             reader, writer = await node.connect()
             writer.write(request("lote"))
             await until(lambda: waiting)
--- a/tests/moments/test_uploads.py
+++ b/tests/moments/test_uploads.py
@@ -77,7 +77,7 @@
             host._act = act  # type: ignore[method-assign]
             host.balancer = Plain()  # type: ignore[assignment]
             with pytest.raises(RuntimeError):
-                host.tell("begin")  # type: ignore[arg-type]
+                host.dispatch("begin")  # type: ignore[arg-type]
             assert done == ["first", "second", "third"]
             await until(lambda: "event" in done)
 
--- a/tests/ops/test_management.py
+++ b/tests/ops/test_management.py
@@ -180,9 +180,9 @@
             (connection,) = node.node.listener.connections
             writer.write(request(number="2"))
             time.sleep(0.02)  # the loop must not see it first
-            connection.part()
+            connection.close_if_idle()
             assert (await read_answer(reader)).status == 200
-            connection.part()
+            connection.close_if_idle()
             assert await asyncio.wait_for(reader.read(), WAIT_S) == b""
             writer.close()
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -171,7 +171,7 @@
             await until(lambda: node.node.host.requests == 80 and not node.node.host.open)
             await asyncio.sleep(0)
             await asyncio.sleep(0)
-            assert len(node.node.listener.resting) <= 192 // 6
+            assert len(node.node.listener.idle) <= 192 // 6
             for _, writer in peers:
                 writer.close()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -148,7 +148,7 @@
         return getattr(self.loop, name)
 
     def call_later(self, delay: float, call: Any, *args: Any) -> asyncio.TimerHandle:
-        return self.loop.call_later(delay + (0.03 if call == self.host._ring else 0.0), call, *args)
+        return self.loop.call_later(delay + (0.03 if call == self.host._fire_timer else 0.0), call, *args)
 
 
 @pytest.mark.parametrize("held_up", ["deciding", "arming"])
@@ -173,7 +173,7 @@
             monkeypatch.setattr(host.balancer, "handle", slow)
             response = await node.ask(request(budget="300m"))
             assert (response.status, response.header(b"retry-after")) == (503, b"1.000")
-            assert not host.open and not host.rings
+            assert not host.open and not host.timers
 
     play(test)
 
