The host's open requests and probes stand in modules of their own

Need: net/host.py had 572 lines, and three jobs beside carrying out what the module decides.

Change: a move. Attempt, OpenRequest and ResponseStream -> net/open_request.py; probes and warm connections -> net/probing.py.

Result: host.py has 476 lines; the tests of the node, its moments and operators pass; mypy clean.

--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -10,7 +10,6 @@
 import math
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, field
 from itertools import chain
 from typing import TYPE_CHECKING
 
@@ -19,70 +18,25 @@
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery import Members
 from cloverhold.net.exchange import Exchange, retry_after
-from cloverhold.net.messages import NO_HOST, Field, Response, read_load
-from cloverhold.net.upstreams.calls import Call, Left, Outgoing, Pool, Upstream
-from cloverhold.settings import load_report
+from cloverhold.net.messages import Field, Response
+from cloverhold.net.open_request import Attempt, OpenRequest, ResponseStream, request_to_send, take_attempt
+from cloverhold.net.probing import Prober, parse_load
+from cloverhold.net.upstreams.calls import Call, Pool, Upstream
 
 if TYPE_CHECKING:
     from cloverhold.cells.shell import Router
-    from cloverhold.cells.tenancy import Cell
     from cloverhold.store.sent import How
     from cloverhold.store.remote import RemoteStore
     from cloverhold.store.shell import Store
 
 log = logging.getLogger(__name__)
 
-PROBE_TIMEOUT_MS = 300.0
-PROBE = Outgoing(b"GET", b"/_load", [(b"Host", NO_HOST)])
 # What a request and its answer may spend on the way and in a busy loop: the client counts from its own clock.
 # With 2 ms, timers of 1 ms made answers to silent servers arrive just past the client's time.
 TRANSIT_MS = 10.0
 DEADLINE_TIMER_DELAY_MS = 5.0  # behind the module's own word, which knows whether a refusal would be true
 
 
-@dataclass(slots=True)
-class Attempt:
-    """One send that is out."""
-
-    number: int
-    server: str
-    call: Call
-    sent_at: float
-    timer: asyncio.TimerHandle | None = None
-    begun_after: float | None = None  # ms to the first byte of an answer that is passed on
-    cell: Cell | None = None
-    kind: str = ""
-
-
-@dataclass(slots=True)
-class Open:
-    """One request that is owed an answer."""
-
-    exchange: Exchange
-    expires_at: float
-    deadline_timer: asyncio.TimerHandle | None
-    sent: int = 0
-    cell: Cell | None = None  # where it is confined to
-    record: int | None = None  # the store's ticket
-    out: dict[int, Attempt] = field(default_factory=dict)
-    begun: bool = False  # whether its answer is on the way in pieces
-
-
-class ResponseStream:
-    """Takes a long answer of one attempt."""
-
-    __slots__ = ("host", "number", "ref")
-
-    def __init__(self, host: Host, ref: int, number: int) -> None:
-        self.host, self.ref, self.number = host, ref, number
-
-    def begun(self, call: Call, response: Response) -> None:
-        self.host.begun(self.ref, self.number, call, response)
-
-    def write_chunk(self, call: Call, data: bytes) -> None:
-        self.host.chunk(self.ref, call, data)
-
-
 class Host:
     """One instance of the module on real sockets."""
 
@@ -107,7 +61,8 @@
             router.serves, router.warm = self.balancer.serves, self._warm
         self.loop = asyncio.get_running_loop()
         self.upstreams: dict[str, Upstream] = {}
-        self.open: dict[int, Open] = {}
+        self.prober = Prober(clock, pool, self.upstreams, self.dispatch)
+        self.open: dict[int, OpenRequest] = {}
         self.call_ids: set[bytes] = set()  # of the open requests
         self.requests = 0
         self.events: deque[tuple[float, io.Event]] = deque()  # with the time at which each happened
@@ -164,7 +119,7 @@
             case io.Send():
                 self._send(action)
             case io.Probe(server=server):
-                self._probe(server)
+                self.prober.probe(server)
             case io.SetTimer(delay_ms=delay, token=token):
                 # Counted from its event, not from now: what deciding took would put it off, behind the guards.
                 self.timers[token] = due = self.at + delay
@@ -240,7 +195,9 @@
         deadline_timer = (
             self.loop.call_later((left + DEADLINE_TIMER_DELAY_MS) / 1000, self._overdue, ref) if request.whole else None
         )
-        opened = self.open[ref] = Open(exchange, now + left if request.whole else math.inf, deadline_timer, cell=cell)
+        opened = self.open[ref] = OpenRequest(
+            exchange, now + left if request.whole else math.inf, deadline_timer, cell=cell
+        )
         if self.store is not None and asked.kind.repeat is io.Repeat.UNSAFE:
             key = request.fields.get(b"idempotency-key", b"")
             opened.record = self.store.record(call_id, key, lambda how: self._recorded(ref, how))
@@ -282,7 +239,7 @@
         else:
             self._final(ref, 503, headers=self._come_back(self.settings.max_retry_after_ms))
 
-    def _begin(self, ref: int, opened: Open) -> None:
+    def _begin(self, ref: int, opened: OpenRequest) -> None:
         """Hand a request to the module."""
         asked, cell, arriving, now = opened.exchange.asked, opened.cell, opened.deadline_timer is None, self.clock.now()
         left = asked.budget_ms if arriving else max(0.0, opened.expires_at - now)
@@ -315,13 +272,13 @@
         self.client_gone(exchange)
         return False
 
-    def _left(self, opened: Open, until: float = math.inf) -> float:
+    def _left(self, opened: OpenRequest, until: float = math.inf) -> float:
         """The ms from now to the end of a client's time; no more than to `until`. While the request still comes its
         time has not begun, and is left in full.
         """
         return min(min(opened.expires_at, until) - self.clock.now(), opened.exchange.asked.budget_ms)
 
-    def _in_time(self, ref: int, opened: Open, number: int, leaves_by: float) -> bool:
+    def _in_time(self, ref: int, opened: OpenRequest, number: int, leaves_by: float) -> bool:
         """Whether an attempt may still leave: a client's time runs, or its answer is on its way, and the module's word
         holds. A request that is over is answered here, as by its guard a step later; an answer that began before its
         request had left, which now may not, is cut off.
@@ -361,7 +318,7 @@
             self._answer(opened, 504)
             self._abandon(ref, opened, io.Status.TIMEOUT)
 
-    def _close(self, ref: int) -> Open | None:
+    def _close(self, ref: int) -> OpenRequest | None:
         opened = self.open.pop(ref, None)
         if opened is not None:
             if opened.deadline_timer is not None:
@@ -389,7 +346,7 @@
         self._abandon(ref, opened, ending)
         return True
 
-    def _answer(self, opened: Open, status: int, body: bytes = b"", headers: Iterable[Field] = ()) -> None:
+    def _answer(self, opened: OpenRequest, status: int, body: bytes = b"", headers: Iterable[Field] = ()) -> None:
         """Write the one answer of a request that has been closed."""
         if opened.begun and opened.exchange.passing is not None:
             opened.exchange.passing.abort_answer(opened.exchange)  # too late for another
@@ -430,10 +387,10 @@
 
     def _ended(self, ref: int, number: int, call: Call, status: io.Status) -> None:
         opened = self.open.get(ref)
-        if opened is None or (attempt := _taken(opened, number)) is None:
+        if opened is None or (attempt := take_attempt(opened, number)) is None:
             return
         response = call.response
-        load = _load(response.header(b"x-load-report")) if response is not None else None
+        load = parse_load(response.header(b"x-load-report")) if response is not None else None
         passing = opened.exchange.passing
         if opened.begun and passing is not None:
             self._close(ref)
@@ -470,55 +427,20 @@
             self.router.ended(ref, attempt.cell, attempt.kind, attempt.server, status, spent)
         self.dispatch(io.Outcome(ref, attempt.number, attempt.server, status, spent, opened is None, load, again))
 
-    def _stop(self, ref: int, opened: Open, number: int, status: io.Status) -> None:
+    def _stop(self, ref: int, opened: OpenRequest, number: int, status: io.Status) -> None:
         """Wait no longer for an attempt, if it is still out."""
-        if (attempt := _taken(opened, number)) is not None:
+        if (attempt := take_attempt(opened, number)) is not None:
             attempt.call.give_up()
             self._outcome(ref, attempt, status)
 
-    def _abandon(self, ref: int, opened: Open, status: io.Status = io.Status.CANCELLED) -> None:
+    def _abandon(self, ref: int, opened: OpenRequest, status: io.Status = io.Status.CANCELLED) -> None:
         """A request that is over has no attempt out, whoever ended it; each still gets its outcome."""
         for number in list(opened.out):
             self._stop(ref, opened, number, status)
 
-    # ----------------------------------------------------------------- probes
-
-    def _probe(self, server: str) -> None:
-        upstream, sent_at = self.upstreams.get(server), self.clock.now()
-        if upstream is None:
-            self.dispatch(io.ProbeReply(server, io.Status.CONNECT_FAILED, 0.0))
-            return
-
-        def told(status: io.Status, load: io.LoadReport | None = None) -> None:
-            now = self.upstreams.get(server)
-            if now is None or now.started_at != upstream.started_at:
-                return  # of a process that has ended: its successor has a row of its own
-            self.dispatch(io.ProbeReply(server, status, self.clock.now() - sent_at, load))
-
-        def done(call: Call, status: io.Status) -> None:
-            timer.cancel()
-            response = call.response
-            if response is not None and response.status == 503:
-                status = io.Status.FULL
-            load = None
-            if status is io.Status.OK and response is not None:
-                load = _load(response.body) or _load(response.header(b"x-load-report"))
-            told(status, load)
-
-        def late() -> None:
-            call.give_up()
-            told(io.Status.TIMEOUT)
-
-        timer = self.loop.call_later(PROBE_TIMEOUT_MS / 1000, late)
-        call = self.pool.call(upstream, PROBE, done)
-
     def _warm(self, server: str) -> None:
-        """Open a connection to a server that will soon be sent to; its answer tells the module nothing."""
-        upstream = self.upstreams.get(server)
-        if upstream is None or not self.settings.probes or upstream.idle:
-            return
-        call = self.pool.call(upstream, PROBE, lambda call, status: timer.cancel())
-        timer = self.loop.call_later(PROBE_TIMEOUT_MS / 1000, call.give_up)
+        if self.settings.probes:
+            self.prober.warm(server)
 
     # -------------------------------------------------------------- discovery
 
@@ -552,21 +474,3 @@
 
     def list_failed(self) -> None:
         self.dispatch(io.ServerList(io.ListKind.ERROR))
-
-
-def _taken(opened: Open, number: int) -> Attempt | None:
-    attempt = opened.out.pop(number, None)
-    if attempt is not None and attempt.timer is not None:
-        attempt.timer.cancel()
-    return attempt
-
-
-def _load(text: bytes) -> io.LoadReport | None:
-    values = read_load(text) if text else None
-    return load_report(values) if values is not None else None
-
-
-def request_to_send(exchange: Exchange, left: Left) -> Outgoing:
-    """What a server is sent: the request as it came, with the time that this node will wait when it leaves."""
-    request = exchange.request
-    return Outgoing(request.method, request.target, request.passed, request.body, request.upload, left)
--- a/tests/moments/test_stop.py
+++ b/tests/moments/test_stop.py
@@ -67,7 +67,7 @@
     async def test() -> None:
         async with running(Server(), nodes=2) as node:
             host = node.node.host
-            host._probe = lambda server: None  # type: ignore[method-assign]
+            host.prober.probe = lambda server: None  # type: ignore[method-assign]
             reader, writer = await node.connect()
             writer.write(request())
             await until(lambda: host.balancer.requests)
