Counters and log lines: why connections are closed, requests ended, attempts made

Need: the incident left no evidence: the node said neither why it closed a connection nor why a request was refused or retried.

Change: net/telemetry.py, asked by host, front and life; GET /_metrics at the management address tells the counters as JSON. Every ending and attempt has a reason of a fixed set; lines carry the request's id, five a second of each name at most.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -31,6 +31,7 @@
 from cloverhold.net.fronts.listener import Listener
 from cloverhold.net.host import Host
 from cloverhold.net.inherited import NotListening, inherited_socket
+from cloverhold.net.telemetry import Happening, Telemetry
 from cloverhold.net.upstreams.http1 import Pool
 from cloverhold.platform import LISTEN_FD, Config, ConfigError, read_config, read_known
 
@@ -66,6 +67,7 @@
         loop = asyncio.get_running_loop()
         shares = descriptors(config.sockets, management=config.mgmt is not None)
         self.life = Life()
+        self.telemetry = Telemetry()
         self.config, self.clock, self.worker = config, clock, worker
         self.pool = Pool(loop, config.dial_ms / 1000, config.idle_ms / 1000, shares.servers)
         self.part = str(worker.number) if worker is not None else ""  # of the operator's files
@@ -73,13 +75,13 @@
         self.router = parts.router_of(config, clock, self.store, self.part)
         self.host = Host(
             config.settings, config.seed, clock, self.pool, lambda on: self.discovery.watch(on), self.router,
-            self.store, unsafe=config.store is None or self.store is not None,
+            self.store, unsafe=config.store is None or self.store is not None, telemetry=self.telemetry,
         )  # fmt: skip
         self.discovery = Discovery(
             config.discovery, clock, self._members, self.host.list_failed, lambda: self.host.settings
         )
         self.budget = Budget(budget_of(config.memory_mb))
-        self.listener = Listener(self.host, self.life, self.budget, shares.clients, shares.resting)
+        self.listener = Listener(self.host, self.life, self.budget, shares.clients, shares.resting, self.telemetry)
         self.http3 = parts.http3_of(config, self.host)
         self.succession = self._succession() if config.listen_fd is not None else None
         self.listener.successor = lambda: self.succession is not None and self.succession.share.successor
@@ -126,6 +128,7 @@
             b"/_ready": (b"GET", lambda: self.life.ready() and self.host.ready()),
             b"/_lameduck/on": (b"POST", lambda: self._lame_duck(on=True)),
             b"/_lameduck/off": (b"POST", lambda: self._lame_duck(on=False)),
+            b"/_metrics": (b"GET", lambda: json.dumps(self.telemetry.report()).encode()),
         }
         if (membership := self.membership) is not None:
             calls[b"/_members"] = (b"GET", lambda: json.dumps(membership.report()).encode())
@@ -162,6 +165,13 @@
         if settings != self.host.settings:
             self.host.settle(settings)
 
+    def _tell_life(self, event: Event) -> None:
+        """An event of the process's life; each phase it enters is logged and counted."""
+        before = self.life.phase
+        after = self.life.tell(event, time.monotonic())
+        if after is not before:
+            self.telemetry.event(Happening.PHASE_ENTERED, after.value, before=before.value)
+
     def _lame_duck(self, *, on: bool) -> bool:
         """Drain the node, or take clients again; False where it stops."""
         if not self.life.lame_duck(on, time.monotonic()):
@@ -172,7 +182,7 @@
 
     def _members(self, members: Members) -> None:
         self.host.members(members)
-        self.life.tell(Event.LISTED)
+        self._tell_life(Event.LISTED)
         if self.succession is not None:
             self.succession.told(members_value(members, self.clock))
         if self.worker is not None:
@@ -192,7 +202,7 @@
             self.host.members(known, remembered=True)
             # Beside a process that serves, one is ready once its list is of now, or discovery does not answer.
             wait = REMEMBERED_S if self.succession is not None and self.succession.share.parts > 1 else 0.0
-            asyncio.get_running_loop().call_later(wait, self.life.tell, Event.LISTED)
+            asyncio.get_running_loop().call_later(wait, self._tell_life, Event.LISTED)
             self.discovery.resume(known.version)
             if self.store is not None:
                 self.store.keep_list(members_value(known, self.clock))
@@ -212,7 +222,7 @@
                 self.listener.announce = b'Alt-Svc: h3=":%d"; ma=86400\r\n' % self.http3.port()
         if self.worker is not None:
             self.worker.begin(stop)
-        self.life.tell(Event.LISTENING)
+        self._tell_life(Event.LISTENING)
         log.info("listening on %s:%d", *self.config.listen)
         gc.freeze()  # what is there now stays: collections need not look at it again
         gc.set_threshold(*GC_THRESHOLD)
@@ -286,7 +296,7 @@
         loop = asyncio.get_running_loop()
         longest = self.host.longest_ms() / 1000
         until = loop.time() + min(longest, DEADLINE_MOST_S) + STOP_S
-        self.life.tell(Event.TERM, time.monotonic())
+        self._tell_life(Event.TERM)
         if self.membership is not None:
             self.membership.leave()
         self.listener.announce = b""
@@ -305,7 +315,7 @@
         await asyncio.sleep(0.05)  # the last answers leave
         while self._busy() and loop.time() < until + FLUSH_S:  # some clients read slowly
             await asyncio.sleep(0.02)
-        self.life.tell(Event.EMPTY)
+        self._tell_life(Event.EMPTY)
         self.close()
 
     def _busy(self) -> bool:
--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -14,6 +14,7 @@
 
 from cloverhold.bodies.upload import Upload
 from cloverhold.net.exchange import ONCE, BadRequest, Exchange, Incoming, read_request
+from cloverhold.net.telemetry import Happening
 from cloverhold.net.messages import BODY_LIMIT, HEAD_LIMIT, HOP_BY_HOP, LENGTH_LIMIT, NO_HOST, Field
 
 if TYPE_CHECKING:
@@ -102,6 +103,23 @@
             self.listener.left_waiting(self)  # it is no longer one of those that may give way: another is the next
             self.transport.close()
 
+    def _count_close(self, reason: str) -> None:
+        """The node ends this connection, or the request that comes on it."""
+        request, peer = self.incoming, None
+        if self.transport is not None:
+            peer = self.transport.get_extra_info("peername")
+        received = request.upload.size if request.upload is not None else len(self.body)
+        self.listener.telemetry.event(
+            Happening.CONNECTION_CLOSED,
+            reason,
+            client=peer,
+            id=request.fields.get(b"x-call-id", b""),
+            in_head=self.in_head,
+            body_bytes=received,
+            open=self.open is not None,
+            paused=self.paused,
+        )
+
     def is_client_connected(self, exchange: Exchange) -> bool:
         """Whether the client still waits. Its end lies unread behind what it sent in the same burst, while nothing is
         read, and where the loop was late; it is asked for, since a request is sent on only while it is wanted.
@@ -154,6 +172,7 @@
             if unread != self.unread:
                 self.unread, self.unread_since = unread, now
             elif now - self.unread_since > (STUCK_S if self.closing is None else STUCK_CLOSING_S):
+                self._count_close("answer_unread")
                 transport.abort()
         elif self.closing is not None:
             if now - self.closing > LINGER_S:
@@ -163,9 +182,11 @@
                 self.close_if_idle()
         elif self.starved is not None:
             if now - self.starved > STARVED_S and self.open is None:
+                self._count_close("no_buffer")
                 self._turn_away(BadRequest(503, "no memory for a body"), close=True)
         elif self.begun is not None:
             if now > self.begun + self._patience():
+                self._count_close("not_whole_in_time" if self.unfinished() else "nothing_received")
                 self._overdue()
         elif self.idle() and now - self.rested > IDLE_S:
             self.close_if_idle()
--- a/cloverhold/net/fronts/listener.py
+++ b/cloverhold/net/fronts/listener.py
@@ -13,6 +13,7 @@
 from cloverhold.lifecycle import Life
 from cloverhold.net.exchange import Taker
 from cloverhold.net.fronts.http1 import ClientConnection
+from cloverhold.net.telemetry import Telemetry
 
 log = logging.getLogger(__name__)
 
@@ -31,7 +32,10 @@
 class Listener:
     """The listening socket and the connections that came in by it."""
 
-    def __init__(self, taker: Taker, life: Life, budget: Budget, most: int, most_idle: int) -> None:
+    def __init__(
+        self, taker: Taker, life: Life, budget: Budget, most: int, most_idle: int, telemetry: Telemetry
+    ) -> None:
+        self.telemetry = telemetry
         self.taker, self.life, self.budget, self.most, self.most_idle = taker, life, budget, most, most_idle
         self.connections: set[ClientConnection] = set()
         # Those that have said nothing, whose first request is half here, and that are between requests; the longest so
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -21,6 +21,7 @@
 from cloverhold.net.messages import Field, Response
 from cloverhold.net.open_request import Attempt, OpenRequest, ResponseStream, request_to_send, take_attempt
 from cloverhold.net.probing import Prober, parse_load
+from cloverhold.net.telemetry import Ending, Happening, Telemetry
 from cloverhold.net.upstreams.calls import Call, Pool, Upstream
 
 if TYPE_CHECKING:
@@ -51,12 +52,14 @@
         store: Store | RemoteStore | None = None,
         *,
         unsafe: bool = True,
+        telemetry: Telemetry | None = None,
     ) -> None:
         """unsafe: whether requests that must not run twice are taken."""
         self.balancer = Balancer(settings, seed)
         self.classes = {c.name: c for c in settings.classes}
         self.settings, self.clock, self.pool, self.watch, self.router = settings, clock, pool, watch, router
         self.store, self.unsafe = store, unsafe
+        self.telemetry = telemetry if telemetry is not None else Telemetry()
         if router is not None:
             router.serves, router.warm = self.balancer.serves, self._warm
         self.loop = asyncio.get_running_loop()
@@ -98,7 +101,7 @@
             actions = self.balancer.handle(at, event)
         except Exception:  # a fault of the module must not cost the other requests their answers
             log.exception("the module failed on %s", type(event).__name__)
-            if isinstance(event, (io.Request, io.Outcome)) and self._final(event.id, 500):
+            if isinstance(event, (io.Request, io.Outcome)) and self._final(event.id, 500, Ending.POLICY_FAULT):
                 self.dispatch(io.ClientGone(event.id))
             return
         self._carry_out(iter(actions))
@@ -128,9 +131,9 @@
                 if (opened := self.open.get(ref)) is not None:
                     self._stop(ref, opened, number, io.Status.CANCELLED)
             case io.Refuse(id=ref, retry_after_ms=wait):
-                self._final(ref, 503, headers=retry_after(wait))
+                self._final(ref, 503, Ending.REFUSED, headers=retry_after(wait))
             case io.Fail(id=ref):
-                self._final(ref, 502)
+                self._final(ref, 502, Ending.FAILED)
             case io.Log(text=text):
                 log.info("%s", text)
             case io.Watch(on=on):
@@ -171,24 +174,25 @@
         now, asked = self.clock.now(), exchange.asked
         request = exchange.request
         if self.ended:
-            exchange.answer(503, headers=self._come_back(self.settings.max_retry_after_ms))
+            self._turn_away(exchange, 503, Ending.STOPPING, self.settings.max_retry_after_ms)
             return
         left = asked.budget_ms - (now - request.came_at * 1000 if request.whole else 0.0) - TRANSIT_MS
         if left <= 0:
-            exchange.answer(504)
+            self._turn_away(exchange, 504, Ending.SHORT_DEADLINE)
             return
         call_id = request.fields[b"x-call-id"]
         if call_id in self.call_ids:  # a second copy of what is out, or somebody else's id
-            exchange.answer(409)
+            self._turn_away(exchange, 409, Ending.DUPLICATE)
             return
         cell = self.router.route(asked.tenant, asked.key, asked.kind.name) if self.router is not None else None
         if isinstance(cell, io.Refuse):
-            exchange.answer(503, headers=self._come_back(cell.retry_after_ms))
+            self._turn_away(exchange, 503, Ending.CELL_CLOSED, cell.retry_after_ms)
             return
         if asked.kind.repeat is io.Repeat.UNSAFE and not self.unsafe:
-            exchange.answer(503, headers=self._come_back(self.settings.max_retry_after_ms))
+            self._turn_away(exchange, 503, Ending.NOT_RECORDED, self.settings.max_retry_after_ms)
             return
         self.call_ids.add(call_id)
+        self.telemetry.count(Happening.REQUEST_TAKEN, asked.kind.name)
         self.requests += 1
         ref = self.requests
         exchange.ref = ref
@@ -202,10 +206,24 @@
             key = request.fields.get(b"idempotency-key", b"")
             opened.record = self.store.record(call_id, key, lambda how: self._recorded(ref, how))
             if opened.record is None:  # it may have run, in this life of the node or the one before
-                self._final(ref, 409)
+                self._final(ref, 409, Ending.RAN_BEFORE)
             return
         self._begin(ref, opened)
 
+    def _turn_away(self, exchange: Exchange, status: int, ending: Ending, wait_ms: float = 0.0) -> None:
+        """Answer a request that is not taken."""
+        self._count_ending(exchange, ending, status)
+        exchange.answer(status, headers=self._come_back(wait_ms))
+
+    def _count_ending(self, exchange: Exchange, ending: Ending, status: int, attempts: int = 0) -> None:
+        if ending is Ending.SERVED:
+            self.telemetry.count(Happening.REQUEST_ENDED, ending.value)
+            return
+        name, kind = exchange.request.fields.get(b"x-call-id", b""), exchange.asked.kind.name
+        self.telemetry.event(
+            Happening.REQUEST_ENDED, ending.value, id=name, kind=kind, status=status, attempts=attempts
+        )
+
     def whole(self, exchange: Exchange) -> None:
         """The last byte has come of a request that was taken before: its time begins."""
         opened, now = self.open.get(exchange.ref), self.clock.now()
@@ -233,11 +251,12 @@
             return
         asked = opened.exchange.asked.kind
         if how == "known":  # it may have run at another worker
-            self._final(ref, 409)
+            self._final(ref, 409, Ending.RAN_BEFORE)
         elif how == "durable" and self.classes.get(asked.name, asked).repeat is asked.repeat:
             self._begin(ref, opened)
         else:
-            self._final(ref, 503, headers=self._come_back(self.settings.max_retry_after_ms))
+            headers = self._come_back(self.settings.max_retry_after_ms)
+            self._final(ref, 503, Ending.NOT_RECORDED, headers=headers)
 
     def _begin(self, ref: int, opened: OpenRequest) -> None:
         """Hand a request to the module."""
@@ -262,6 +281,7 @@
     def client_gone(self, exchange: Exchange) -> None:
         """The client has left: nothing more is owed."""
         if (opened := self._close(exchange.ref)) is not None:
+            self._count_ending(exchange, Ending.CLIENT_GONE, 0, opened.sent)
             self.dispatch(io.ClientGone(exchange.ref))
             self._abandon(exchange.ref, opened)
 
@@ -303,7 +323,7 @@
 
     def _expired(self, ref: int) -> None:
         """The client's time is up. The module ends requests sooner: this guards against one that does not."""
-        if self._final(ref, 504, ending=io.Status.TIMEOUT):
+        if self._final(ref, 504, Ending.DEADLINE, outcome=io.Status.TIMEOUT):
             self.dispatch(io.ClientGone(ref))
 
     def fail_all(self) -> None:
@@ -315,6 +335,7 @@
         for ref, _ in ended:
             self.dispatch(io.ClientGone(ref))
         for ref, opened in ended:
+            self._count_ending(opened.exchange, Ending.STOPPING, 504, opened.sent)
             self._answer(opened, 504)
             self._abandon(ref, opened, io.Status.TIMEOUT)
 
@@ -333,17 +354,23 @@
         return opened
 
     def _final(
-        self, ref: int, status: int, body: bytes = b"", headers: Iterable[Field] = (),
-        ending: io.Status = io.Status.CANCELLED,
-    ) -> bool:  # fmt: skip
+        self,
+        ref: int,
+        status: int,
+        ending: Ending,
+        body: bytes = b"",
+        headers: Iterable[Field] = (),
+        outcome: io.Status = io.Status.CANCELLED,
+    ) -> bool:
         """Give a request its one answer; False if it has had it. It is closed before the module hears how its attempts
-        ended: told so while it was open, the module could send it once more. `ending`: what these are told to be.
+        ended: told so while it was open, the module could send it once more. `outcome`: what these are told to be.
         """
         opened = self._close(ref)
         if opened is None:
             return False
+        self._count_ending(opened.exchange, ending, status, opened.sent)
         self._answer(opened, status, body, headers)
-        self._abandon(ref, opened, ending)
+        self._abandon(ref, opened, outcome)
         return True
 
     def _answer(self, opened: OpenRequest, status: int, body: bytes = b"", headers: Iterable[Field] = ()) -> None:
@@ -366,6 +393,7 @@
             self.dispatch(io.Outcome(ref, opened.sent, server, io.Status.MOOT, 0.0, True))
             return
         number, opened.sent = opened.sent, opened.sent + 1
+        self._count_attempt(opened, number, server)
         until = now + action.timeout_ms if action.timeout_ms else math.inf
         left = self._left(opened, until)
         if upstream is None or left <= 0 or not exchange.request.repeatable():
@@ -385,6 +413,15 @@
         if action.timeout_ms:
             attempt.timer = self.loop.call_later(left / 1000, self._stop, ref, opened, number, io.Status.TIMEOUT)
 
+    def _count_attempt(self, opened: OpenRequest, number: int, server: str) -> None:
+        if number == 0:
+            self.telemetry.count(Happening.ATTEMPT_BEGUN, "first")
+            return
+        before = opened.last_status.name if opened.last_status is not None else "OUT"
+        self.telemetry.event(
+            Happening.ATTEMPT_BEGUN, "retry", id=opened.call_id(), number=number, server=server, before=before
+        )
+
     def _ended(self, ref: int, number: int, call: Call, status: io.Status) -> None:
         opened = self.open.get(ref)
         if opened is None or (attempt := take_attempt(opened, number)) is None:
@@ -394,9 +431,12 @@
         passing = opened.exchange.passing
         if opened.begun and passing is not None:
             self._close(ref)
+            self._count_ending(
+                opened.exchange, Ending.SERVED if status is io.Status.OK else Ending.FAILED, 200, opened.sent
+            )
             (passing.finish if status is io.Status.OK else passing.abort_answer)(opened.exchange)
         elif status is io.Status.OK and response is not None:
-            self._final(ref, 200, response.body, response.passed)
+            self._final(ref, 200, Ending.SERVED, response.body, response.passed)
         self._outcome(ref, attempt, status, load)
 
     def begun(self, ref: int, number: int, call: Call, response: Response) -> None:
@@ -421,8 +461,11 @@
 
     def _outcome(self, ref: int, attempt: Attempt, status: io.Status, load: io.LoadReport | None = None) -> None:
         spent = attempt.begun_after if attempt.begun_after is not None else self.clock.now() - attempt.sent_at
+        self.telemetry.count(Happening.ATTEMPT_ENDED, status.name)
         opened = self.open.get(ref)
         again = opened is not None and opened.exchange.request.repeatable()
+        if opened is not None:
+            opened.last_status = status
         if self.router is not None and attempt.cell is not None:
             self.router.ended(ref, attempt.cell, attempt.kind, attempt.server, status, spent)
         self.dispatch(io.Outcome(ref, attempt.number, attempt.server, status, spent, opened is None, load, again))
--- a/cloverhold/net/open_request.py
+++ b/cloverhold/net/open_request.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from cloverhold.decision.interface import Status
 from cloverhold.net.exchange import Exchange
 from cloverhold.net.messages import Response
 from cloverhold.net.upstreams.calls import Call, Left, Outgoing
@@ -36,11 +37,16 @@
     expires_at: float
     deadline_timer: asyncio.TimerHandle | None
     sent: int = 0
+    last_status: Status | None = None  # how the attempt before the next one ended
     cell: Cell | None = None  # where it is confined to
     record: int | None = None  # the store's ticket
     out: dict[int, Attempt] = field(default_factory=dict)
     begun: bool = False  # whether its answer is on the way in pieces
 
+    def call_id(self) -> bytes:
+        """The client's name for it."""
+        return self.exchange.request.fields[b"x-call-id"]
+
 
 class StreamOwner(Protocol):
     """Who passes long answers on to clients."""
--- /dev/null
+++ b/cloverhold/net/telemetry.py
@@ -0,0 +1,106 @@
+"""Counters of what a node did and why, and log lines for the rare events among them.
+
+A counter is named by what happened and the reason, as `connection_closed.body_stalled`. Log lines are bounded:
+past `LINES_PER_S` of one name within a second the rest is counted, and the next line says how many were not
+written.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+log = logging.getLogger(__name__)
+
+LINES_PER_S = 5
+VALUE_LIMIT = 64  # characters of one value in a log line: peers choose some of them
+
+
+class Happening(Enum):
+    """What is counted."""
+
+    CONNECTION_CLOSED = "connection_closed"  # by the node, of a client
+    CONNECTION_LOST = "connection_lost"  # by the client, with a request that was not answered
+    ACCEPT_FAILED = "accept_failed"
+    REQUEST_TAKEN = "request_taken"  # by its class
+    REQUEST_ENDED = "request_ended"  # by its ending
+    ATTEMPT_BEGUN = "attempt_begun"  # "first" or "retry"
+    ATTEMPT_ENDED = "attempt_ended"  # by its outcome
+    ACT_DENIED = "act_denied"  # what may not be done now, and was not
+    RULE_VIOLATED = "rule_violated"  # what must never be asked for, or was found done
+    PHASE_ENTERED = "phase_entered"  # of the process
+
+
+class Ending(Enum):
+    """Why a request has its final answer, or needs none."""
+
+    SERVED = "served"
+    REFUSED = "refused_by_policy"
+    FAILED = "failed_by_policy"
+    DEADLINE = "deadline_passed"
+    SHORT_DEADLINE = "deadline_too_short"  # over before it could be sent anywhere
+    DUPLICATE = "duplicate_id"  # of a request that is open
+    RAN_BEFORE = "ran_before"  # by the record of an earlier life, or of another worker
+    NOT_RECORDED = "not_recorded"  # its record is not durable, or was made for another effect
+    CELL_CLOSED = "cell_refuses"
+    STOPPING = "node_stopping"
+    POLICY_FAULT = "policy_fault"
+    CLIENT_GONE = "client_gone"
+
+
+@dataclass(slots=True)
+class _Window:
+    """The log lines of one name within one second."""
+
+    begun_s: float = float("-inf")
+    written: int = 0
+    omitted: int = 0
+
+
+class Telemetry:
+    """The counters of one process."""
+
+    def __init__(self, now_s: Callable[[], float] = time.monotonic) -> None:
+        self._now_s = now_s
+        self._counts: Counter[tuple[Happening, str]] = Counter()
+        self._windows: dict[tuple[Happening, str], _Window] = {}
+
+    def count(self, happening: Happening, reason: str) -> None:
+        """Count without a log line. reason: of a fixed set; never what a peer sent."""
+        self._counts[happening, reason] += 1
+
+    def event(self, happening: Happening, reason: str, **details: object) -> None:
+        """Count, and write a line with the details unless too many of the name were written just now."""
+        self.count(happening, reason)
+        window = self._windows.setdefault((happening, reason), _Window())
+        now = self._now_s()
+        if now - window.begun_s >= 1.0:
+            window.begun_s, window.written = now, 0
+        if window.written >= LINES_PER_S:
+            window.omitted += 1
+            return
+        window.written += 1
+        if window.omitted:
+            details["lines_omitted"] = window.omitted
+            window.omitted = 0
+        level = logging.ERROR if happening is Happening.RULE_VIOLATED else logging.INFO
+        log.log(level, "%s: reason=%s%s", happening.value, reason, "".join(map(_pair, details.items())))
+
+    def get(self, happening: Happening, reason: str) -> int:
+        """One counter."""
+        return self._counts[happening, reason]
+
+    def report(self) -> dict[str, int]:
+        """All counters that have ever counted, by name."""
+        return {f"{happening.value}.{reason}": n for (happening, reason), n in sorted(self._counts.items(), key=str)}
+
+
+def _pair(item: tuple[str, object]) -> str:
+    """One detail of a log line: what peers chose is escaped and bounded."""
+    name, value = item
+    text = f"{value:.3f}" if isinstance(value, float) else repr(value) if isinstance(value, (bytes, str)) else value
+    return f" {name}={str(text)[:VALUE_LIMIT]}"
