--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -14,8 +14,10 @@
 
 from cloverhold.bodies.upload import Upload
 from cloverhold.net.exchange import ONCE, BadRequest, Exchange, Incoming, read_request
-from cloverhold.net.telemetry import Happening
+from cloverhold.net.fronts.receive_queue import has_room, unread_bytes
+from cloverhold.net.fronts.waits import Wait, Waiting
 from cloverhold.net.messages import BODY_LIMIT, HEAD_LIMIT, HOP_BY_HOP, LENGTH_LIMIT, NO_HOST, Field
+from cloverhold.net.telemetry import Happening
 
 if TYPE_CHECKING:
     from cloverhold.net.fronts.listener import Listener
@@ -25,16 +27,7 @@
 SMALL = 16 * 1024  # a body up to this size is no matter of the budget
 HOLD = 128 * 1024  # a body is sent on before it is whole once it is larger
 BETWEEN_LIMIT = 2 * HEAD_LIMIT  # of what frames a body, or comes behind it, between two pieces
-# A head is whole this long after its first byte, the first one after the connection came: a client that
-# says nothing, or never ends, holds a descriptor.
-PATIENCE_S = 2.3
-BODY_PATIENCE_S, BODY_RATE = 5.0, 16 * 1024  # a body is whole by then and as long as it takes at so many bytes a second
-STARVED_S = 3.0  # a body for which there is no memory is waited for so long
-FIRST_S = 0.1  # a new connection's request is on its way for so long
-IDLE_S = 2.0  # a connection between requests is kept for this long
-LINGER_S = 0.5  # after the last answer what still comes is read and dropped for so long
-STUCK_S = 20.0  # a client that does not read on is held for this long, on a connection that closes for less
-STUCK_CLOSING_S = 4.0
+FIRST_REQUEST_S = 0.1  # a new connection's request is on its way for so long
 _LINES = {int(s): f"HTTP/1.1 {int(s)} {s.phrase}\r\n".encode() for s in HTTPStatus}
 _NO_BODY = b"Content-Length: 0\r\n"
 
@@ -53,13 +46,17 @@
         self.body = bytearray()
         self.between = 0  # bytes since the message began, or since the last piece of its body
         self.in_head = True
+        self.in_message = False  # whether a request has begun to come, and is not whole
         self.expects = False  # whether the client waits to be told to go on (RFC 9110, section 10.1.1)
         # When the request that is awaited or half here began to be; None where the last one came whole.
         self.begun: float | None = time.monotonic()
-        self.paused = False  # whether nothing is read now
+        self.progress_at = self.begun  # when the client last sent, or took, bytes, or was last held up by the node
+        self.paused_since: float | None = None  # since when nothing is read
+        self.queued = 0  # bytes that then lay unread in the kernel
         self.starved: float | None = None  # since when memory is what it waits for
         self.stuffed = False  # whether it is sent no more until it reads
         self.unread, self.unread_since = 0, 0.0  # bytes that a client leaves unread, and since when just so many
+        self.streaming = False  # whether an answer is on the way in pieces
         self.chunked = False  # the answer that is on the way in pieces
         self.closes = False  # whether that is its connection's last
         self.rested = 0.0  # when it last had nothing open
@@ -108,16 +105,15 @@
         request, peer = self.incoming, None
         if self.transport is not None:
             peer = self.transport.get_extra_info("peername")
-        received = request.upload.size if request.upload is not None else len(self.body)
         self.listener.telemetry.event(
             Happening.CONNECTION_CLOSED,
             reason,
             client=peer,
             id=request.fields.get(b"x-call-id", b""),
             in_head=self.in_head,
-            body_bytes=received,
+            body_bytes=self._body_bytes(),
             open=self.open is not None,
-            paused=self.paused,
+            paused=self.paused_since is not None,
         )
 
     def is_client_connected(self, exchange: Exchange) -> bool:
@@ -137,7 +133,7 @@
 
     def unfinished(self) -> bool:
         """Whether a request is half here."""
-        return self.begun is not None and (self.between > 0 or not self.in_head)
+        return self.begun is not None and (self.between > 0 or self.in_message)
 
     def has_pending_work(self, now: float) -> bool:
         """Whether its client is owed anything: an answer, the rest of one that is written, that a request that is half
@@ -145,7 +141,7 @@
         """
         if self.closing is not None or not self.idle() or self.unfinished():
             return True
-        return self in self.listener.new and self.begun is not None and now - self.begun < FIRST_S
+        return self in self.listener.new and self.begun is not None and now - self.begun < FIRST_REQUEST_S
 
     def close_if_idle(self) -> bool:
         """Close while nothing is open, unless something lies unread: that is served first; whether it closed. Guards
@@ -162,53 +158,103 @@
         return True
 
     def sweep(self, now: float) -> None:
-        """End what a client has left unfinished for too long."""
-        life, transport = self.listener.life, self.transport
-        if transport is None:
+        """End what has been waited for too long."""
+        if self.transport is None:
             return
-        if self.paused and self.open is not None and not self.is_client_connected(self.open):
+        if self.paused_since is not None and self.open is not None and not self.is_client_connected(self.open):
             return  # while nothing is read its end would stay unseen
-        if unread := transport.get_write_buffer_size():
-            if unread != self.unread:
-                self.unread, self.unread_since = unread, now
-            elif now - self.unread_since > (STUCK_S if self.closing is None else STUCK_CLOSING_S):
-                self._count_close("answer_unread")
-                transport.abort()
-        elif self.closing is not None:
-            if now - self.closing > LINGER_S:
-                transport.abort()
-        elif life.closing() and self.idle() and not self.unfinished():
-            if now > life.rests_until(self.rested or self.begun or now, self.place):
-                self.close_if_idle()
-        elif self.starved is not None:
-            if now - self.starved > STARVED_S and self.open is None:
-                self._count_close("no_buffer")
-                self._turn_away(BadRequest(503, "no memory for a body"), close=True)
-        elif self.begun is not None:
-            if now > self.begun + self._patience():
-                self._count_close("not_whole_in_time" if self.unfinished() else "nothing_received")
-                self._overdue()
-        elif self.idle() and now - self.rested > IDLE_S:
-            self.close_if_idle()
+        self._note_progress(now)
+        wait = self._waiting(now).overdue(now)
+        if wait is not None:
+            self._end(wait)
 
-    def _patience(self) -> float:
-        """How long the request that comes may take in all, so far."""
+    def _note_progress(self, now: float) -> None:
+        """What the client has done while nothing of it was read: it took bytes, sent some, or could not send."""
+        transport = self.transport
+        assert transport is not None
+        if (unread := transport.get_write_buffer_size()) != self.unread:
+            self.unread, self.unread_since = unread, now
+            self.progress_at = now
+        if self.paused_since is not None:
+            sock = transport.get_extra_info("socket")
+            queued = unread_bytes(sock)
+            if queued is None or queued != self.queued or not has_room(sock, queued):
+                self.progress_at = now
+            self.queued = queued or 0
+
+    def _waiting(self, now: float) -> Waiting:
+        """What it waits for now."""
+        waiting = Waiting()
+        if self.closing is not None:
+            if self.unread:
+                waiting.last_read_since = self.unread_since
+            else:
+                waiting.lingering_since = self.closing
+            return waiting
+        if self.unread:
+            waiting.unread_since = self.unread_since
+        if self.starved is not None and self.open is None:
+            waiting.starved_since = self.starved
+        if self.unfinished() or self.broken is not None:
+            if not self.streaming:
+                self._wait_for_request(waiting)
+            elif self.unread:  # else the answer that is on the way waits for its server
+                waiting.progress_at = self.progress_at
+        elif self.idle():
+            self._wait_idle(waiting, now)
+        return waiting
+
+    def _wait_for_request(self, waiting: Waiting) -> None:
+        """A request is half here."""
         if self.in_head:
-            return PATIENCE_S
+            waiting.head_since = self.begun
+            return
+        waiting.body_since, waiting.body_bytes = self.begun, self._body_bytes()
+        if not (self.expects and not self.idle()):  # else it waits to be told to go on
+            waiting.progress_at = self.progress_at
+
+    def _wait_idle(self, waiting: Waiting, now: float) -> None:
+        """Nothing is here of any request."""
+        life = self.listener.life
+        if life.closing():
+            waiting.drains_at = life.rests_until(self.rested or self.begun or now, self.place)
+        elif self.begun is not None:
+            waiting.silent_since = self.begun
+        else:
+            waiting.idle_since = self.rested
+
+    def _body_bytes(self) -> int:
+        """Bytes of the incoming request's body so far."""
         upload = self.incoming.upload
-        return PATIENCE_S + BODY_PATIENCE_S + (upload.size if upload is not None else len(self.body)) / BODY_RATE
+        return upload.size if upload is not None else len(self.body)
+
+    def _end(self, wait: Wait) -> None:
+        """End what has lasted too long."""
+        transport = self.transport
+        assert transport is not None
+        if wait in (Wait.DRAIN, Wait.IDLE):
+            self.close_if_idle()
+            return
+        if wait is not Wait.LINGER:
+            self._count_close(wait.value)
+        if wait in (Wait.LAST_READ, Wait.LINGER, Wait.ANSWER_READ):
+            transport.abort()
+        elif wait is Wait.FIRST_BYTE:
+            self.close()  # a request that crosses this is sent once more
+        else:
+            self._end_request(BadRequest(503, "no memory for a body") if wait is Wait.BUFFER else None)
 
-    def _overdue(self) -> None:
-        """End a connection whose request does not become whole, or can't be read, whatever is open before it:
-        that one fails with it.
+    def _end_request(self, error: BadRequest | None) -> None:
+        """End a connection whose request does not become whole, or can't be read, whatever is open before it: that one
+        fails with it.
         """
         exchange, self.open = self.open, None
         if exchange is not None:
             self.listener.taker.client_gone(exchange)
-        if exchange is None and not self.unfinished():
-            self.close()  # said nothing: a request that crosses this is sent once more
+        if self.unread and self.transport is not None:
+            self.transport.abort()  # it takes no error either
             return
-        self._turn_away(self.broken or BadRequest(408, "not whole in time"), close=True)
+        self._turn_away(error or self.broken or BadRequest(408, "not whole in time"), close=True)
 
     # ----------------------------------------------------------------- requests
 
@@ -218,6 +264,7 @@
         if self in self.listener.new:
             self.listener.received_first_bytes(self)
         self.between += len(data)
+        self.progress_at = time.monotonic()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -233,6 +280,7 @@
 
     def on_message_begin(self) -> None:
         self.incoming, self.body, self.in_head = Incoming(whole=False), bytearray(), True
+        self.in_message = True
         if self.begun is None:
             self.begun = time.monotonic()
 
@@ -282,7 +330,7 @@
         incoming, self.expects = self.incoming, False
         incoming.keep_alive = self.parser.should_keep_alive()
         incoming.came_at, incoming.whole = time.monotonic(), True
-        self.in_head, self.between, self.begun = True, 0, None
+        self.in_head, self.in_message, self.between, self.begun = True, False, 0, None
         if self.open is not None and self.open.request is incoming:
             self.listener.taker.whole(self.open)
             if incoming.upload is not None:
@@ -323,6 +371,7 @@
         """The next request is half here, and nothing is before it."""
         if self.expects and self.transport is not None:
             self.expects = False
+            self.progress_at = time.monotonic()
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         upload = self.incoming.upload
         if upload is not None and (upload.size > HOLD or self.listener.budget.spent()):
@@ -340,9 +389,19 @@
         elif self.starved is None and self.listener.budget.spent():
             self.starved = time.monotonic()
             self.listener.budget.wait(self._room)
-        if holds != self.paused:
-            self.paused = holds
-            (transport.pause_reading if holds else transport.resume_reading)()
+        if holds and self.paused_since is None:
+            self.paused_since = time.monotonic()
+            transport.pause_reading()
+        elif not holds and self.paused_since is not None:
+            self._resume_reading(transport)
+
+    def _resume_reading(self, transport: asyncio.Transport) -> None:
+        """Read on. The time in which the node did not read is not the client's."""
+        now = time.monotonic()
+        if self.begun is not None and self.paused_since is not None:
+            self.begun += now - self.paused_since
+        self.paused_since, self.progress_at = None, now
+        transport.resume_reading()
 
     def _room(self) -> None:
         """What held the reading back has moved on."""
@@ -386,6 +445,7 @@
         self.chunked = length is None and not request.http10
         last = not request.keep_alive or not request.whole or (length is None and request.http10)
         self.closes = last or (self.listener.life.closing() and not self.queue)
+        self.streaming = True
         framing = b"Transfer-Encoding: chunked\r\n" if self.chunked else b""
         if length is not None:
             framing = b"Content-Length: %d\r\n" % length
@@ -401,7 +461,8 @@
     def finish(self, exchange: Exchange) -> None:
         if self.open is not exchange or self.transport is None:
             return
-        self.open = None
+        self.open, self.streaming = None, False
+        self.progress_at = time.monotonic()
         if self.chunked:
             self.transport.write(b"0\r\n\r\n")
         self._written(close=self.closes)
@@ -462,9 +523,8 @@
         self.closing = time.monotonic()
         transport = self.transport
         if transport is not None:
-            if self.paused:
-                self.paused = False
-                transport.resume_reading()
+            if self.paused_since is not None:
+                self._resume_reading(transport)
             transport.write_eof()
 
 
--- a/tests/faults/test_stalled_clients.py
+++ b/tests/faults/test_stalled_clients.py
@@ -12,7 +12,7 @@
 import pytest
 
 from loopback import Scripted, Server, play, read_answer, request, until
-from node_process import node_process
+from node_process import PROFILES, node_process
 
 OWED_S = 3.0  # a client that stops in the middle of a request gets its error or close within this
 GIVEN_UP_S = 4.0
@@ -211,3 +211,57 @@
             writer.close()
 
     play(test)
+
+
+def slow_answer(size: int, pause_s: float, count: int) -> Scripted:
+    """A server whose long answer comes in pieces, with pauses."""
+
+    async def script(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (size * count))
+        for _ in range(count):
+            writer.write(b"y" * size)
+            await asyncio.sleep(pause_s)
+
+    return Scripted(script)
+
+
+@pytest.mark.parametrize("where", ["head", "first_bytes"])
+def test_long_answer_is_not_spoilt_by_the_timeout_of_the_next_request(where: str, tmp_path: Path) -> None:
+    """Half of the next request waits behind it: its 408 must not come into the answer's body."""
+    size, count = 100_000, 5
+
+    async def test() -> None:
+        async with node_process(tmp_path, slow_answer(size, 0.9, count)) as node:
+            reader, writer = await asyncio.open_connection("127.0.0.1", node.port)
+            writer.write(request("consulta") + STOPS[where].data("2"))
+            async with asyncio.timeout(20):
+                await reader.readuntil(b"\r\n\r\n")
+                assert await reader.readexactly(size * count) == b"y" * size * count
+                ended = time.monotonic()
+                rest = await reader.read()
+            assert time.monotonic() - ended < OWED_S and (not rest or rest.startswith(b"HTTP/1.1 408"))
+            writer.close()
+
+    play(test)
+
+
+def test_client_that_waits_for_100_continue_behind_an_open_request_is_not_ended_for_it(tmp_path: Path) -> None:
+    """It waits for the node, whose turn it is."""
+
+    async def answer_late(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r")[0] or 0)
+        await (asyncio.sleep(3.0) if not length else reader.readexactly(length))
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    async def test() -> None:
+        patient = [{**profile, "AimMs": 4000.0, "DeadlineMs": 8000.0} for profile in PROFILES]
+        async with node_process(tmp_path, Scripted(answer_late), profiles=patient) as node:
+            reader, writer = await asyncio.open_connection("127.0.0.1", node.port)
+            writer.write(request("alerta", number="1") + STOPS["expecting_100_continue"].data("2"))
+            assert (await read_answer(reader)).status == 200
+            assert b" 100 " in await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"x" * 100)
+            assert (await read_answer(reader)).status == 200
+            writer.close()
+
+    play(test)
