One module decides what may be taken, sent, repeated or closed now, and counts violations

Change: cloverhold/permission.py, pure, asked by the host before it takes a request and before each attempt, and by the front before it closes a connection. What nobody may ask for (two attempts at once, an unsafe repeat, one outside its group) is not done, and counted as a violation with a line of the log; so are a late answer and one that is dropped with its connection.

Evidence: a policy that is made to repeat an unsafe request, or to send beside an attempt that is out, reaches no server and is counted; both reached one before.

--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -14,10 +14,11 @@
 
 from cloverhold.bodies.upload import Upload
 from cloverhold.net.exchange import ONCE, BadRequest, Exchange, Incoming, read_request
-from cloverhold.net.fronts.receive_queue import has_room, unread_bytes
+from cloverhold.net.fronts.receive_queue import has_room, is_readable, unread_bytes
 from cloverhold.net.fronts.waits import Wait, Waiting
 from cloverhold.net.messages import BODY_LIMIT, HEAD_LIMIT, HOP_BY_HOP, LENGTH_LIMIT, NO_HOST, Field
 from cloverhold.net.telemetry import Happening
+from cloverhold.permission import Denial, may_close
 
 if TYPE_CHECKING:
     from cloverhold.net.fronts.listener import Listener
@@ -95,7 +96,10 @@
             self._next()
 
     def close(self) -> None:
+        """Close behind what is written. Nothing may be owed any more."""
         if self.transport is not None and self.closing is None:
+            if self.open is not None:
+                self.listener.telemetry.event(Happening.RULE_VIOLATED, Denial.ANSWER_DROPPED.value)
             self.closing = time.monotonic()
             self.listener.left_waiting(self)  # it is no longer one of those that may give way: another is the next
             self.transport.close()
@@ -143,16 +147,22 @@
             return True
         return self in self.listener.new and self.begun is not None and now - self.begun < FIRST_REQUEST_S
 
-    def close_if_idle(self) -> bool:
-        """Close while nothing is open, unless something lies unread: that is served first; whether it closed. Guards
+    def close_if_idle(self, *, gives_up_partial: bool = False) -> bool:
+        """Close while nothing is owed, unless something lies unread: that is served first; whether it closed. Guards
         against requests that cross the end of their connection: closed over, they would be reset unread.
+
+        gives_up_partial: whether a request that is half here may be closed over.
         """
         transport = self.transport
         if transport is None or self.closing is not None:
             return False
-        waits = select.poll()
-        waits.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-        if waits.poll(0):
+        denial = may_close(
+            answer_owed=not self.idle(),
+            request_incomplete=self.unfinished() and not gives_up_partial,
+            bytes_unread=is_readable(transport.get_extra_info("socket")),
+        )
+        if denial is not None:
+            self.listener.telemetry.count(Happening.ACT_DENIED, denial.value)
             return False
         self.close()
         return True
--- a/cloverhold/net/fronts/listener.py
+++ b/cloverhold/net/fronts/listener.py
@@ -92,7 +92,7 @@
             *islice(then, EVICTION_CANDIDATES),
             *islice(self.partial, EVICTION_CANDIDATES),
         ):
-            if connection is not new and connection.close_if_idle():
+            if connection is not new and connection.close_if_idle(gives_up_partial=True):
                 return
         if new is not None and len(self.connections) > self.most + EXTRA_CONNECTIONS:  # all are owed something
             new.close()
--- a/cloverhold/net/fronts/receive_queue.py
+++ b/cloverhold/net/fronts/receive_queue.py
@@ -26,7 +26,7 @@
     except OSError:
         return None
     count: int = struct.unpack("i", told)[0]
-    if count == 0 and _is_readable(sock):
+    if count == 0 and is_readable(sock):
         return None  # there is something: the figure is not to be relied on
     return count
 
@@ -39,7 +39,8 @@
         return False
 
 
-def _is_readable(sock: SocketLike) -> bool:
+def is_readable(sock: SocketLike) -> bool:
+    """Whether bytes, or the end of the connection, lie unread."""
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLIN)
     return bool(poll.poll(0))
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -23,6 +23,7 @@
 from cloverhold.net.probing import Prober, parse_load
 from cloverhold.net.telemetry import Ending, Happening, Telemetry
 from cloverhold.net.upstreams.calls import Call, Pool, Upstream
+from cloverhold.permission import VIOLATIONS, Denial, Run, SendFacts, answered_in_time, may_send, may_take
 
 if TYPE_CHECKING:
     from cloverhold.cells.shell import Router
@@ -35,6 +36,14 @@
 # What a request and its answer may spend on the way and in a busy loop: the client counts from its own clock.
 # With 2 ms, timers of 1 ms made answers to silent servers arrive just past the client's time.
 TRANSIT_MS = 10.0
+# What a request that is not taken is told: status, the ending that is counted, and when it may come back (ms).
+TURNED_AWAY = {
+    Denial.PROCESS_ENDED: (503, Ending.STOPPING, math.inf),
+    Denial.DEADLINE_PASSED: (504, Ending.SHORT_DEADLINE, 0.0),
+    Denial.DUPLICATE_ID: (409, Ending.DUPLICATE, 0.0),  # a second copy of what is out, or somebody else's id
+    Denial.NOT_RECORDABLE: (503, Ending.NOT_RECORDED, math.inf),
+}
+NEVER_RAN = frozenset({io.Status.FULL, io.Status.CONNECT_FAILED, io.Status.MOOT})
 DEADLINE_TIMER_DELAY_MS = 5.0  # behind the module's own word, which knows whether a refusal would be true
 
 
@@ -64,6 +73,7 @@
             router.serves, router.warm = self.balancer.serves, self._warm
         self.loop = asyncio.get_running_loop()
         self.upstreams: dict[str, Upstream] = {}
+        self.listed: dict[str, io.ServerEntry] = {}
         self.prober = Prober(clock, pool, self.upstreams, self.dispatch)
         self.open: dict[int, OpenRequest] = {}
         self.call_ids: set[bytes] = set()  # of the open requests
@@ -173,24 +183,22 @@
         """A request has come: from here on it is owed one answer before its time is up."""
         now, asked = self.clock.now(), exchange.asked
         request = exchange.request
-        if self.ended:
-            self._turn_away(exchange, 503, Ending.STOPPING, self.settings.max_retry_after_ms)
-            return
         left = asked.budget_ms - (now - request.came_at * 1000 if request.whole else 0.0) - TRANSIT_MS
-        if left <= 0:
-            self._turn_away(exchange, 504, Ending.SHORT_DEADLINE)
-            return
         call_id = request.fields[b"x-call-id"]
-        if call_id in self.call_ids:  # a second copy of what is out, or somebody else's id
-            self._turn_away(exchange, 409, Ending.DUPLICATE)
+        denial = may_take(
+            ended=self.ended,
+            left_ms=left,
+            id_open=call_id in self.call_ids,
+            recordable=self.unsafe or asked.kind.repeat is not io.Repeat.UNSAFE,
+        )
+        if denial is not None:
+            status, ending, wait_ms = TURNED_AWAY[denial]
+            self._turn_away(exchange, status, ending, wait_ms)
             return
         cell = self.router.route(asked.tenant, asked.key, asked.kind.name) if self.router is not None else None
         if isinstance(cell, io.Refuse):
             self._turn_away(exchange, 503, Ending.CELL_CLOSED, cell.retry_after_ms)
             return
-        if asked.kind.repeat is io.Repeat.UNSAFE and not self.unsafe:
-            self._turn_away(exchange, 503, Ending.NOT_RECORDED, self.settings.max_retry_after_ms)
-            return
         self.call_ids.add(call_id)
         self.telemetry.count(Happening.REQUEST_TAKEN, asked.kind.name)
         self.requests += 1
@@ -239,7 +247,7 @@
         self.dispatch(io.Whole(exchange.ref, max(0.0, left)), now)
 
     def _come_back(self, wait_ms: float) -> tuple[Field, ...]:
-        """When to come back, where the settings let a node say so."""
+        """When to come back, where the settings let a node say so; infinite: as late as they allow."""
         return retry_after(min(wait_ms, self.settings.max_retry_after_ms) if self.settings.retry_after else 0.0)
 
     def _recorded(self, ref: int, how: How) -> None:
@@ -375,6 +383,8 @@
 
     def _answer(self, opened: OpenRequest, status: int, body: bytes = b"", headers: Iterable[Field] = ()) -> None:
         """Write the one answer of a request that has been closed."""
+        if (denial := answered_in_time(opened.expires_at - self.clock.now())) is not None:
+            self.telemetry.event(Happening.RULE_VIOLATED, denial.value, id=opened.call_id(), status=status)
         if opened.begun and opened.exchange.passing is not None:
             opened.exchange.passing.abort_answer(opened.exchange)  # too late for another
         else:
@@ -390,15 +400,18 @@
             return
         exchange = opened.exchange
         if not self._is_wanted(exchange):
+            self.telemetry.count(Happening.ACT_DENIED, Denial.CLIENT_GONE.value)
             self.dispatch(io.Outcome(ref, opened.sent, server, io.Status.MOOT, 0.0, True))
             return
-        number, opened.sent = opened.sent, opened.sent + 1
-        self._count_attempt(opened, number, server)
         until = now + action.timeout_ms if action.timeout_ms else math.inf
         left = self._left(opened, until)
-        if upstream is None or left <= 0 or not exchange.request.repeatable():
+        denial = may_send(self._send_facts(opened, server, left))
+        number, opened.sent = opened.sent, opened.sent + 1
+        if denial is not None or upstream is None:
+            self._deny_send(opened, number, server, denial or Denial.SERVER_UNLISTED)
             self.dispatch(io.Outcome(ref, number, server, io.Status.MOOT, 0.0, again=exchange.request.repeatable()))
             return
+        self._count_attempt(opened, number, server)
         outgoing = request_to_send(exchange, lambda: self._left(opened, until))
         passing = ResponseStream(self, ref, number) if exchange.passing is not None else None
         leaves_by = self.at + action.within_ms
@@ -413,6 +426,25 @@
         if action.timeout_ms:
             attempt.timer = self.loop.call_later(left / 1000, self._stop, ref, opened, number, io.Status.TIMEOUT)
 
+    def _send_facts(self, opened: OpenRequest, server: str, left_ms: float) -> SendFacts:
+        return SendFacts(
+            kind=opened.exchange.asked.kind,
+            client_connected=True,
+            left_ms=left_ms,
+            body_held=opened.exchange.request.repeatable(),
+            server=self.listed.get(server),
+            number=opened.sent,
+            out=len(opened.out),
+            ran=opened.ran,
+            now_ms=self.clock.now(),
+            most_attempts=self.settings.max_attempts,
+            parallel=self.settings.parallel_tries,
+        )
+
+    def _deny_send(self, opened: OpenRequest, number: int, server: str, denial: Denial) -> None:
+        happening = Happening.RULE_VIOLATED if denial in VIOLATIONS else Happening.ACT_DENIED
+        self.telemetry.event(happening, denial.value, id=opened.call_id(), number=number, server=server)
+
     def _count_attempt(self, opened: OpenRequest, number: int, server: str) -> None:
         if number == 0:
             self.telemetry.count(Happening.ATTEMPT_BEGUN, "first")
@@ -463,6 +495,8 @@
         spent = attempt.begun_after if attempt.begun_after is not None else self.clock.now() - attempt.sent_at
         self.telemetry.count(Happening.ATTEMPT_ENDED, status.name)
         opened = self.open.get(ref)
+        if opened is not None:
+            self._note_run(opened, attempt, status)
         again = opened is not None and opened.exchange.request.repeatable()
         if opened is not None:
             opened.last_status = status
@@ -470,6 +504,12 @@
             self.router.ended(ref, attempt.cell, attempt.kind, attempt.server, status, spent)
         self.dispatch(io.Outcome(ref, attempt.number, attempt.server, status, spent, opened is None, load, again))
 
+    def _note_run(self, opened: OpenRequest, attempt: Attempt, status: io.Status) -> None:
+        """Whether an attempt may have run. No server begins a request before its last byte has come."""
+        arriving = opened.deadline_timer is None
+        if opened.ran is None and status not in NEVER_RAN and not arriving:
+            opened.ran = Run(attempt.sent_at, self.listed.get(attempt.server))
+
     def _stop(self, ref: int, opened: OpenRequest, number: int, status: io.Status) -> None:
         """Wait no longer for an attempt, if it is still out."""
         if (attempt := take_attempt(opened, number)) is not None:
@@ -491,6 +531,7 @@
         """A list, or changes of it. New addresses hold before the module hears of them."""
         entries = {entry.server: entry for entry in members.entries}
         gone = [uid for uid in self.upstreams if members.full and uid not in entries]
+        self.listed = entries if members.full else self.listed | entries
         past, leaving = list[Upstream](), list[Upstream]()
         for uid, entry in entries.items():
             old, address, started_at = self.upstreams.get(uid), members.addresses[uid], entry.started_at
@@ -509,6 +550,8 @@
         if self.router is not None:
             self.router.members(members.entries, full=members.full)
         past.extend(upstream for uid in gone if (upstream := self.upstreams.pop(uid, None)) is not None)
+        for uid in gone:
+            self.listed.pop(uid, None)
         # Behind the module's word, which would else send what turns back to the same server again.
         for upstream in past:
             self.pool.retire(upstream)
--- a/cloverhold/net/open_request.py
+++ b/cloverhold/net/open_request.py
@@ -9,6 +9,7 @@
 from cloverhold.decision.interface import Status
 from cloverhold.net.exchange import Exchange
 from cloverhold.net.messages import Response
+from cloverhold.permission import Run
 from cloverhold.net.upstreams.calls import Call, Left, Outgoing
 
 if TYPE_CHECKING:
@@ -41,6 +42,7 @@
     cell: Cell | None = None  # where it is confined to
     record: int | None = None  # the store's ticket
     out: dict[int, Attempt] = field(default_factory=dict)
+    ran: Run | None = None  # the first attempt that may have run
     begun: bool = False  # whether its answer is on the way in pieces
 
     def call_id(self) -> bytes:
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -21,7 +21,8 @@
         "codec", "desk", "disk", "log", "recovery", "sent", "simulated", "wire",
     )),
     *(f"cloverhold/h3/{name}.py" for name in ("door", "keys", "requests", "session", "streams")),
-    *("cloverhold/bodies/budget.py", "cloverhold/bodies/upload.py", "cloverhold/lifecycle.py", "cloverhold/limits.py"),
+    *("cloverhold/bodies/budget.py", "cloverhold/bodies/upload.py", "cloverhold/lifecycle.py", "cloverhold/limits.py",
+      "cloverhold/permission.py", "cloverhold/net/fronts/waits.py"),
     *(f"cloverhold/fleet/membership/{name}.py" for name in (
         "book", "core", "doubt", "interface", "joining", "links", "own", "rings", "rumours", "shares", "votes",
         "words",
