A wrong wall clock at a node's start no longer makes warm servers cold, or cold ones warm

Cause: boot_ms is Unix time and was turned into an instant by the node's own wall clock: an hour behind, each start lay in the future, and its server was cold for the hour; an hour ahead, a server that had just started was warm at once.

A start is never in the future; two that seem to be show that the clock is behind; a start that is told while discovery is heard is no older than that; a start keeps its instant, and is told on as it was told. What stays open: a clock that is ahead when a node starts, for servers that started just before it did and are in its first list.

--- a/cloverhold/net/clock.py
+++ b/cloverhold/net/clock.py
@@ -4,20 +4,15 @@
 
 import time
 
+from cloverhold.net.start_times import StartTimes
+
 
 class Clock:
-    """Monotonic, in ms. The offset to Unix time is fixed: else a server's start time would seem to move, and
-    the module would take it for a new, cold process.
-    """
+    """Monotonic, in ms, and what it knows of when servers started. The wall clock is read once, at the start."""
 
     def __init__(self) -> None:
-        self._unix_offset = time.time() * 1000 - self.now()
+        self.starts = StartTimes(time.time() * 1000 - self.now())
 
     def now(self) -> float:
+        """Monotonic time in ms."""
         return time.monotonic() * 1000
-
-    def to_unix(self, ms: float) -> float:
-        return ms + self._unix_offset
-
-    def from_unix(self, unix_ms: float) -> float:
-        return unix_ms - self._unix_offset
--- a/cloverhold/net/discovery.py
+++ b/cloverhold/net/discovery.py
@@ -9,7 +9,7 @@
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from cloverhold.decision import interface as io
@@ -90,24 +90,30 @@
     addresses: dict[str, Address]
 
 
-def _entry(line: dict[str, Any], clock: Clock) -> tuple[io.ServerEntry, Address]:
-    boot, weight = float(line.get("boot_ms") or 0), float(line.get("capacity_hint", 1.0))
-    uid = line["uid"]
-    if not isinstance(uid, str) or not uid or not math.isfinite(boot) or not math.isfinite(weight):
-        raise ValueError("uid, boot_ms or capacity_hint")
+def _start(line: dict[str, Any]) -> tuple[str, float]:
+    """The uid, and when it started in Unix ms."""
+    uid, boot = line["uid"], float(line.get("boot_ms") or 0)
+    if not isinstance(uid, str) or not uid or not math.isfinite(boot):
+        raise ValueError("uid or boot_ms")
+    return uid, boot
+
+
+def _entry(line: dict[str, Any]) -> tuple[io.ServerEntry, Address]:
+    weight = float(line.get("capacity_hint", 1.0))
+    if not math.isfinite(weight):
+        raise ValueError("capacity_hint")
     entry = io.ServerEntry(
-        server=uid,
+        server=line["uid"],
         zone=str(line.get("az") or ""),
         cell=int(line.get("pod_group") or 0),
         lifecycle=_STATES[line["state"]],
         weight=max(0.0, weight),
-        started_at=clock.from_unix(boot) if boot > 0 else None,
     )
     return entry, parse_address(line["endpoint"])
 
 
-def read_members(value: object, clock: Clock) -> Members:
-    """Discovery's form of a list; ListError for one that is not that.
+def read_members(value: object, clock: Clock, *, live: bool = True) -> Members:
+    """Discovery's form of a list; ListError for one that is not that. live: whether discovery tells it now.
 
     A line that can't be read voids it: what it hid might be a drain. So does a name that stands twice, as one of the
     two lines would be passed over, and a whole list of nothing: a fleet has servers, a discovery that lost its store
@@ -116,8 +122,9 @@
     try:
         if not isinstance(value, dict):
             raise ValueError("not an object")
-        pairs = [_entry(line, clock) for line in value["targets"]]
-        version, full = int(value["rev"]), bool(value["all"])
+        lines, version, full = value["targets"], int(value["rev"]), bool(value["all"])
+        pairs = [_entry(line) for line in lines]
+        boots = dict(map(_start, lines))
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ListError(f"list of servers: {type(error).__name__}: {error}") from None
     addresses = {entry.server: address for entry, address in pairs}
@@ -125,7 +132,17 @@
         raise ListError("list of servers: a name stands twice")
     if full and not pairs:
         raise ListError("list of servers: names none")
-    return Members(version, full, tuple(entry for entry, _ in pairs), addresses)
+    starts = clock.starts.resolve(boots, clock.now(), full=full, live=live)
+    entries = tuple(_started(entry, starts[entry.server]) for entry, _ in pairs)
+    for entry in entries:
+        if entry.lifecycle is io.Lifecycle.GONE:
+            clock.starts.forget(entry.server)
+    return Members(version, full, entries, addresses)
+
+
+def _started(entry: io.ServerEntry, started_at: float | None) -> io.ServerEntry:
+    """The entry with its start; most of a large list has none."""
+    return entry if started_at is None else replace(entry, started_at=started_at)
 
 
 def members_value(members: Members, clock: Clock) -> dict[str, Any]:
@@ -142,7 +159,7 @@
                 "pod_group": e.cell,
                 "state": names[e.lifecycle],
                 "capacity_hint": e.weight,
-                "boot_ms": clock.to_unix(e.started_at) if e.started_at is not None else 0,
+                "boot_ms": clock.starts.boot_ms(e.server, e.started_at),
             }
             for e in members.entries
         ],
