Processes of one node are ordered by the machine's monotonic clock, not the wall clock

What callers would see: with the wall clock stepped back between the starts of an old and a new process, the old one takes its successor for an older one; while it stops, /_health says no, and clients stay away from an address that is served.

Cause: a page's order is its Unix start time.

Change: pages tell the monotonic instant too, and it decides where both tell it; a process of an older release is placed by the wall clock as before, and reads the new page, whose version is the same.

Evidence: before, steps of -3,600 and -5 s gave successor False, place NEWER; the new test holds both at True and OLDER.

--- a/cloverhold/succession/core.py
+++ b/cloverhold/succession/core.py
@@ -46,6 +46,15 @@
     serving: bool
     held: int
     members: dict[str, Any] | None = None  # its list, in discovery's form
+    monotonic_s: float | None = None  # when it started, on the machine's monotonic clock; None: of an older release
+
+    def is_newer_than(self, started: float, monotonic_s: float | None) -> bool:
+        """Whether it started later. The wall clock may have been stepped in between: it decides only beside an older
+        release, which tells nothing else.
+        """
+        if self.monotonic_s is not None and monotonic_s is not None:
+            return self.monotonic_s > monotonic_s
+        return self.started > started
 
 
 @dataclass(frozen=True)
@@ -61,8 +70,11 @@
 def write_page(page: Page) -> str:
     """A page as text."""
     return json.dumps(
-        {"v": VERSION, "started": page.started, "serving": page.serving, "held": page.held, "members": page.members}
-    )
+        {
+            "v": VERSION, "started": page.started, "serving": page.serving, "held": page.held, "members": page.members,
+            "monotonic_s": page.monotonic_s,
+        }
+    )  # fmt: skip
 
 
 def read_page(text: str) -> Page | None:
@@ -74,26 +86,33 @@
     if not isinstance(raw, dict) or raw.get("v") != VERSION:
         return None
     started, serving, held, members = (raw.get(key) for key in ("started", "serving", "held", "members"))
-    if isinstance(started, bool) or not isinstance(started, (int, float)) or not math.isfinite(started):
+    monotonic_s = raw.get("monotonic_s")
+    if not _is_instant(started) or not (monotonic_s is None or _is_instant(monotonic_s)):
         return None
     if not isinstance(serving, bool) or isinstance(held, bool) or not isinstance(held, int) or held < 0:
         return None
-    return Page(float(started), serving, held, members if isinstance(members, dict) else None)
+    return Page(float(started), serving, held, members if isinstance(members, dict) else None, monotonic_s)
+
+
+def _is_instant(value: object) -> bool:
+    return not isinstance(value, bool) and isinstance(value, (int, float)) and math.isfinite(value)
 
 
-def share(started: float, held: int, others: Sequence[Page | None], sockets: int) -> Share:
+def share(
+    started: float, held: int, others: Sequence[Page | None], sockets: int, monotonic_s: float | None = None
+) -> Share:
     """The part of a process that holds so many descriptors; others: the pages of the living ones beside it, None for
-    one that cannot be read: it is taken to hold its part.
+    one that cannot be read: it is taken to hold its part. started, monotonic_s: its own, as in `Page`.
     """
     if not others:
         return Share(Place.ALONE, 1, sockets, False)
     told = [page for page in others if page is not None]
     parts = 1 + len(others)
     part = sockets // parts
-    successor = any(page.serving and page.started > started for page in told)
+    successor = any(page.serving and page.is_newer_than(started, monotonic_s) for page in told)
     free = sockets - held - sum(page.held if page is not None else part for page in others)
     most = held + free // parts if free >= 0 else min(held, max(part, held + free))
-    older = len(told) == len(others) and all(page.started > started for page in told)
+    older = len(told) == len(others) and all(page.is_newer_than(started, monotonic_s) for page in told)
     return Share(Place.OLDER if older else Place.NEWER, parts, max(LEAST, most), successor)
 
 
@@ -115,4 +134,8 @@
 def latest(others: Sequence[Page | None]) -> dict[str, Any] | None:
     """The list of the process that started last, to begin with; None where none tells one."""
     told = [page for page in others if page is not None and page.members is not None]
-    return max(told, key=lambda page: page.started).members if told else None
+    newest = None
+    for page in told:
+        if newest is None or page.is_newer_than(newest.started, newest.monotonic_s):
+            newest = page
+    return newest.members if newest is not None else None
--- a/cloverhold/succession/shell.py
+++ b/cloverhold/succession/shell.py
@@ -25,10 +25,10 @@
 
     def __init__(self, folder: Path, sockets: int, held: Callable[[], int], serving: Callable[[], bool]) -> None:
         self.folder, self.sockets, self.held, self.serving = folder, sockets, held, serving
-        self.started = time.time()
+        self.started, self.monotonic_s = time.time(), time.monotonic()
         self.name = f"{int(self.started * 1e6):017d}-{os.getpid()}"
         self.roster = Roster()
-        self.share = share(self.started, 0, [], sockets)
+        self.share = share(self.started, 0, [], sockets, self.monotonic_s)
         self.changed: Callable[[Share], None] = lambda share: None
         self._lock: int | None = None
         self._said = ""
@@ -52,7 +52,7 @@
             log.warning("%s: %s; other processes of this node are not seen", self.folder, error)
             self.close()
             return []
-        self.share = share(self.started, self.held(), others, self.sockets)
+        self.share = share(self.started, self.held(), others, self.sockets, self.monotonic_s)
         return others
 
     def start(self) -> None:
@@ -63,7 +63,7 @@
     def _look(self) -> None:
         self._timer = asyncio.get_running_loop().call_later(LOOK_S, self._look)
         try:
-            now = share(self.started, self.held(), self._others(), self.sockets)
+            now = share(self.started, self.held(), self._others(), self.sockets, self.monotonic_s)
             self._tell()
         except OSError as error:  # a full or vanished $TMPDIR: what was known last holds
             log.warning("%s: %s", self.folder, error)
@@ -77,7 +77,7 @@
     def _tell(self) -> None:
         """Write the page anew where it has changed; only its reader needs to know what is held."""
         held = self.held() if self.share.parts > 1 else 0
-        text = write_page(Page(self.started, self.serving(), held, self.roster.value()))
+        text = write_page(Page(self.started, self.serving(), held, self.roster.value(), self.monotonic_s))
         if text != self._said:
             draft = self.folder / f"{self.name}.draft"
             draft.write_text(text)
--- a/tests/ops/test_succession.py
+++ b/tests/ops/test_succession.py
@@ -189,3 +189,20 @@
         server.stop()
 
     play(test)
+
+
+@pytest.mark.parametrize("step_s", [-3600.0, -5.0, 3600.0])
+def test_wall_clock_that_is_stepped_between_two_starts_does_not_turn_their_order(step_s: float) -> None:
+    """Stepped back, the old process took its successor for an older one, and told clients to stay away."""
+    old, new = Page(1000.0, True, 10, None, 50.0), Page(1000.0 + step_s + 2.0, True, 10, {"rev": 2}, 52.0)
+    mine = share(old.started, 10, [new], 400, old.monotonic_s)
+    theirs = share(new.started, 10, [old], 400, new.monotonic_s)
+    assert (mine.place, mine.successor) == (Place.OLDER, True)
+    assert (theirs.place, theirs.successor) == (Place.NEWER, False)
+    assert latest([old, new]) == latest([new, old]) == {"rev": 2}
+
+
+def test_process_of_an_older_release_is_placed_by_its_wall_clock() -> None:
+    old = Page(1000.0, True, 10)
+    assert share(1002.0, 10, [old], 400, 52.0).place is Place.NEWER
+    assert share(998.0, 10, [old], 400, 52.0).successor
