--- a/cloverhold/succession/core.py
+++ b/cloverhold/succession/core.py
@@ -19,7 +19,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from enum import Enum
-from typing import Any
+from typing import Any, TypeGuard
 
 from cloverhold.decision.interface import Settings
 
@@ -94,7 +94,7 @@
     return Page(float(started), serving, held, members if isinstance(members, dict) else None, monotonic_s)
 
 
-def _is_instant(value: object) -> bool:
+def _is_instant(value: object) -> TypeGuard[float]:
     return not isinstance(value, bool) and isinstance(value, (int, float)) and math.isfinite(value)
 
 
