The kit: clients that stop and stay, failing calls, stepped wall clocks, two more rules

Need: the kit's half request ends its side; none stayed, so the incident could not show. Nothing judged an attempt for a client that has left, or what a server is told of the client's time.

The judge, and its reference reading, find an attempt that begins 0.1 s after its client left and a server told 0.15 s more than is left. nodes.kill_slack_s: how long after the earliest moment SIGKILL comes. A node that another fault's end has started again is not waited for: overlapping restarts stopped the script.

The new rules fail by hand-made rows.

--- a/cloverhold/rehearsal/faults.py
+++ b/cloverhold/rehearsal/faults.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 from typing import Annotated, Any, Literal, Union, get_args
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
@@ -25,6 +26,10 @@
 Hostility = Literal[
     "silent",
     "half_request",
+    "stays_in_head",
+    "stays_behind_head",
+    "stays_in_body",
+    "stays_in_long_body",
     "smuggled",
     "huge_body",
     "endless_head",
@@ -251,6 +256,28 @@
     renamed_s: Annotated[float, Field(gt=0)] | None = None  # the tenant calls itself something new this often
 
 
+class FailingCalls(_OnNodes):
+    """A `share` of one system call of the nodes' processes fails with `error`, or is short; needs a C compiler."""
+
+    kind: Literal["failing_calls"]
+    call: Literal["accept", "connect", "socket", "recv", "send", "wait", "disk_write", "disk_sync"]
+    error: Annotated[str, Field(pattern=r"^E[A-Z0-9]+$")] | Literal["short"]
+    share: Annotated[float, Field(gt=0, le=1)] = 0.05
+
+    @model_validator(mode="after")
+    def _known(self) -> FailingCalls:
+        if self.error != "short" and not hasattr(errno, self.error):
+            raise ValueError(f"error: no such error: {self.error}")
+        return self
+
+
+class WallClock(_OnNodes):
+    """The wall clock of the nodes' processes is ahead by `step_s` (behind where negative)."""
+
+    kind: Literal["wall_clock"]
+    step_s: float
+
+
 class Hostile(_Fault):
     """Clients that keep no rule (`how`) connect at `rate_per_s`, beside the usual ones."""
 
@@ -286,6 +313,8 @@
         ReloadBroken,
         Reconfigure,
         Poison,
+        FailingCalls,
+        WallClock,
         Hostile,
     ],
     Field(discriminator="kind"),
--- a/cloverhold/rehearsal/hostile.py
+++ b/cloverhold/rehearsal/hostile.py
@@ -17,6 +17,7 @@
 
 PATIENCE_S, LARGE_PATIENCE_S = 3.0, 6.0
 HUGE = 60_000_000
+LONG_BYTES, LONG_SENT_BYTES = 8_000_000, 300_000  # of a long body, and how much of it comes
 PIECE = b"x" * 65536
 FLOOD = 300
 AGAIN = 100
@@ -42,6 +43,12 @@
     said: dict[str, Callable[[], bytes]] = {
         "silent": lambda: b"",
         "half_request": lambda: _usual(kind, name)[:40],
+        "stays_in_head": lambda: _usual(kind, name)[:60],
+        "stays_behind_head": lambda: _usual(kind, name, "Content-Length: 100", method="POST"),
+        "stays_in_body": lambda: _usual(kind, name, "Content-Length: 5000", method="POST") + b"x" * 3000,
+        "stays_in_long_body": lambda: (
+            _usual(kind, name, f"Content-Length: {LONG_BYTES}", method="POST") + b"x" * LONG_SENT_BYTES
+        ),
         "smuggled": lambda: _usual(
             kind, name, f"Content-Length: {len(hidden) + 5}", "Transfer-Encoding: chunked", method="POST"
         ) + b"0\r\n\r\n" + hidden,
--- a/cloverhold/rehearsal/ledger.py
+++ b/cloverhold/rehearsal/ledger.py
@@ -75,6 +75,7 @@
     digest: str = ""
     closed_s: float | None = None  # the node ended the connection, or it ended for both
     done_ms: float = 0.0  # work that was done for it
+    told_s: float | None = None  # how long the node said that it would wait
 
 
 OUTCOMES = {
--- a/cloverhold/rehearsal/nodes.py
+++ b/cloverhold/rehearsal/nodes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import math
 import os
@@ -15,7 +16,8 @@
 
 from cloverhold.rehearsal.agents import Desk
 from cloverhold.rehearsal.catalog import line
-from cloverhold.rehearsal.faults import NodeDrain
+from cloverhold.rehearsal.failing_calls import SHORT, Call, Control, ShimError, build
+from cloverhold.rehearsal.faults import FailingCalls, NodeDrain, WallClock
 from cloverhold.rehearsal.front import Front
 from cloverhold.rehearsal.ledger import NodeLife, Said, Seen, Usage
 from cloverhold.rehearsal.relays import hold_words
@@ -29,7 +31,6 @@
 WATCHED_S = 60.0  # what a node says of its health is watched for so long after a drain began
 LOOK_S = 0.05  # between two looks at what a node says of its fellows
 USAGE_S = 0.5  # between two looks at what a node holds
-LATE_S = 1.0  # past the time that a node has after SIGTERM, it is killed after this
 TICK_MS = 5.0
 QUOTA_PER_S = 1e6  # of a tenant: the kit plays no quotas
 _REPEATS = {"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}
@@ -110,9 +111,40 @@
         self.row: NodeLife | None = None
         self.process: asyncio.subprocess.Process | None = None
         self.known: list[dict[str, Any]] = []
+        self.failures = self._failures()
         self._log: IO[bytes] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def _failures(self) -> Control | None:
+        """What makes its system calls fail, where the scenario has that."""
+        faults = self.world.scenario.faults
+        if not any(isinstance(x, (FailingCalls, WallClock)) and self.number in x.nodes for x in faults):
+            return None
+        return Control(self.folder / f"n{self.number}.failures", self.world.scenario.seed + self.number)
+
+    def _shim(self) -> dict[str, str]:
+        """The variables that load the shim into its processes."""
+        if self.failures is None:
+            return {}
+        library = self.folder / "failing_calls.so"
+        return self.failures.variables(library if library.exists() else build(self.folder))
+
+    def fail_calls(self, fault: FailingCalls, *, on: bool) -> None:
+        """Have a share of its system calls fail, or no more."""
+        if self.failures is None:
+            return
+        call = Call[fault.call.upper()]
+        if on:
+            error = SHORT if fault.error == "short" else getattr(errno, fault.error)
+            self.failures.fail(call, error, share=fault.share)
+        else:
+            self.failures.stop(call)
+
+    def step_wall_clock(self, seconds: float) -> None:
+        """Have its processes read a wall clock that is so far ahead."""
+        if self.failures is not None:
+            self.failures.step_wall_clock(seconds)
+
     def _text(self) -> str:
         limits = self.world.scenario.nodes
         seed = self.world.source("node", self.number, self.life).getrandbits(64)
@@ -177,11 +209,11 @@
                 env={
                     **kept, "PROXY_NAME": f"n{self.number}", "PROXY_LISTEN": f"{LOOPBACK}:{self.port}",
                     "PROXY_DISCOVERY": self.desk.address(), "PROXY_CONFIG": str(self.path),
-                    "CLOVERHOLD_CONFIG": self._write_operator(),
+                    "CLOVERHOLD_CONFIG": self._write_operator(), **self._shim(),
                 },
                 stdin=asyncio.subprocess.DEVNULL, stdout=self._log, stderr=self._log, preexec_fn=limit,
             )  # fmt: skip
-        except OSError as error:
+        except (OSError, ShimError) as error:
             raise NodeFailed(f"node n{self.number}: {' '.join(self.command)}: {error}") from None
         self._task(self._watch(self.process, row))
         self._task(self._until_ready(row))
@@ -269,6 +301,11 @@
         """Whether a process runs."""
         return self.process is not None and self.process.returncode is None
 
+    def serves(self) -> bool:
+        """Whether a process runs that was not told to end."""
+        row = self.row
+        return self.is_up() and row is not None and row.term_s is None and row.killed_s is None
+
     def kill(self) -> None:
         """End it outright."""
         if self.is_up() and self.process is not None and self.row is not None:
@@ -285,7 +322,7 @@
             self._task(self._enforce(self.process))
 
     async def _enforce(self, process: asyncio.subprocess.Process) -> None:
-        await asyncio.sleep(min(self.world.scenario.longest_s(), 3.0) + 0.7 + LATE_S)
+        await asyncio.sleep(min(self.world.scenario.longest_s(), 3.0) + 0.7 + self.world.scenario.nodes.kill_slack_s)
         if process.returncode is None:
             self.kill()
 
@@ -345,6 +382,9 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._close_log()
+        if self.failures is not None:
+            self.failures.close()
+            self.failures = None
         self.held.close()
         for held in (self.managed, self.words):
             if held is not None:
--- a/cloverhold/rehearsal/peer.py
+++ b/cloverhold/rehearsal/peer.py
@@ -14,7 +14,7 @@
 from cloverhold.rehearsal.machine import Job
 from cloverhold.rehearsal.sockets import unread_s
 from cloverhold.rehearsal.spoil import spoilt
-from cloverhold.rehearsal.wire import Known, answer, digest
+from cloverhold.rehearsal.wire import budget_s, Known, answer, digest
 
 if TYPE_CHECKING:
     from cloverhold.rehearsal.servers import Server
@@ -174,6 +174,7 @@
         arrival.class_name = said.get(b"x-call-class", b"").decode("latin-1")
         key = said.get(b"idempotency-key")
         arrival.key = key.decode("latin-1") if key is not None else None
+        arrival.told_s = budget_s(said.get(b"x-budget", b""))
         request.listed = True
         self.world.seen.add(arrival.id)
         self.world.ledger.rows.append(arrival)
--- a/cloverhold/rehearsal/plan.py
+++ b/cloverhold/rehearsal/plan.py
@@ -220,6 +220,8 @@
     f.NodeStop: ("node_stop", "node_continue"),
     f.ReloadBroken: ("reload_broken", "reload_mended"),
     f.Reconfigure: ("reconfigure", "reconfigured"),
+    f.FailingCalls: ("fail_calls", "mend_calls"),
+    f.WallClock: ("step_wall_clock", "step_wall_clock_back"),
     f.ReloadMove: ("reload_move", "discovery_old_closes"),
 }
 
--- a/cloverhold/rehearsal/rules.py
+++ b/cloverhold/rehearsal/rules.py
@@ -32,6 +32,8 @@
 FREED_S = 0.25  # an id that a stranger takes may have become free within this
 TOLD_AFTER_HUP_S = 4.0  # what discovery has to tell counts as told after this
 CALL_S = 1.0  # a call at the management address is answered by then
+GONE_S = 0.1  # an attempt that begins later than this after its client left is one too many
+TOLD_SLACK_S = 0.15  # a server may be told so much more than what the client has left
 TERM_S = 0.7  # after SIGTERM and the longest deadline, SIGKILL may come
 
 
@@ -148,6 +150,9 @@
         server = arrivals[-1].server if arrivals else ""
         return Violation("one_answer", what, at_s, row.id, server, row.node, [row, *(more or arrivals)])
 
+    for arrival in arrivals:
+        if (what := _too_much(case, row, arrival)) is not None:
+            yield breach(what, arrival.first_byte_s, arrival)
     if not row.answers:
         if (what := _lost(case, row, arrivals)) is not None:
             yield breach(what, row.ended_s if row.ended_s is not None else case.limit(row))
@@ -170,6 +175,20 @@
             yield breach("sent to a server after its answer", arrival.first_byte_s, arrival)
 
 
+def _too_much(case: Case, row: Try, arrival: Arrival) -> str | None:
+    """What is wrong with an attempt for a client that has left, or has less time than its server was told."""
+    if arrival.node != row.node or _of_stranger(case, row) or case.stopped(row):
+        return None
+    margin = case.margin(arrival.first_byte_s)
+    if row.left_s is not None and arrival.first_byte_s > row.left_s + GONE_S + margin:
+        return f"sent to a server {arrival.first_byte_s - row.left_s:.2f} s after its client had left"
+    sent = row.sent_s if row.sent_s is not None else row.intended_s
+    left = sent + row.budget_s - arrival.first_byte_s
+    if arrival.told_s is not None and arrival.told_s > max(0.0, left) + TOLD_SLACK_S + margin:
+        return f"a server was told {arrival.told_s:.2f} s, {left:.2f} s are left to the client"
+    return None
+
+
 def _lost(case: Case, row: Try, arrivals: list[Arrival]) -> str | None:
     """Why a try without any answer is lost; None where it is not."""
     sent = row.sent_s if row.sent_s is not None else row.intended_s
--- a/cloverhold/rehearsal/scenario.py
+++ b/cloverhold/rehearsal/scenario.py
@@ -98,6 +98,7 @@
     max_retry_after_ms: NotNegative = 2000.0
     max_attempts: Annotated[int, Field(ge=1, le=16)] = 4
     dial_timeout_ms: Positive = 250.0
+    kill_slack_s: NotNegative = 1.0  # SIGKILL comes so long after the earliest moment that the rules allow
     operator: dict[str, Any] = {}  # the operator's own file; "{own}" in a string is a path of the node's own
 
 
--- a/cloverhold/rehearsal/stage.py
+++ b/cloverhold/rehearsal/stage.py
@@ -350,8 +350,9 @@
             case "node_drain" | "node_undrain":
                 node.drain(on=step.what == "node_drain")
             case "node_start":
-                await node.gone()
-                await node.start()
+                if not node.serves():  # else another fault's end has started it
+                    await node.gone()
+                    await node.start()
             case "reload_move":
                 node.desk.move()
                 node.write()
@@ -365,6 +366,14 @@
                 node.reconfigure(fault.operator)
             case "reconfigured":
                 pass
+            case "fail_calls" | "mend_calls":
+                fault = self.scenario.faults[step.fault]
+                assert isinstance(fault, f.FailingCalls)
+                node.fail_calls(fault, on=step.what == "fail_calls")
+            case "step_wall_clock" | "step_wall_clock_back":
+                fault = self.scenario.faults[step.fault]
+                assert isinstance(fault, f.WallClock)
+                node.step_wall_clock(fault.step_s if step.what == "step_wall_clock" else 0.0)
             case "reload_mended":
                 node.write()
                 node.hup()
--- a/cloverhold/rehearsal/wire.py
+++ b/cloverhold/rehearsal/wire.py
@@ -75,6 +75,12 @@
     return "\r\n".join([*lines, "", ""]).encode() + body_of(name, known.body_bytes)
 
 
+def budget_s(text: bytes) -> float | None:
+    """The time in an X-Budget header; None where there is none that can be read."""
+    scale = {b"m": 1e-3, b"u": 1e-6}.get(text[-1:])
+    return float(text[:-1]) * scale if scale is not None and text[:-1].isdigit() else None
+
+
 def answer(status: str, body: bytes, *extra: str) -> bytes:
     """An answer's bytes."""
     head = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *extra, "", ""]
--- a/tests/rehearsal/second_reading.py
+++ b/tests/rehearsal/second_reading.py
@@ -57,6 +57,11 @@
                 bad = not excused
             else:
                 bad = not excused and t.reused and t.ended_s - t.sent_s > 0.1
+        for a in here:
+            gone = t.left_s is not None and a.first_byte_s - t.left_s > 0.1 + margin(a.first_byte_s)
+            left = max(0.0, t.sent_s + t.budget_s - a.first_byte_s)
+            much = a.told_s is not None and a.told_s - left > 0.15 + margin(a.first_byte_s)
+            bad = bad or gone or much
         if bad:
             found.add(("one_answer", t.id))
     for s in ledger.of(Stranger):
--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -235,6 +235,18 @@
     assert judge(SCENARIO, ledger(partial="interrupted by SIGINT")).exit_code() == 3
 
 
+@pytest.mark.parametrize("seconds, breach", [(0.1, False), (0.14, False), (0.16, True), (0.5, True)])
+def test_an_attempt_that_begins_after_its_client_has_left_breaks_the_rule(seconds: float, breach: bool) -> None:
+    row = a_try(left_s=1.1)
+    assert ("one_answer" in broken(ledger(row, arrival(1.1 + seconds)))) is breach
+
+
+@pytest.mark.parametrize("told_s, breach", [(0.3, False), (0.49, False), (0.51, True), (2.0, True)])
+def test_a_server_that_is_told_more_than_the_client_has_left_breaks_the_rule(told_s: float, breach: bool) -> None:
+    row = a_try(answers=[Answer(1.7, 200, "d")])  # 0.3 s are left when the attempt comes; 0.15 s and 0.05 s of slack
+    assert ("one_answer" in broken(ledger(row, arrival(1.5, told_s=told_s)))) is breach
+
+
 # ------------------------------------------------------------------------------------- generated ledgers
 
 # Times of one sort share their last digit, so that no two that are compared lie just at a limit.
@@ -289,6 +301,7 @@
                       at, at if draw(st.integers(0, 5)) else None,
                       work_ms=draw(st.sampled_from([10.0, 900.0, 1500.0])))  # fmt: skip
         row.outcome, row.digest = draw(st.sampled_from(sorted(OUTCOMES))), "d"
+        row.told_s = draw(st.sampled_from([None, None, 0.4005, 0.9005]))
         for cell in ("ended_s", "closed_s"):
             if draw(st.booleans()):
                 setattr(row, cell, at + draw(st.integers(0, 60)) / 100 + 0.005)
