--- a/cloverhold/cli.py
+++ b/cloverhold/cli.py
@@ -9,6 +9,7 @@
 USAGE = """usage: cloverhold run                       one node, configured by PROXY_CONFIG
        cloverhold run --workers N           the same as N processes behind one port
        cloverhold rehearse [SCENARIO] ...   real nodes before a stand-in fleet that fails on a script
+       cloverhold soak --seed N --seeds M   random, overlapping faults, judged by the rules
        cloverhold simulate fleet DAY ...    a whole fleet in simulated time
        cloverhold cells plan|move|undo|status ...
        cloverhold store check|dump|compact|adopt|salvage DIR
@@ -18,7 +19,7 @@
 `--help` behind each tells more. CLOVERHOLD_CONFIG names the operator's file,
 where there is one (docs/cells.md)."""
 
-PACKAGES = {"simulate": "simulation"}  # where a command is not called as its package
+PACKAGES = {"simulate": "simulation", "soak": "rehearsal.soak"}  # where a command is not called as its package
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -43,12 +44,14 @@
                 )
                 return 2
             return kit(rest)
-        case ["cells" | "fleet" | "simulate" | "store" as name, *rest]:
+        case ["cells" | "fleet" | "simulate" | "soak" | "store" as name, *rest]:
             package = PACKAGES.get(name, name)
             try:
                 command = import_module(f"cloverhold.{package}.command").main
             except ModuleNotFoundError as error:
-                print(f"{name} needs {error.name}: pip install 'cloverhold[{package}]'", file=sys.stderr)
+                print(
+                    f"{name} needs {error.name}: pip install 'cloverhold[{package.partition('.')[0]}]'", file=sys.stderr
+                )
                 return 2
             status: int | None = command(rest, prog_name=f"cloverhold {name}")
             return status or 0
--- /dev/null
+++ b/cloverhold/rehearsal/soak/draw.py
@@ -0,0 +1,151 @@
+"""What a seed makes of a soak: a fleet, its clients and faults that overlap. Pure.
+
+Any two faults may meet, at one node too. Bounds on service are none: a soak is judged by the rules, not by figures.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Any, get_args
+
+from cloverhold.rehearsal.faults import Hostility
+from cloverhold.rehearsal.scenario import Scenario, server_name
+
+LENGTH_S = 14.0
+QUIET_S = 1.0  # at the start, before the first fault
+FEWEST, MOST = 5, 11  # faults
+NODES = 3, 6
+SERVERS = 8, 16
+HELD_UP_S = 0.15  # a node may be held up for so long
+LONGEST_DEADLINES_MS = 500.0, 1000.0, 2000.0, 4000.0
+Table = dict[str, Any]
+
+ON_SERVERS: tuple[Callable[[Random], Table], ...] = (
+    lambda r: {"kind": "crash"},
+    lambda r: {"kind": "silent"},
+    lambda r: {"kind": "hang"},
+    lambda r: {"kind": "slow", "factor": r.uniform(2.0, 8.0)},
+    lambda r: {"kind": "quick_errors", "share": r.uniform(0.2, 1.0)},
+    lambda r: {
+        "kind": "class_fails",
+        "class": r.choice(["consulta", "alerta-umbral", "lote"]),
+        "how": r.choice(["error", "reset", "silence"]),
+    },
+    lambda r: {
+        "kind": "spoil",
+        "how": r.choice(["cut", "noise", "noise_behind", "second_copy", "wrong_length", "endless_head", "early_1xx"]),
+        "share": r.uniform(0.05, 0.4),
+    },
+    lambda r: {"kind": "idle_drop", "after_ms": r.uniform(50.0, 1000.0)},
+    lambda r: {"kind": "drain"},
+    lambda r: {"kind": "replace", "gap_s": r.uniform(0.0, 1.0)},
+    lambda r: {"kind": "rolling_restart", "drain_s": r.uniform(0.2, 1.0), "down_s": r.uniform(0.1, 0.5)},
+)
+ON_NODES: tuple[Callable[[Random], Table], ...] = (
+    lambda r: {"kind": "discovery_down", "how": r.choice(["silent", "refuse", "error"])},
+    lambda r: {"kind": "discovery_stale"},
+    lambda r: {"kind": "node_kill"},
+    lambda r: {"kind": "node_term"},
+    lambda r: {"kind": "reload_move"},
+    lambda r: {"kind": "reload_broken"},
+    lambda r: {"kind": "node_drain"},
+    lambda r: {"kind": "node_stop", "for_s": r.uniform(0.02, HELD_UP_S)},
+    lambda r: {"kind": "wall_clock", "step_s": r.choice([-3600.0, -4.0, 4.0, 3600.0])},
+)
+ON_FLEET: tuple[Callable[[Random], Table], ...] = (
+    lambda r: {"kind": "join", "count": r.randint(1, 4)},
+    lambda r: {
+        "kind": "heavy_tail",
+        "class": "consulta",
+        "share": r.uniform(0.02, 0.2),
+        "factor": r.uniform(5.0, 30.0),
+    },
+)
+CALLS: tuple[tuple[str, str], ...] = (
+    ("accept", "ENFILE"),
+    ("accept", "EMFILE"),
+    ("accept", "ECONNABORTED"),
+    ("connect", "EADDRNOTAVAIL"),
+    ("connect", "ENETUNREACH"),
+    ("socket", "ENOBUFS"),
+    ("recv", "short"),
+    ("recv", "EINTR"),
+    ("send", "short"),
+    ("send", "EINTR"),
+    ("wait", "EINTR"),
+)
+
+
+def draw(seed: int) -> Scenario:
+    """The soak of this seed."""
+    random = Random(f"soak:{seed}")
+    nodes, servers = random.randint(*NODES), random.randint(*SERVERS)
+    faults = [_fault(random, nodes, servers) for _ in range(random.randint(FEWEST, MOST))]
+    raw: Table = {
+        "name": f"soak-{seed}",
+        "summary": "Random faults that overlap.",
+        "seed": seed,
+        "length_s": LENGTH_S,
+        "fleet": {
+            "servers": servers,
+            "cell_size": random.choice([2, 4, servers]),
+            "connection_work_ms": 2.0,
+            "kind": [{"name": "media", "cold_s": random.choice([3.0, 6.0]), "cold_from": 0.4}],
+        },
+        "discovery": {
+            "notice_s": random.choice([0.1, 1.0]),
+            "silent_notice_s": random.choice([1.0, 4.0]),
+            "mode": random.choice(["push", "ask"]),
+        },
+        "nodes": {"count": nodes, "kill_slack_s": 0.0, "sockets": random.choice([256, 1024])},
+        "clients": {
+            "rate_per_s": random.uniform(20.0, 45.0),
+            "arrivals": "bursty",
+            "retries": random.choice([0, 2]),
+            "backoff_ms": random.choice([1.0, 100.0]),
+            "impatient": random.choice([0.0, 0.15]),
+            "ask_once": random.choice([0.0, 0.1]),
+        },
+        "class": _classes(random),
+        "fault": faults,
+    }
+    return Scenario.model_validate(raw)
+
+
+def _classes(random: Random) -> list[Table]:
+    """Three classes, one of each effect; deadlines short or long."""
+    longest = random.choice(LONGEST_DEADLINES_MS)
+    short = max(400.0, longest * random.uniform(0.3, 1.0))
+    group = random.choice(["all", "cell"])
+    return [
+        {"name": "consulta", "share": 0.45, "work_ms": 20.0, "aim_ms": longest / 2, "deadline_ms": longest,
+         "repeats": "safe"},
+        {"name": "alerta-umbral", "share": 0.3, "work_ms": 12.0, "aim_ms": short / 2, "deadline_ms": short,
+         "worth": 5.0, "repeats": "unsafe", "body_bytes": random.choice([200, 20_000, 60_000])},
+        {"name": "lote", "share": 0.25, "work_ms": 20.0, "aim_ms": longest / 2, "deadline_ms": longest, "worth": 2.0,
+         "repeats": "keyed", "group": group, "key_ttl_ms": random.uniform(300.0, 2500.0),
+         "answer_bytes": random.choice([300, 100_000])},
+    ]  # fmt: skip
+
+
+def _fault(random: Random, nodes: int, servers: int) -> Table:
+    """One fault, its targets and its time."""
+    begin = random.uniform(QUIET_S, LENGTH_S - 3.0)
+    table: Table = {"at_s": begin, "for_s": random.uniform(0.3, 5.0)}
+    chosen = random.random()
+    if chosen < 0.4:
+        count = random.randint(1, max(1, servers // 3))
+        targets = sorted(server_name(n) for n in random.sample(range(servers), count))
+        return {**table, **random.choice(ON_SERVERS)(random), "servers": targets}
+    if chosen < 0.6:
+        rate = random.uniform(1.0, 8.0)
+        return {**table, "kind": "hostile", "how": random.choice(get_args(Hostility)), "rate_per_s": rate}
+    if chosen < 0.65:
+        return {**table, **random.choice(ON_FLEET)(random)}
+    targets_of_nodes = sorted(random.sample(range(nodes), random.randint(1, max(1, nodes // 2))))
+    if chosen < 0.77:
+        call, error = random.choice(CALLS)
+        failing = {"kind": "failing_calls", "call": call, "error": error, "share": random.uniform(0.01, 0.2)}
+        return {**table, **failing, "nodes": targets_of_nodes}
+    return {**table, **random.choice(ON_NODES)(random), "nodes": targets_of_nodes}
--- /dev/null
+++ b/tests/faults/test_soak.py
@@ -0,0 +1,68 @@
+"""Soaks: what a seed draws, what their verdict finds, and a short one with real processes."""
+
+from __future__ import annotations
+
+from concurrent.futures import ProcessPoolExecutor
+from itertools import pairwise
+from multiprocessing import get_context
+from pathlib import Path
+from typing import get_args
+
+import pytest
+
+from cloverhold.rehearsal.faults import ALL
+from cloverhold.rehearsal.ledger import Ledger, NodeLife, Stranger
+from cloverhold.rehearsal.soak.draw import LENGTH_S, draw
+from cloverhold.rehearsal.soak.play import play
+from cloverhold.rehearsal.soak.verdict import MOST_DESCRIPTORS_AT_REST, AtRest, assess
+
+SEEDS = (1, 2, 3, 4, 5, 6, 7, 8)
+JOBS = 4
+
+
+def test_a_seed_draws_the_same_soak_each_time_and_seeds_differ() -> None:
+    assert draw(7) == draw(7) and len({draw(seed).model_dump_json() for seed in range(50)}) == 50
+
+
+def test_seeds_draw_all_kinds_of_faults_and_faults_overlap() -> None:
+    drawn = [draw(seed) for seed in range(200)]
+    kinds = {fault.kind for scenario in drawn for fault in scenario.faults}
+    of_subsystems = {"words_cut", "words_rough", "reconfigure", "poison"}
+    assert kinds == {get_args(kind.model_fields["kind"].annotation)[0] for kind in ALL} - of_subsystems
+    for scenario in drawn:
+        spans = sorted((fault.at_s, fault.at_s + fault.for_s) for fault in scenario.faults)
+        assert any(second[0] < first[1] for first, second in pairwise(spans))
+        assert all(fault.at_s < LENGTH_S for fault in scenario.faults)
+
+
+def findings(tmp_path: Path, *rows: object, at_rest: tuple[AtRest, ...] = ()) -> list[str]:
+    seen = Ledger("soak-1", 1, rows=[NodeLife(0, 0, -1.0, {}, ready_s=-0.5), *rows], ended_s=9.0)  # type: ignore[list-item]
+    return assess(draw(1), seen, tmp_path, list(at_rest)).findings
+
+
+@pytest.mark.parametrize("line", ["Traceback (most recent call last):", "ERROR rule_violated: reason=unsafe_repeat"])
+def test_alarm_in_a_nodes_log_is_found(line: str, tmp_path: Path) -> None:
+    (tmp_path / "n0.log").write_text(f"INFO listening\n{line}\n")
+    assert findings(tmp_path) == [f"log of n0: {line}"]
+
+
+def test_what_is_left_over_at_rest_is_found(tmp_path: Path) -> None:
+    held = MOST_DESCRIPTORS_AT_REST + 3
+    assert not findings(tmp_path, at_rest=(AtRest(0, held, 3),))
+    assert len(findings(tmp_path, at_rest=(AtRest(0, held + 1, 3),))) == 1
+
+
+def test_client_that_stays_and_is_not_ended_is_found(tmp_path: Path) -> None:
+    assert len(findings(tmp_path, Stranger("stays_in_body", 0, 1.0, ["h1"]))) == 1
+    assert not findings(tmp_path, Stranger("stays_in_body", 0, 1.0, ["h1"], first_answer_s=3.9))
+
+
+def test_process_that_ends_unasked_is_found(tmp_path: Path) -> None:
+    assert len(findings(tmp_path, NodeLife(1, 0, -1.0, {}, ready_s=-0.5, ended_s=3.0, code=1))) == 1
+
+
+def test_short_soak_of_real_processes_finds_nothing() -> None:
+    with ProcessPoolExecutor(JOBS, mp_context=get_context("spawn")) as pool:
+        results = list(pool.map(play, SEEDS))
+    assert {result.seed: result.findings for result in results if result.findings} == {}
+    assert all(result.requests for result in results)
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -36,7 +36,7 @@
     "cloverhold/supervise/core.py",
     *(f"cloverhold/rehearsal/{name}.py" for name in (
         "scenario", "faults", "plan", "machine", "catalog", "front", "ledger", "judge", "rules", "service", "spoil",
-        "wire", "members",
+        "wire", "members", "soak/draw", "soak/verdict",
     )),
     *(f"cloverhold/simulation/{name}.py" for name in (
         "days", "figures", "fleet", "hollow/settled", "members", "network", "nodes", "registry", "servers", "shares",
