Requests are read from bytes in a module of their own

Change: a move. The parser's callbacks and what they gather -> net/fronts/request_reader.py; one test names the new place.

--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -10,13 +10,11 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, cast
 
-import httptools
-
-from cloverhold.bodies.upload import Upload
-from cloverhold.net.exchange import ONCE, BadRequest, Exchange, Incoming, read_request
+from cloverhold.net.exchange import BadRequest, Exchange, Incoming, read_request
 from cloverhold.net.fronts.receive_queue import has_room, is_readable, unread_bytes
+from cloverhold.net.fronts.request_reader import RequestReader
 from cloverhold.net.fronts.waits import Wait, Waiting
-from cloverhold.net.messages import BODY_LIMIT, HEAD_LIMIT, HOP_BY_HOP, LENGTH_LIMIT, NO_HOST, Field
+from cloverhold.net.messages import BODY_LIMIT, NO_HOST, Field
 from cloverhold.net.telemetry import Happening
 from cloverhold.permission import Denial, may_close
 
@@ -25,9 +23,7 @@
 
 MOST_PIPELINED = 16
 MOST_UNSENT = 64 * 1024  # bytes that a client leaves unread: past that it is sent no more until it reads
-SMALL = 16 * 1024  # a body up to this size is no matter of the budget
 HOLD = 128 * 1024  # a body is sent on before it is whole once it is larger
-BETWEEN_LIMIT = 2 * HEAD_LIMIT  # of what frames a body, or comes behind it, between two pieces
 FIRST_REQUEST_S = 0.1  # a new connection's request is on its way for so long
 _LINES = {int(s): f"HTTP/1.1 {int(s)} {s.phrase}\r\n".encode() for s in HTTPStatus}
 _NO_BODY = b"Content-Length: 0\r\n"
@@ -39,19 +35,12 @@
     def __init__(self, listener: Listener) -> None:
         self.listener = listener
         self.transport: asyncio.Transport | None = None
-        self.parser = httptools.HttpRequestParser(self)
+        self.reader = RequestReader(listener.budget, self._room, self._completed)
         self.queue: deque[Incoming] = deque()
         self.open: Exchange | None = None
-        self.broken: BadRequest | None = None  # answered behind what came before it; then the end
-        self.incoming = Incoming()
-        self.body = bytearray()
-        self.between = 0  # bytes since the message began, or since the last piece of its body
-        self.in_head = True
-        self.in_message = False  # whether a request has begun to come, and is not whole
-        self.expects = False  # whether the client waits to be told to go on (RFC 9110, section 10.1.1)
-        # When the request that is awaited or half here began to be; None where the last one came whole.
-        self.begun: float | None = time.monotonic()
-        self.progress_at = self.begun  # when the client last sent, or took, bytes, or was last held up by the node
+        self.progress_at = (
+            self.reader.begun
+        )  # when the client last sent, or took, bytes, or was last held up by the node
         self.paused_since: float | None = None  # since when nothing is read
         self.queued = 0  # bytes that then lay unread in the kernel
         self.starved: float | None = None  # since when memory is what it waits for
@@ -75,7 +64,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
-        for request in (*self.queue, self.incoming):
+        for request in (*self.queue, self.reader.incoming):
             if request.upload is not None:
                 request.upload.drop()
         self.queue.clear()
@@ -106,7 +95,7 @@
 
     def _count_close(self, reason: str) -> None:
         """The node ends this connection, or the request that comes on it."""
-        request, peer = self.incoming, None
+        request, peer = self.reader.incoming, None
         if self.transport is not None:
             peer = self.transport.get_extra_info("peername")
         self.listener.telemetry.event(
@@ -114,8 +103,8 @@
             reason,
             client=peer,
             id=request.fields.get(b"x-call-id", b""),
-            in_head=self.in_head,
-            body_bytes=self._body_bytes(),
+            in_head=self.reader.in_head,
+            body_bytes=self.reader.body_bytes(),
             open=self.open is not None,
             paused=self.paused_since is not None,
         )
@@ -137,7 +126,7 @@
 
     def unfinished(self) -> bool:
         """Whether a request is half here."""
-        return self.begun is not None and (self.between > 0 or self.in_message)
+        return self.reader.unfinished()
 
     def has_pending_work(self, now: float) -> bool:
         """Whether its client is owed anything: an answer, the rest of one that is written, that a request that is half
@@ -145,7 +134,7 @@
         """
         if self.closing is not None or not self.idle() or self.unfinished():
             return True
-        return self in self.listener.new and self.begun is not None and now - self.begun < FIRST_REQUEST_S
+        return self in self.listener.new and self.reader.begun is not None and now - self.reader.begun < FIRST_REQUEST_S
 
     def close_if_idle(self, *, gives_up_partial: bool = False) -> bool:
         """Close while nothing is owed, unless something lies unread: that is served first; whether it closed. Guards
@@ -205,7 +194,7 @@
             waiting.unread_since = self.unread_since
         if self.starved is not None and self.open is None:
             waiting.starved_since = self.starved
-        if self.unfinished() or self.broken is not None:
+        if self.unfinished() or self.reader.broken is not None:
             if not self.streaming:
                 self._wait_for_request(waiting)
             elif self.unread:  # else the answer that is on the way waits for its server
@@ -216,28 +205,23 @@
 
     def _wait_for_request(self, waiting: Waiting) -> None:
         """A request is half here."""
-        if self.in_head:
-            waiting.head_since = self.begun
+        if self.reader.in_head:
+            waiting.head_since = self.reader.begun
             return
-        waiting.body_since, waiting.body_bytes = self.begun, self._body_bytes()
-        if not (self.expects and not self.idle()):  # else it waits to be told to go on
+        waiting.body_since, waiting.body_bytes = self.reader.begun, self.reader.body_bytes()
+        if not (self.reader.expects and not self.idle()):  # else it waits to be told to go on
             waiting.progress_at = self.progress_at
 
     def _wait_idle(self, waiting: Waiting, now: float) -> None:
         """Nothing is here of any request."""
         life = self.listener.life
         if life.closing():
-            waiting.drains_at = life.rests_until(self.rested or self.begun or now, self.place)
-        elif self.begun is not None:
-            waiting.silent_since = self.begun
+            waiting.drains_at = life.rests_until(self.rested or self.reader.begun or now, self.place)
+        elif self.reader.begun is not None:
+            waiting.silent_since = self.reader.begun
         else:
             waiting.idle_since = self.rested
 
-    def _body_bytes(self) -> int:
-        """Bytes of the incoming request's body so far."""
-        upload = self.incoming.upload
-        return upload.size if upload is not None else len(self.body)
-
     def _end(self, wait: Wait) -> None:
         """End what has lasted too long."""
         transport = self.transport
@@ -264,104 +248,37 @@
         if self.unread and self.transport is not None:
             self.transport.abort()  # it takes no error either
             return
-        self._turn_away(error or self.broken or BadRequest(408, "not whole in time"), close=True)
+        self._turn_away(error or self.reader.broken or BadRequest(408, "not whole in time"), close=True)
 
     # ----------------------------------------------------------------- requests
 
     def data_received(self, data: bytes) -> None:
-        if self.broken is not None or self.closing is not None:
+        if self.reader.broken is not None or self.closing is not None:
             return
         if self in self.listener.new:
             self.listener.received_first_bytes(self)
-        self.between += len(data)
         self.progress_at = time.monotonic()
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            if self.queue:  # answered in plain HTTP; what follows it could be in any other protocol
-                self.queue[-1].keep_alive = False
-        except httptools.HttpParserError as error:
-            self.broken = self.broken or BadRequest(400, str(error))
-        if self.broken is None and self.between > (HEAD_LIMIT if self.in_head else BETWEEN_LIMIT):
-            self.broken = BadRequest(431 if self.in_head else 413, "request too large")
-        if self.broken is not None and self.begun is None:
-            self.begun = time.monotonic()
+        if not self.reader.feed(data) and self.queue:
+            self.queue[-1].keep_alive = False  # answered in plain HTTP
         self._next()
 
-    def on_message_begin(self) -> None:
-        self.incoming, self.body, self.in_head = Incoming(whole=False), bytearray(), True
-        self.in_message = True
-        if self.begun is None:
-            self.begun = time.monotonic()
-
-    def on_url(self, url: bytes) -> None:
-        self.incoming.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.in_head:
-            return  # a trailer: what the head did not say must not come in behind the body
-        lower, value = name.lower(), value.strip(b" \t")  # what stands round a value is not of it (RFC 9110, 5.5)
-        if lower in ONCE and lower in self.incoming.fields:
-            self._fail(400, f"{lower.decode('latin-1')} is given twice")
-        self.incoming.fields[lower] = value
-        self.incoming.head_bytes += len(name) + len(value)
-        if lower not in HOP_BY_HOP and lower != b"x-budget":  # that one is told anew
-            self.incoming.passed.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        self.in_head = False
-        incoming = self.incoming
-        incoming.method = self.parser.get_method()
-        incoming.http10 = self.parser.get_http_version() == "1.0"
-        incoming.keep_alive = self.parser.should_keep_alive()
-        if incoming.head_bytes > HEAD_LIMIT:
-            self._fail(431, "head too large")
-        if (length := self._length()) is not None and length > LENGTH_LIMIT:
-            self._fail(413, "body too large")
-        self.expects = incoming.fields.get(b"expect", b"").lower() == b"100-continue" and not incoming.http10
-
-    def _length(self) -> int | None:
-        text = self.incoming.fields.get(b"content-length", b"")
-        return int(text) if text.isdigit() else None
-
-    def on_body(self, data: bytes) -> None:
-        self.between, self.expects = 0, False
-        upload = self.incoming.upload
-        if upload is None:
-            self.body += data
-            if len(self.body) <= SMALL:
-                return
-            upload = self.incoming.upload = Upload(self.listener.budget, self._length())
-            upload.room = self._room
-            data, self.body = bytes(self.body), bytearray()
-        upload.add(data)
-
-    def on_message_complete(self) -> None:
-        incoming, self.expects = self.incoming, False
-        incoming.keep_alive = self.parser.should_keep_alive()
-        incoming.came_at, incoming.whole = time.monotonic(), True
-        self.in_head, self.in_message, self.between, self.begun = True, False, 0, None
+    def _completed(self, incoming: Incoming) -> None:
+        """A request is whole: the one that is open already, or one that waits its turn."""
+        upload = incoming.upload
         if self.open is not None and self.open.request is incoming:
             self.listener.taker.whole(self.open)
-            if incoming.upload is not None:
-                incoming.upload.end()
+            if upload is not None:
+                upload.end()
             return
-        if incoming.upload is not None:
-            incoming.upload.end()
-            if incoming.upload.size <= HOLD:
-                incoming.body, incoming.upload = incoming.upload.whole(), None
-        else:
-            incoming.body = bytes(self.body)
+        if upload is not None:
+            upload.end()
+            if upload.size <= HOLD:
+                incoming.body, incoming.upload = upload.whole(), None
         if len(self.queue) >= MOST_PIPELINED:
-            self._fail(400, "too many requests at once")
+            self.reader.fail(400, "too many requests at once")
         self.listener.left_waiting(self)
         self.queue.append(incoming)
 
-    def _fail(self, status: int, why: str) -> None:
-        """Break off from inside a callback; the parser wraps what is raised in an error of its own."""
-        self.broken = BadRequest(status, why)
-        raise self.broken
-
     def _next(self) -> None:
         """Begin the next request, or end a connection that is no longer understood. Nothing once its last answer is
         written: what is still half here then has had its answer, and would be begun a second time.
@@ -371,29 +288,29 @@
         while self.open is None and self.queue and self.transport is not None and not self.stuffed:
             self._begin(self.queue.popleft())
         if self.idle():
-            if self.broken is not None:
-                self._turn_away(self.broken, close=True)
-            elif not self.in_head and self.begun is not None:
+            if self.reader.broken is not None:
+                self._turn_away(self.reader.broken, close=True)
+            elif not self.reader.in_head and self.reader.begun is not None:
                 self._comes()
         self._hold()
 
     def _comes(self) -> None:
         """The next request is half here, and nothing is before it."""
-        if self.expects and self.transport is not None:
-            self.expects = False
+        if self.reader.expects and self.transport is not None:
+            self.reader.expects = False
             self.progress_at = time.monotonic()
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        upload = self.incoming.upload
+        upload = self.reader.incoming.upload
         if upload is not None and (upload.size > HOLD or self.listener.budget.spent()):
             self.listener.left_waiting(self)
-            self._begin(self.incoming)
+            self._begin(self.reader.incoming)
 
     def _hold(self) -> None:
         """Read on, or no more for now: so much of a body waits here that it must move on first."""
-        transport, upload = self.transport, self.incoming.upload
+        transport, upload = self.transport, self.reader.incoming.upload
         if transport is None or self.closing is not None:
             return
-        holds = upload is not None and not self.incoming.whole and not upload.wants()
+        holds = upload is not None and not self.reader.incoming.whole and not upload.wants()
         if not holds:
             self.starved = None
         elif self.starved is None and self.listener.budget.spent():
@@ -408,8 +325,8 @@
     def _resume_reading(self, transport: asyncio.Transport) -> None:
         """Read on. The time in which the node did not read is not the client's."""
         now = time.monotonic()
-        if self.begun is not None and self.paused_since is not None:
-            self.begun += now - self.paused_since
+        if self.reader.begun is not None and self.paused_since is not None:
+            self.reader.begun += now - self.paused_since
         self.paused_since, self.progress_at = None, now
         transport.resume_reading()
 
@@ -485,7 +402,7 @@
                 self.transport.abort()
 
     def _after(self) -> None:
-        if self.queue or self.broken is not None or not self.in_head:
+        if self.queue or self.reader.broken is not None or not self.reader.in_head:
             asyncio.get_running_loop().call_soon(self._next)
 
     def _turn_away(self, error: BadRequest, *, close: bool, bare: bool = False) -> None:
@@ -518,11 +435,11 @@
     def _written(self, *, close: bool) -> None:
         if close:
             self.queue.clear()
-            if self.transport is not None and not self.incoming.whole and self.closing is None:
+            if self.transport is not None and not self.reader.incoming.whole and self.closing is None:
                 self._linger()
             else:
                 self.close()
-        elif self.idle() and self.incoming.whole:
+        elif self.idle() and self.reader.incoming.whole:
             self.rested = time.monotonic()
             self.listener.became_idle(self)
 
--- /dev/null
+++ b/cloverhold/net/fronts/request_reader.py
@@ -0,0 +1,121 @@
+"""Requests from the bytes of one connection (HTTP/1.1), as they come."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import httptools
+
+from cloverhold.bodies.budget import Budget
+from cloverhold.bodies.upload import Upload
+from cloverhold.net.exchange import ONCE, BadRequest, Incoming
+from cloverhold.net.messages import HEAD_LIMIT, HOP_BY_HOP, LENGTH_LIMIT
+
+SMALL = 16 * 1024  # a body up to this size is no matter of the budget
+BETWEEN_LIMIT = 2 * HEAD_LIMIT  # of what frames a body, or comes behind it, between two pieces
+
+
+class RequestReader:
+    """Reads the requests of one connection; the one that comes stands in `incoming`."""
+
+    def __init__(self, budget: Budget, room: Callable[[], None], completed: Callable[[Incoming], None]) -> None:
+        """room: told where a body that was held up may be read on; completed: told of each request that is whole."""
+        self._budget, self._room, self._completed = budget, room, completed
+        self._parser = httptools.HttpRequestParser(self)
+        self.broken: BadRequest | None = None  # answered behind what came before it; then the end
+        self.incoming = Incoming()
+        self.body = bytearray()
+        self.between = 0  # bytes since the message began, or since the last piece of its body
+        self.in_head = True
+        self.in_message = False  # whether a request has begun to come, and is not whole
+        self.expects = False  # whether the client waits to be told to go on (RFC 9110, section 10.1.1)
+        # When the request that is awaited or half here began to be; None where the last one came whole.
+        self.begun: float | None = time.monotonic()
+
+    def feed(self, data: bytes) -> bool:
+        """Take what has come; False where what follows it could be in any other protocol."""
+        self.between += len(data)
+        upgrades = False
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            upgrades = True
+        except httptools.HttpParserError as error:
+            self.broken = self.broken or BadRequest(400, str(error))
+        if self.broken is None and self.between > (HEAD_LIMIT if self.in_head else BETWEEN_LIMIT):
+            self.broken = BadRequest(431 if self.in_head else 413, "request too large")
+        if self.broken is not None and self.begun is None:
+            self.begun = time.monotonic()
+        return not upgrades
+
+    def unfinished(self) -> bool:
+        """Whether a request is half here."""
+        return self.begun is not None and (self.between > 0 or self.in_message)
+
+    def body_bytes(self) -> int:
+        """Bytes of the incoming request's body so far."""
+        upload = self.incoming.upload
+        return upload.size if upload is not None else len(self.body)
+
+    def fail(self, status: int, why: str) -> None:
+        """Break off from inside a callback; the parser wraps what is raised in an error of its own."""
+        self.broken = BadRequest(status, why)
+        raise self.broken
+
+    def on_message_begin(self) -> None:
+        self.incoming, self.body, self.in_head = Incoming(whole=False), bytearray(), True
+        self.in_message = True
+        if self.begun is None:
+            self.begun = time.monotonic()
+
+    def on_url(self, url: bytes) -> None:
+        self.incoming.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.in_head:
+            return  # a trailer: what the head did not say must not come in behind the body
+        lower, value = name.lower(), value.strip(b" \t")  # what stands round a value is not of it (RFC 9110, 5.5)
+        if lower in ONCE and lower in self.incoming.fields:
+            self.fail(400, f"{lower.decode('latin-1')} is given twice")
+        self.incoming.fields[lower] = value
+        self.incoming.head_bytes += len(name) + len(value)
+        if lower not in HOP_BY_HOP and lower != b"x-budget":  # that one is told anew
+            self.incoming.passed.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        self.in_head = False
+        incoming = self.incoming
+        incoming.method = self._parser.get_method()
+        incoming.http10 = self._parser.get_http_version() == "1.0"
+        incoming.keep_alive = self._parser.should_keep_alive()
+        if incoming.head_bytes > HEAD_LIMIT:
+            self.fail(431, "head too large")
+        if (length := self._length()) is not None and length > LENGTH_LIMIT:
+            self.fail(413, "body too large")
+        self.expects = incoming.fields.get(b"expect", b"").lower() == b"100-continue" and not incoming.http10
+
+    def _length(self) -> int | None:
+        text = self.incoming.fields.get(b"content-length", b"")
+        return int(text) if text.isdigit() else None
+
+    def on_body(self, data: bytes) -> None:
+        self.between, self.expects = 0, False
+        upload = self.incoming.upload
+        if upload is None:
+            self.body += data
+            if len(self.body) <= SMALL:
+                return
+            upload = self.incoming.upload = Upload(self._budget, self._length())
+            upload.room = self._room
+            data, self.body = bytes(self.body), bytearray()
+        upload.add(data)
+
+    def on_message_complete(self) -> None:
+        incoming, self.expects = self.incoming, False
+        incoming.keep_alive = self._parser.should_keep_alive()
+        incoming.came_at, incoming.whole = time.monotonic(), True
+        self.in_head, self.in_message, self.between, self.begun = True, False, 0, None
+        if incoming.upload is None:
+            incoming.body = bytes(self.body)
+        self._completed(incoming)
--- a/tests/moments/test_leaving.py
+++ b/tests/moments/test_leaving.py
@@ -65,7 +65,7 @@
                 writer.write(b"%x\r\n%s\r\n" % (len(PIECE), PIECE))
             await until(lambda: host.open)
             (client,) = node.node.listener.connections
-            upload = client.incoming.upload
+            upload = client.reader.incoming.upload
             assert upload is not None
             upload.take = lambda: b""  # type: ignore[method-assign]  # the server takes no more: it waits here
             while client.paused_since is None:
