What a server says behind a long answer no longer reaches the client

Cause: while an answer is passed on in pieces, the parser handed on each body that came, that of a second message in the same segment too. A short answer is held whole, and was not touched by it.

Change: no body counts once the answer is whole; its connection closes, as before.

--- a/cloverhold/net/http1.py
+++ b/cloverhold/net/http1.py
@@ -97,6 +97,8 @@
             raise BadMessage("body too large")
 
     def on_body(self, data: bytes) -> None:
+        if self._whole is not None:
+            return  # of more than was asked for
         if self._pieces is not None:
             self._pieces.append(data)
             self._bytes = 0  # what comes between two pieces is bounded
