The kit knows when a huge body has stopped; a soak names each client that waits in vain

Change: a client that sends a huge body is owed an error 6 s after it came, as before, and 3 s after it is known to have stopped: the earlier counts. The soak's finding names client, node and times.

--- a/cloverhold/rehearsal/hostile.py
+++ b/cloverhold/rehearsal/hostile.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import re
+import struct
+import termios
 from collections.abc import Callable
 
 from cloverhold.rehearsal.clients import Clients
@@ -16,6 +19,7 @@
 from cloverhold.rehearsal.world import World
 
 PATIENCE_S, LARGE_PATIENCE_S = 3.0, 6.0
+LOOK_S = 0.02  # between two looks at what the kernel still holds
 HUGE = 60_000_000
 LONG_BYTES, LONG_SENT_BYTES = 8_000_000, 300_000  # of a long body, and how much of it comes
 PIECE = b"x" * 65536
@@ -70,6 +74,16 @@
     return LARGE_PATIENCE_S if how == "huge_body" else PATIENCE_S
 
 
+async def _taken(writer: asyncio.StreamWriter) -> None:
+    """Wait until the other machine has taken all that was written."""
+    sock = writer.get_extra_info("socket")
+    while not writer.is_closing():
+        held = struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0)))[0]
+        if not held and not writer.transport.get_write_buffer_size():
+            return
+        await asyncio.sleep(LOOK_S)
+
+
 class Strangers:
     """Plays the hostile visits of a plan."""
 
@@ -154,6 +168,8 @@
                     return
                 writer.write(PIECE)
                 await writer.drain()
+            await _taken(writer)
+            row.stopped_s = self.world.now()
         elif row.how == "endless_head":
             for number in range(400):
                 if row.ended_s is not None or row.first_answer_s is not None or writer.is_closing():
--- a/cloverhold/rehearsal/judge.py
+++ b/cloverhold/rehearsal/judge.py
@@ -11,6 +11,8 @@
 from cloverhold.rehearsal.scenario import Scenario
 from cloverhold.rehearsal.service import Service, measure, percentile
 
+STOPPED_S = 3.0  # a client that has stopped within a request is owed an error or a close by then
+
 
 @dataclass(slots=True)
 class Verdict:
@@ -76,13 +78,23 @@
     return ""
 
 
-def _strangers(ledger: Ledger) -> list[str]:
-    """Whether strangers were left with neither an error nor a close for longer than they are owed one."""
-    count = 0
+def waits_in_vain(ledger: Ledger) -> list[Stranger]:
+    """Strangers left with neither an error nor a close for longer than they are owed one: from when they came, and from
+    when they are known to have stopped.
+    """
+    found = []
     for s in ledger.of(Stranger):
         ends = [t for t in (s.first_answer_s, s.ended_s if s.closed_by == "node" else None) if t is not None]
         limit = s.opened_s + s.patience_s + MARGIN_S
-        count += s.owed and ledger.ended_s >= limit and (not ends or min(ends) > limit)
+        if s.stopped_s is not None:
+            limit = min(limit, s.stopped_s + STOPPED_S + MARGIN_S)
+        if s.owed and ledger.ended_s >= limit and (not ends or min(ends) > limit):
+            found.append(s)
+    return found
+
+
+def _strangers(ledger: Ledger) -> list[str]:
+    count = len(waits_in_vain(ledger))
     return [f"{count} hostile clients got neither an error nor a close in their time"] if count else []
 
 
--- a/cloverhold/rehearsal/ledger.py
+++ b/cloverhold/rehearsal/ledger.py
@@ -190,6 +190,7 @@
     first_answer_s: float | None = None
     ended_s: float | None = None
     closed_by: str = ""  # "node" or "kit"
+    stopped_s: float | None = None  # when the node's machine had taken its last byte
 
 
 @dataclass(slots=True)
--- a/cloverhold/rehearsal/soak/verdict.py
+++ b/cloverhold/rehearsal/soak/verdict.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from cloverhold.rehearsal.judge import Verdict, judge
+from cloverhold.rehearsal.judge import Verdict, judge, waits_in_vain
 from cloverhold.rehearsal.ledger import Ledger
 from cloverhold.rehearsal.scenario import Scenario
 
@@ -42,7 +42,7 @@
 def assess(scenario: Scenario, ledger: Ledger, logs: Path, at_rest: list[AtRest]) -> SoakResult:
     """The outcome of a soak that was played."""
     verdict = judge(scenario, ledger)
-    found = [*_broken(verdict), *_alarms(logs), *_left_over(at_rest)]
+    found = [*_broken(verdict), *_waiting(ledger), *_alarms(logs), *_left_over(at_rest)]
     service = verdict.service
     return SoakResult(scenario.seed, service.asked, service.service, verdict.void or verdict.partial, found)
 
@@ -58,6 +58,13 @@
     yield from verdict.goals
 
 
+def _waiting(ledger: Ledger) -> Iterator[str]:
+    for s in waits_in_vain(ledger)[:MOST_PROOF_LINES]:
+        end = "nothing" if s.first_answer_s is None else f"an answer at {s.first_answer_s:.2f} s"
+        stop = "" if s.stopped_s is None else f", stopped at {s.stopped_s:.2f} s"
+        yield f"{s.how} {s.ids[0]} at n{s.node} came at {s.opened_s:.2f} s{stop}: {end}"
+
+
 def _alarms(logs: Path) -> Iterator[str]:
     for path in sorted(logs.glob("*.log")):
         lines = path.read_text(encoding="utf-8", errors="replace").splitlines()
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -53,7 +53,10 @@
 
 
 def test_client_that_stays_and_is_not_ended_is_found(tmp_path: Path) -> None:
-    assert len(findings(tmp_path, Stranger("stays_in_body", 0, 1.0, ["h1"]))) == 1
+    assert findings(tmp_path, Stranger("stays_in_body", 0, 1.0, ["h1"])) == [
+        "1 hostile clients got neither an error nor a close in their time",
+        "stays_in_body h1 at n0 came at 1.00 s: nothing",
+    ]
     assert not findings(tmp_path, Stranger("stays_in_body", 0, 1.0, ["h1"], first_answer_s=3.9))
 
 
--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 import second_reading
-from cloverhold.rehearsal.judge import judge
+from cloverhold.rehearsal.judge import judge, waits_in_vain
 from cloverhold.rehearsal.ledger import (
     OUTCOMES,
     Answer,
@@ -342,3 +342,13 @@
 def test_a_ledger_that_cannot_be_read_is_refused_by_line(change: Any, said: str) -> None:
     with pytest.raises(LedgerError, match=said):
         read(change(list(lines(ledger(a_try(answers=[GOOD]), arrival())))))
+
+
+@pytest.mark.parametrize(
+    "stopped_s, first_answer_s, in_vain", [(2.0, 4.9, 0), (2.0, 5.1, 1), (None, 6.9, 0), (None, 7.1, 1)]
+)
+def test_huge_body_is_owed_an_error_from_its_stop_and_from_its_begin(
+    stopped_s: float | None, first_answer_s: float, in_vain: int
+) -> None:
+    row = Stranger("huge_body", 0, 1.0, ["h1"], patience_s=6.0, first_answer_s=first_answer_s, stopped_s=stopped_s)
+    assert len(waits_in_vain(ledger(row))) == in_vain
