A body of which just 128 KiB have come is sent on

Cause: reading stops once 128 KiB wait, and the request was begun only past them. At just that size neither went on, and the wait looked like one for the server.

Change: a request is begun as soon as its body is not read on.

--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -301,7 +301,7 @@
             self.progress_at = time.monotonic()
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         upload = self.reader.incoming.upload
-        if upload is not None and (upload.size > HOLD or self.listener.budget.spent()):
+        if upload is not None and not upload.wants():
             self.listener.left_waiting(self)
             self._begin(self.reader.incoming)
 
