Related waits: a server that takes nothing of a body, operators' calls, silent clients

The line of a close tells how long the client has been silent.

Result: 376 tests of faults, moments and operators pass; a body held up by its server has a test of its own.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -132,7 +132,7 @@
         }
         if (membership := self.membership) is not None:
             calls[b"/_members"] = (b"GET", lambda: json.dumps(membership.report()).encode())
-        return ManagementFront(calls)
+        return ManagementFront(calls, self.telemetry)
 
     def _heard(self, worker: Attached, table: MembershipTable | None) -> Heard | None:
         """The view of a worker, which its supervisor tells."""
--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -24,6 +24,10 @@
 MOST_PIPELINED = 16
 MOST_UNSENT = 64 * 1024  # bytes that a client leaves unread: past that it is sent no more until it reads
 HOLD = 128 * 1024  # a body is sent on before it is whole once it is larger
+ERRORS = {
+    Wait.BUFFER: BadRequest(503, "no memory for a body"),
+    Wait.SERVER_READ: BadRequest(504, "no server takes the body"),
+}
 FIRST_REQUEST_S = 0.1  # a new connection's request is on its way for so long
 _LINES = {int(s): f"HTTP/1.1 {int(s)} {s.phrase}\r\n".encode() for s in HTTPStatus}
 _NO_BODY = b"Content-Length: 0\r\n"
@@ -38,9 +42,8 @@
         self.reader = RequestReader(listener.budget, self._room, self._completed)
         self.queue: deque[Incoming] = deque()
         self.open: Exchange | None = None
-        self.progress_at = (
-            self.reader.begun
-        )  # when the client last sent, or took, bytes, or was last held up by the node
+        # When the client last sent, or took, bytes, or was last held up by the node.
+        self.progress_at = time.monotonic()
         self.paused_since: float | None = None  # since when nothing is read
         self.queued = 0  # bytes that then lay unread in the kernel
         self.starved: float | None = None  # since when memory is what it waits for
@@ -105,6 +108,7 @@
             id=request.fields.get(b"x-call-id", b""),
             in_head=self.reader.in_head,
             body_bytes=self.reader.body_bytes(),
+            silent_s=time.monotonic() - self.progress_at,
             open=self.open is not None,
             paused=self.paused_since is not None,
         )
@@ -192,6 +196,7 @@
             return waiting
         if self.unread:
             waiting.unread_since = self.unread_since
+        waiting.held_since = self.paused_since
         if self.starved is not None and self.open is None:
             waiting.starved_since = self.starved
         if self.unfinished() or self.reader.broken is not None:
@@ -234,9 +239,9 @@
         if wait in (Wait.LAST_READ, Wait.LINGER, Wait.ANSWER_READ):
             transport.abort()
         elif wait is Wait.FIRST_BYTE:
-            self.close()  # a request that crosses this is sent once more
+            self.close_if_idle()
         else:
-            self._end_request(BadRequest(503, "no memory for a body") if wait is Wait.BUFFER else None)
+            self._end_request(ERRORS.get(wait))
 
     def _end_request(self, error: BadRequest | None) -> None:
         """End a connection whose request does not become whole, or can't be read, whatever is open before it: that one
--- a/cloverhold/net/fronts/management.py
+++ b/cloverhold/net/fronts/management.py
@@ -8,15 +8,20 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import cast
 
 import httptools
 
+from cloverhold.net.fronts.acceptor import Acceptor
+from cloverhold.net.telemetry import Telemetry
+
 log = logging.getLogger(__name__)
 
 MOST = 16  # callers at once
+BACKLOG = 128  # calls that wait to be accepted
 CALL_LIMIT = 8 * 1024  # bytes of a call, with its body
 PATIENCE_S = 2.5  # a call is whole by then
 
@@ -92,23 +97,31 @@
 class ManagementFront:
     """The listening socket of the operators and their calls."""
 
-    def __init__(self, calls: Calls) -> None:
+    def __init__(self, calls: Calls, telemetry: Telemetry | None = None) -> None:
         self.calls = calls
         self.callers: dict[Caller, None] = {}  # the oldest first
-        self.server: asyncio.Server | None = None
+        self.telemetry = telemetry if telemetry is not None else Telemetry()
+        self.acceptor: Acceptor | None = None
 
     async def start(self, address: tuple[str, int]) -> None:
         """Listen; OSError where that cannot be."""
-        self.server = await asyncio.get_running_loop().create_server(lambda: Caller(self), *address, backlog=128)
+        listening = socket.create_server(address, backlog=BACKLOG)
+        listening.setblocking(False)
+        self.acceptor = Acceptor(listening, lambda: Caller(self), self._abort_oldest, self.telemetry)
+        self.acceptor.start()
 
     def port(self) -> int:
         """Where it listens; 0 until it does."""
-        return int(self.server.sockets[0].getsockname()[1]) if self.server is not None else 0
+        return self.acceptor.port if self.acceptor is not None else 0
 
     def made(self, caller: Caller) -> None:
         """Guards against callers that hold a connection and say nothing: the next call is never behind them."""
         self.callers[caller] = None
         if len(self.callers) > MOST:
+            self._abort_oldest()
+
+    def _abort_oldest(self) -> None:
+        if self.callers:
             oldest = next(iter(self.callers))
             del self.callers[oldest]
             oldest.abort()
@@ -128,7 +141,7 @@
         return 200 if yes else 503, None
 
     def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
+        if self.acceptor is not None:
+            self.acceptor.close()
         for caller in list(self.callers):
             caller.abort()
--- a/cloverhold/net/fronts/waits.py
+++ b/cloverhold/net/fronts/waits.py
@@ -10,6 +10,7 @@
 | HEAD         | the rest of a request's head            | the head's first byte               | 408, or its own error |
 | BODY_STALL   | the next bytes of a request's body      | the client's last progress          | 408, or its own error |
 | BODY_RATE    | the whole body                          | its head's first byte, without the time in which the node did not read | 408, or its own error |
+| SERVER_READ  | the server takes more of the body       | when reading stopped for that       | 504                  |
 | BUFFER       | memory for the body                     | when reading stopped for lack of it | 503                  |
 | ANSWER_READ  | the client reads an answer              | when it last took bytes             | abort                |
 | DRAIN        | a further request on a draining node    | see `Life.rests_until`              | close, if all is read |
@@ -23,9 +24,10 @@
 
 HEAD_TIMEOUT_S = 2.3
 # Owed to a client that stops: an error or a close 3 s after its last byte. A slow one may pause for 2 s.
-BODY_STALL_TIMEOUT_S = 2.4
+BODY_STALL_TIMEOUT_S = 2.3
 BODY_TIMEOUT_S, MINIMUM_BODY_RATE = 5.0, 16 * 1024  # of a whole body: so long, and as long as it takes at so many B/s
-BUFFER_TIMEOUT_S = 2.5
+SERVER_READ_TIMEOUT_S = 5.0
+BUFFER_TIMEOUT_S = 2.3
 ANSWER_READ_TIMEOUT_S, LAST_READ_TIMEOUT_S = 20.0, 4.0
 LINGER_TIMEOUT_S = 0.5
 IDLE_TIMEOUT_S = 2.0
@@ -40,6 +42,7 @@
     HEAD = "head_incomplete"
     BODY_STALL = "body_stalled"
     BODY_RATE = "body_too_slow"
+    SERVER_READ = "server_reads_nothing"
     BUFFER = "no_buffer"
     ANSWER_READ = "answer_unread"
     DRAIN = "draining"
@@ -57,6 +60,7 @@
     body_since: float | None = None
     body_bytes: int = 0
     progress_at: float | None = None
+    held_since: float | None = None
     starved_since: float | None = None
     unread_since: float | None = None
     drains_at: float | None = None  # when a draining node may close it
@@ -72,6 +76,7 @@
             (Wait.HEAD, self.head_since, HEAD_TIMEOUT_S),
             (Wait.BODY_STALL, self.progress_at, BODY_STALL_TIMEOUT_S),
             (Wait.BODY_RATE, self.body_since, body_timeout),
+            (Wait.SERVER_READ, self.held_since, SERVER_READ_TIMEOUT_S),
             (Wait.BUFFER, self.starved_since, BUFFER_TIMEOUT_S),
             (Wait.ANSWER_READ, self.unread_since, ANSWER_READ_TIMEOUT_S),
             (Wait.DRAIN, self.drains_at, 0.0),
--- a/tests/faults/test_stalled_clients.py
+++ b/tests/faults/test_stalled_clients.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from loopback import Scripted, Server, play, read_answer, request, until
+from cloverhold.net.fronts import waits
+from loopback import Scripted, Server, play, read_answer, request, running, until
 from node_process import PROFILES, node_process
 
 OWED_S = 3.0  # a client that stops in the middle of a request gets its error or close within this
@@ -265,3 +266,21 @@
             writer.close()
 
     play(test)
+
+
+def test_client_whose_server_takes_nothing_more_is_told_in_the_end(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It goes on sending and cannot: neither side would ever end it."""
+    monkeypatch.setattr(waits, "SERVER_READ_TIMEOUT_S", 3.0)
+
+    async def test() -> None:
+        async with running(hung()) as node:
+            reader, writer = await node.connect()
+            writer.write(request("alerta").replace(b"Length: 0", b"Length: %d" % (64 * MEGABYTE)))
+            writer.write(b"x" * 64 * MEGABYTE)
+            async with asyncio.timeout(15.0):
+                assert (await reader.read(12)) == b"HTTP/1.1 504"
+            writer.transport.abort()
+
+    play(test)
--- a/tests/faults/test_waits.py
+++ b/tests/faults/test_waits.py
@@ -20,6 +20,7 @@
     "head_since": (Wait.HEAD, waits.HEAD_TIMEOUT_S),
     "body_since": (Wait.BODY_RATE, waits.HEAD_TIMEOUT_S + waits.BODY_TIMEOUT_S),
     "progress_at": (Wait.BODY_STALL, waits.BODY_STALL_TIMEOUT_S),
+    "held_since": (Wait.SERVER_READ, waits.SERVER_READ_TIMEOUT_S),
     "starved_since": (Wait.BUFFER, waits.BUFFER_TIMEOUT_S),
     "unread_since": (Wait.ANSWER_READ, waits.ANSWER_READ_TIMEOUT_S),
     "drains_at": (Wait.DRAIN, 0.0),
