--- a/tests/faults/test_waits.py
+++ b/tests/faults/test_waits.py
@@ -8,7 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverhold.net.fronts import waits
+from cloverhold.h3 import streams
+from cloverhold.net.fronts import http3, listener, management, waits
 from cloverhold.net.fronts.waits import Wait, Waiting
 
 OWED_S, SWEEP_S, HELD_UP_S = 3.0, 0.2, 0.15
@@ -55,3 +56,11 @@
 def test_bytes_received_earn_no_time_without_progress() -> None:
     waiting = Waiting(body_since=0.0, body_bytes=4_000_000, progress_at=1.0)
     assert waiting.overdue(1.0 + waits.BODY_STALL_TIMEOUT_S + 0.001) is Wait.BODY_STALL
+
+
+@pytest.mark.parametrize(
+    "bound, sweep",
+    [(streams.PATIENCE_S, http3.SWEEP_S), (management.PATIENCE_S, 0.0), (waits.HEAD_TIMEOUT_S, listener.SWEEP_S)],
+)
+def test_every_front_ends_a_request_that_stops_within_3_s(bound: float, sweep: float) -> None:
+    assert bound + sweep + HELD_UP_S < OWED_S
