Waiting bodies: who has left waits no more; one behind an open request is not ended

And while memory is missing, each client that came and left stayed in the queue for it: memory kept by peers' input.

Cause: the wait for a server counted for a body that waits for the request before it; the queue had no way out but memory.

Change: only the open request's own body waits for a server; a client's place in the queue goes with it.

--- a/cloverhold/bodies/budget.py
+++ b/cloverhold/bodies/budget.py
@@ -37,6 +37,11 @@
         """Whether nothing more should be read."""
         return self.used >= self.total
 
+    def wait_no_more(self, ready: Callable[[], None]) -> None:
+        """Whoever waited has gone; nothing where it did not wait."""
+        if ready in self._waiting:
+            self._waiting.remove(ready)
+
     def wait(self, ready: Callable[[], None]) -> None:
         """Be told once there is room."""
         self._waiting.append(ready)
--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -71,6 +71,7 @@
             if request.upload is not None:
                 request.upload.drop()
         self.queue.clear()
+        self._starve_no_more()
         self.listener.connection_lost(self)
         exchange, self.open = self.open, None
         if exchange is not None:
@@ -196,7 +197,8 @@
             return waiting
         if self.unread:
             waiting.unread_since = self.unread_since
-        waiting.held_since = self.paused_since
+        if self.open is not None and self.open.request is self.reader.incoming:
+            waiting.held_since = self.paused_since
         if self.starved is not None and self.open is None:
             waiting.starved_since = self.starved
         if self.unfinished() or self.reader.broken is not None:
@@ -308,6 +310,8 @@
         upload = self.reader.incoming.upload
         if upload is not None and not upload.wants():
             self.listener.left_waiting(self)
+            if self.paused_since is not None:
+                self.paused_since = time.monotonic()  # it was held up by the request before it until now
             self._begin(self.reader.incoming)
 
     def _hold(self) -> None:
@@ -317,7 +321,7 @@
             return
         holds = upload is not None and not self.reader.incoming.whole and not upload.wants()
         if not holds:
-            self.starved = None
+            self._starve_no_more()
         elif self.starved is None and self.listener.budget.spent():
             self.starved = time.monotonic()
             self.listener.budget.wait(self._room)
@@ -327,6 +331,12 @@
         elif not holds and self.paused_since is not None:
             self._resume_reading(transport)
 
+    def _starve_no_more(self) -> None:
+        """Memory is no longer what it waits for."""
+        if self.starved is not None:
+            self.starved = None
+            self.listener.budget.wait_no_more(self._room)
+
     def _resume_reading(self, transport: asyncio.Transport) -> None:
         """Read on. The time in which the node did not read is not the client's."""
         now = time.monotonic()
@@ -337,7 +347,7 @@
 
     def _room(self) -> None:
         """What held the reading back has moved on."""
-        self.starved = None
+        self._starve_no_more()
         self._hold()
 
     def _begin(self, request: Incoming) -> None:
--- a/tests/faults/test_held_bodies.py
+++ b/tests/faults/test_held_bodies.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from cloverhold.bodies.upload import WINDOW
-from loopback import Server, play, read_answer, request, running, until
+from cloverhold.net.fronts import waits
+from loopback import OK, Scripted, Server, play, read_answer, request, running, until
 
 
 @pytest.mark.parametrize("size", [WINDOW - 1, WINDOW, WINDOW + 1])
@@ -31,3 +34,54 @@
             writer.close()
 
     play(test)
+
+
+def open_then_upload(size: int) -> bytes:
+    """A request that its server leaves open, and the head of an upload behind it."""
+    return request(number="1") + request("alerta", number="2").replace(b"Length: 0", b"Length: %d" % size)
+
+
+def silent_for_reads() -> Scripted:
+    """A server that answers whatever has a body, once it is whole; the writers of the others are kept."""
+
+    async def script(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r")[0] or 0)
+        if not length:
+            await asyncio.sleep(1.5)  # several sweeps behind the bound
+        await reader.readexactly(length)
+        writer.write(OK)
+
+    return Scripted(script)
+
+
+def test_clients_that_leave_while_memory_is_missing_leave_nothing_behind() -> None:
+    """Each left its place in the queue for memory, and itself with it, for as long as memory was missing."""
+
+    async def test() -> None:
+        async with running(Server(lambda target, body: None), probes=False) as node:
+            budget = node.node.budget
+            budget.take(budget.total)
+            for _ in range(5):
+                _reader, writer = await node.connect()
+                writer.write(open_then_upload(50_000) + b"x" * 30_000)
+                await until(lambda: len(budget._waiting) == 1)
+                writer.transport.abort()
+                await until(lambda: not node.node.listener.connections)
+                assert not budget._waiting
+
+    play(test)
+
+
+def test_upload_behind_an_open_request_is_not_ended_for_being_held_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It is the first request that it waits for, and no server of its own."""
+    monkeypatch.setattr(waits, "SERVER_READ_TIMEOUT_S", 0.5)
+    size = 300_000
+
+    async def test() -> None:
+        async with running(silent_for_reads(), probes=False) as node:
+            reader, writer = await node.connect()
+            writer.write(open_then_upload(size) + b"x" * size)
+            assert [(await read_answer(reader)).status for _ in range(2)] == [200, 200]
+            writer.close()
+
+    play(test)
