--- a/cloverhold/rehearsal/faults.py
+++ b/cloverhold/rehearsal/faults.py
@@ -184,6 +184,13 @@
     kind: Literal["node_term"]
 
 
+class SignalSeries(_OnNodes):
+    """Nodes get the same `signal` (HUP, or TERM to one that ends already) again and again, each 50 ms."""
+
+    kind: Literal["signal_series"]
+    signal: Literal["HUP", "TERM"] = "HUP"
+
+
 class NodeDrain(_OnNodes):
     """Nodes are told at their management address to drain, and after `for_s` to take clients again."""
 
@@ -305,6 +312,7 @@
         DiscoveryStale,
         NodeKill,
         NodeTerm,
+        SignalSeries,
         NodeDrain,
         NodeStop,
         WordsCut,
--- a/cloverhold/rehearsal/nodes.py
+++ b/cloverhold/rehearsal/nodes.py
@@ -17,7 +17,7 @@
 from cloverhold.rehearsal.agents import Desk
 from cloverhold.rehearsal.catalog import line
 from cloverhold.rehearsal.failing_calls import SHORT, Call, Control, ShimError, build
-from cloverhold.rehearsal.faults import FailingCalls, NodeDrain, WallClock
+from cloverhold.rehearsal.faults import FailingCalls, NodeDrain, SignalSeries, WallClock
 from cloverhold.rehearsal.front import Front
 from cloverhold.rehearsal.ledger import NodeLife, Said, Seen, Usage
 from cloverhold.rehearsal.relays import hold_words
@@ -332,6 +332,15 @@
             self.row.hups.append(self.world.now())
             self.process.send_signal(signal.SIGHUP)
 
+    def signal_again(self, fault: SignalSeries) -> None:
+        """One of a series of signals. SIGTERM comes only to a process that was told to end: else that would be another
+        fault.
+        """
+        if fault.signal == "HUP":
+            self.hup()
+        elif self.is_up() and self.process is not None and self.row is not None and self.row.term_s is not None:
+            self.process.terminate()
+
     def drain(self, *, on: bool) -> None:
         """Have it drain, or take clients again, by a call as an operator makes it; watch what it says of its health."""
         if self.is_up() and self.row is not None and self.managed is not None:
--- a/cloverhold/rehearsal/plan.py
+++ b/cloverhold/rehearsal/plan.py
@@ -15,6 +15,9 @@
 from cloverhold.rehearsal.scenario import Class, Kind, Scenario, server_name
 
 
+SIGNAL_EVERY_S = 0.05
+
+
 @dataclass(frozen=True, slots=True)
 class FirstTry:
     """One request of the usual clients, at its first try."""
@@ -247,6 +250,9 @@
             for target in targets:
                 yield Step(begin, first, target, at)
                 yield Step(end, last, target, at)
+        elif isinstance(fault, f.SignalSeries):
+            for number in range(int(fault.for_s / SIGNAL_EVERY_S) + 1):
+                yield from (Step(begin + number * SIGNAL_EVERY_S, "signal", target, at) for target in targets)
         elif isinstance(fault, f.Replace):
             for target in targets:
                 old = by_uid[target]
--- a/cloverhold/rehearsal/soak/draw.py
+++ b/cloverhold/rehearsal/soak/draw.py
@@ -15,6 +15,7 @@
 LENGTH_S = 14.0
 QUIET_S = 1.0  # at the start, before the first fault
 FEWEST, MOST = 5, 11  # faults
+CROWDED = 0.3  # part of the soaks with a crowd of idle clients
 NODES = 3, 6
 SERVERS = 8, 16
 HELD_UP_S = 0.15  # a node may be held up for so long
@@ -50,6 +51,7 @@
     lambda r: {"kind": "reload_move"},
     lambda r: {"kind": "reload_broken"},
     lambda r: {"kind": "node_drain"},
+    lambda r: {"kind": "signal_series", "signal": "HUP", "for_s": r.uniform(0.1, 1.0)},
     lambda r: {"kind": "node_stop", "for_s": r.uniform(0.02, HELD_UP_S)},
     lambda r: {"kind": "wall_clock", "step_s": r.choice([-3600.0, -4.0, 4.0, 3600.0])},
 )
@@ -82,6 +84,9 @@
     random = Random(f"soak:{seed}")
     nodes, servers = random.randint(*NODES), random.randint(*SERVERS)
     faults = [_fault(random, nodes, servers) for _ in range(random.randint(FEWEST, MOST))]
+    if random.random() < CROWDED:
+        faults.append(_crowd(random))
+    faults.extend(_repeated_terms(faults))
     raw: Table = {
         "name": f"soak-{seed}",
         "summary": "Random faults that overlap.",
@@ -113,6 +118,22 @@
     return Scenario.model_validate(raw)
 
 
+def _crowd(random: Random) -> Table:
+    """Idle clients, or clients that stop within a head, more than the descriptors of a small node bear."""
+    how, begin = random.choice(["silent", "stays_in_head"]), random.uniform(QUIET_S, LENGTH_S - 6.0)
+    rate = random.uniform(60.0, 150.0)
+    return {"kind": "hostile", "how": how, "at_s": begin, "for_s": random.uniform(2.0, 5.0), "rate_per_s": rate}
+
+
+def _repeated_terms(faults: list[Table]) -> list[Table]:
+    """SIGTERM comes in series, each time that one comes."""
+    return [
+        {"kind": "signal_series", "signal": "TERM", "at_s": x["at_s"] + 0.02, "for_s": 1.0, "nodes": x["nodes"]}
+        for x in faults
+        if x["kind"] == "node_term"
+    ]
+
+
 def _classes(random: Random) -> list[Table]:
     """Three classes, one of each effect; deadlines short or long."""
     longest = random.choice(LONGEST_DEADLINES_MS)
--- a/cloverhold/rehearsal/stage.py
+++ b/cloverhold/rehearsal/stage.py
@@ -366,6 +366,10 @@
                 node.reconfigure(fault.operator)
             case "reconfigured":
                 pass
+            case "signal":
+                fault = self.scenario.faults[step.fault]
+                assert isinstance(fault, f.SignalSeries)
+                node.signal_again(fault)
             case "fail_calls" | "mend_calls":
                 fault = self.scenario.faults[step.fault]
                 assert isinstance(fault, f.FailingCalls)
