--- a/tests/faults/test_failing_disk.py
+++ b/tests/faults/test_failing_disk.py
@@ -1,4 +1,4 @@
-"""A disk that fails for a while under a real node's store: what is not recorded never runs, what was taken runs once."""
+"""A disk that fails for a while under a real store: what is not recorded never runs, what was taken runs once."""
 
 from __future__ import annotations
 
