--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -21,9 +21,11 @@
 from cloverhold.net.messages import Field, Response
 from cloverhold.net.open_request import Attempt, OpenRequest, ResponseStream, request_to_send, take_attempt
 from cloverhold.net.probing import Prober, parse_load
+from cloverhold.net.request_log import RequestLog
 from cloverhold.net.telemetry import Ending, Happening, Telemetry
-from cloverhold.net.upstreams.calls import Call, Pool, Upstream
-from cloverhold.permission import VIOLATIONS, Denial, Run, SendFacts, answered_in_time, may_send, may_take
+from cloverhold.net.upstream_table import UpstreamTable
+from cloverhold.net.upstreams.calls import Call, Pool
+from cloverhold.permission import Denial, Run, SendFacts, answered_in_time, may_send, may_take
 
 if TYPE_CHECKING:
     from cloverhold.cells.shell import Router
@@ -69,11 +71,11 @@
         self.settings, self.clock, self.pool, self.watch, self.router = settings, clock, pool, watch, router
         self.store, self.unsafe = store, unsafe
         self.telemetry = telemetry if telemetry is not None else Telemetry()
+        self.request_log = RequestLog(self.telemetry)
         if router is not None:
             router.serves, router.warm = self.balancer.serves, self._warm
         self.loop = asyncio.get_running_loop()
-        self.upstreams: dict[str, Upstream] = {}
-        self.listed: dict[str, io.ServerEntry] = {}
+        self.upstreams = UpstreamTable()
         self.prober = Prober(clock, pool, self.upstreams, self.dispatch)
         self.open: dict[int, OpenRequest] = {}
         self.call_ids: set[bytes] = set()  # of the open requests
@@ -220,18 +222,9 @@
 
     def _turn_away(self, exchange: Exchange, status: int, ending: Ending, wait_ms: float = 0.0) -> None:
         """Answer a request that is not taken."""
-        self._count_ending(exchange, ending, status)
+        self.request_log.request_ended(exchange, ending, status)
         exchange.answer(status, headers=self._come_back(wait_ms))
 
-    def _count_ending(self, exchange: Exchange, ending: Ending, status: int, attempts: int = 0) -> None:
-        if ending is Ending.SERVED:
-            self.telemetry.count(Happening.REQUEST_ENDED, ending.value)
-            return
-        name, kind = exchange.request.fields.get(b"x-call-id", b""), exchange.asked.kind.name
-        self.telemetry.event(
-            Happening.REQUEST_ENDED, ending.value, id=name, kind=kind, status=status, attempts=attempts
-        )
-
     def whole(self, exchange: Exchange) -> None:
         """The last byte has come of a request that was taken before: its time begins."""
         opened, now = self.open.get(exchange.ref), self.clock.now()
@@ -289,7 +282,7 @@
     def client_gone(self, exchange: Exchange) -> None:
         """The client has left: nothing more is owed."""
         if (opened := self._close(exchange.ref)) is not None:
-            self._count_ending(exchange, Ending.CLIENT_GONE, 0, opened.sent)
+            self.request_log.request_ended(exchange, Ending.CLIENT_GONE, 0, opened.sent)
             self.dispatch(io.ClientGone(exchange.ref))
             self._abandon(exchange.ref, opened)
 
@@ -343,7 +336,7 @@
         for ref, _ in ended:
             self.dispatch(io.ClientGone(ref))
         for ref, opened in ended:
-            self._count_ending(opened.exchange, Ending.STOPPING, 504, opened.sent)
+            self.request_log.request_ended(opened.exchange, Ending.STOPPING, 504, opened.sent)
             self._answer(opened, 504)
             self._abandon(ref, opened, io.Status.TIMEOUT)
 
@@ -376,7 +369,7 @@
         opened = self._close(ref)
         if opened is None:
             return False
-        self._count_ending(opened.exchange, ending, status, opened.sent)
+        self.request_log.request_ended(opened.exchange, ending, status, opened.sent)
         self._answer(opened, status, body, headers)
         self._abandon(ref, opened, outcome)
         return True
@@ -384,7 +377,7 @@
     def _answer(self, opened: OpenRequest, status: int, body: bytes = b"", headers: Iterable[Field] = ()) -> None:
         """Write the one answer of a request that has been closed."""
         if (denial := answered_in_time(opened.expires_at - self.clock.now())) is not None:
-            self.telemetry.event(Happening.RULE_VIOLATED, denial.value, id=opened.call_id(), status=status)
+            self.request_log.answer_late(opened, status, denial)
         if opened.begun and opened.exchange.passing is not None:
             opened.exchange.passing.abort_answer(opened.exchange)  # too late for another
         else:
@@ -408,10 +401,10 @@
         denial = may_send(self._send_facts(opened, server, left))
         number, opened.sent = opened.sent, opened.sent + 1
         if denial is not None or upstream is None:
-            self._deny_send(opened, number, server, denial or Denial.SERVER_UNLISTED)
+            self.request_log.send_denied(opened, number, server, denial or Denial.SERVER_UNLISTED)
             self.dispatch(io.Outcome(ref, number, server, io.Status.MOOT, 0.0, again=exchange.request.repeatable()))
             return
-        self._count_attempt(opened, number, server)
+        self.request_log.attempt_begun(opened, number, server)
         outgoing = request_to_send(exchange, lambda: self._left(opened, until))
         passing = ResponseStream(self, ref, number) if exchange.passing is not None else None
         leaves_by = self.at + action.within_ms
@@ -432,7 +425,7 @@
             client_connected=True,
             left_ms=left_ms,
             body_held=opened.exchange.request.repeatable(),
-            server=self.listed.get(server),
+            server=self.upstreams.listed.get(server),
             number=opened.sent,
             out=len(opened.out),
             ran=opened.ran,
@@ -441,19 +434,6 @@
             parallel=self.settings.parallel_tries,
         )
 
-    def _deny_send(self, opened: OpenRequest, number: int, server: str, denial: Denial) -> None:
-        happening = Happening.RULE_VIOLATED if denial in VIOLATIONS else Happening.ACT_DENIED
-        self.telemetry.event(happening, denial.value, id=opened.call_id(), number=number, server=server)
-
-    def _count_attempt(self, opened: OpenRequest, number: int, server: str) -> None:
-        if number == 0:
-            self.telemetry.count(Happening.ATTEMPT_BEGUN, "first")
-            return
-        before = opened.last_status.name if opened.last_status is not None else "OUT"
-        self.telemetry.event(
-            Happening.ATTEMPT_BEGUN, "retry", id=opened.call_id(), number=number, server=server, before=before
-        )
-
     def _ended(self, ref: int, number: int, call: Call, status: io.Status) -> None:
         opened = self.open.get(ref)
         if opened is None or (attempt := take_attempt(opened, number)) is None:
@@ -463,7 +443,7 @@
         passing = opened.exchange.passing
         if opened.begun and passing is not None:
             self._close(ref)
-            self._count_ending(
+            self.request_log.request_ended(
                 opened.exchange, Ending.SERVED if status is io.Status.OK else Ending.FAILED, 200, opened.sent
             )
             (passing.finish if status is io.Status.OK else passing.abort_answer)(opened.exchange)
@@ -508,7 +488,7 @@
         """Whether an attempt may have run. No server begins a request before its last byte has come."""
         arriving = opened.deadline_timer is None
         if opened.ran is None and status not in NEVER_RAN and not arriving:
-            opened.ran = Run(attempt.sent_at, self.listed.get(attempt.server))
+            opened.ran = Run(attempt.sent_at, self.upstreams.listed.get(attempt.server))
 
     def _stop(self, ref: int, opened: OpenRequest, number: int, status: io.Status) -> None:
         """Wait no longer for an attempt, if it is still out."""
@@ -529,33 +509,17 @@
 
     def members(self, members: Members, *, remembered: bool = False) -> None:
         """A list, or changes of it. New addresses hold before the module hears of them."""
-        entries = {entry.server: entry for entry in members.entries}
-        gone = [uid for uid in self.upstreams if members.full and uid not in entries]
-        self.listed = entries if members.full else self.listed | entries
-        past, leaving = list[Upstream](), list[Upstream]()
-        for uid, entry in entries.items():
-            old, address, started_at = self.upstreams.get(uid), members.addresses[uid], entry.started_at
-            if old is None or (old.address, old.started_at) != (address, started_at):
-                if old is not None:
-                    past.append(old)
-                self.upstreams[uid] = Upstream(address, started_at)
-            elif entry.lifecycle is not io.Lifecycle.READY:
-                leaving.append(old)
-            if entry.lifecycle is io.Lifecycle.GONE:
-                gone.append(uid)
+        change = self.upstreams.take(members)
         kind = io.ListKind.FULL if members.full else io.ListKind.CHANGES
         if remembered:
             kind = io.ListKind.REMEMBERED
         self.dispatch(io.ServerList(kind, members.entries, members.version))
         if self.router is not None:
             self.router.members(members.entries, full=members.full)
-        past.extend(upstream for uid in gone if (upstream := self.upstreams.pop(uid, None)) is not None)
-        for uid in gone:
-            self.listed.pop(uid, None)
         # Behind the module's word, which would else send what turns back to the same server again.
-        for upstream in past:
+        for upstream in (*change.replaced, *self.upstreams.remove(change.gone)):
             self.pool.retire(upstream)
-        for upstream in leaving:
+        for upstream in change.draining:
             self.pool.turn_back(upstream)
 
     def list_failed(self) -> None:
