The kit: connections to servers that come up late

Need: production adds connections that come up late, up to 1.5 s; the kit had only such that never come up.

Change: the fault late_connections: a server's queue is full for a moment, the kernel drops what asks, and its caller asks again after 1 s.

--- a/cloverhold/rehearsal/faults.py
+++ b/cloverhold/rehearsal/faults.py
@@ -131,6 +131,12 @@
     after_ms: Annotated[float, Field(gt=0)] = 200.0
 
 
+class LateConnections(_OnServers):
+    """New connections to servers come up late: those asked for meanwhile about 1 s after they were asked for."""
+
+    kind: Literal["late_connections"]
+
+
 class Drain(_OnServers):
     """Servers are listed as leaving, finish what they hold and refuse the rest; they are active again later."""
 
@@ -304,6 +310,7 @@
         ClassFails,
         Spoil,
         IdleDrop,
+        LateConnections,
         Drain,
         Replace,
         Join,
--- a/cloverhold/rehearsal/plan.py
+++ b/cloverhold/rehearsal/plan.py
@@ -214,6 +214,7 @@
     f.ClassFails: ("behave", "behave_again"),
     f.Spoil: ("behave", "behave_again"),
     f.IdleDrop: ("behave", "behave_again"),
+    f.LateConnections: ("behave", "behave_again"),
     f.Drain: ("leave", "rejoin"),
     f.DiscoveryDown: ("discovery_down", "discovery_up"),
     f.DiscoveryStale: ("discovery_stale", "discovery_fresh"),
--- a/cloverhold/rehearsal/servers.py
+++ b/cloverhold/rehearsal/servers.py
@@ -18,7 +18,7 @@
 from cloverhold.rehearsal.machine import Choke, Job, Machine, Offer, Pressure
 from cloverhold.rehearsal.peer import Peer
 from cloverhold.rehearsal.plan import ServerPlan, lognormal
-from cloverhold.rehearsal.sockets import Plug, accepted, hold, listen, port_of
+from cloverhold.rehearsal.sockets import BACKLOG, Plug, accepted, hold, listen, port_of
 from cloverhold.rehearsal.wire import Known, answer_of, body_of, digest
 from cloverhold.rehearsal.world import World
 
@@ -87,6 +87,7 @@
         self.choke: Choke | None = None
         self.listening: list[socket.socket] = []
         self.plugs: list[Plug] = []
+        self.late: list[Plug] = []  # while new connections come up late
         self.peers: set[Peer] = set()
         self.jobs: dict[int, tuple[Job, Callable[[], None]]] = {}  # by the job's identity
         self.causes: set[int] = set()  # faults that keep it down
@@ -132,6 +133,31 @@
             listening = listen(port)
             self.listening.append(listening)
             self.world.loop.add_reader(listening.fileno(), self._accept, listening, node)
+        self._delay_connections()
+
+    def _delay_connections(self) -> None:
+        """Hold new connections back while a fault says so. The kernel drops what asks, and its caller asks again after
+        1 s.
+        """
+        late = any(isinstance(w, f.LateConnections) for w in self.wrong.values())
+        if late and not self.late:
+            for node, listening in enumerate(self.listening):
+                self._accept(listening, node)
+                self.world.loop.remove_reader(listening.fileno())
+                self.late.append(Plug(listening))
+        elif not late and self.late:
+            self._pull(self.late)
+            for node, listening in enumerate(self.listening):
+                for connection in accepted(listening):
+                    connection.close()  # the kit's own
+                listening.listen(BACKLOG)
+                self.world.loop.add_reader(listening.fileno(), self._accept, listening, node)
+
+    @staticmethod
+    def _pull(plugs: list[Plug]) -> None:
+        for plug in plugs:
+            plug.pull()
+        plugs.clear()
 
     def _accept(self, listening: socket.socket, node: int) -> None:
         for connection in accepted(listening):
@@ -161,9 +187,8 @@
             machine.leave(job)
         self.jobs.clear()
         self.silent = False
-        for plug in self.plugs:
-            plug.pull()
-        self.plugs = []
+        self._pull(self.plugs)
+        self._pull(self.late)
         if self.row is not None and self.row.ended_s is None:
             self.row.ended_s, self.row.ended = now, how
 
@@ -215,6 +240,7 @@
         if self.choke is not None and self.choke.choked:
             slower *= self.choke.slower
         self.machine.slower = slower
+        self._delay_connections()
         self._arm()
 
     def hangs(self) -> bool:
--- a/cloverhold/rehearsal/soak/draw.py
+++ b/cloverhold/rehearsal/soak/draw.py
@@ -39,6 +39,7 @@
         "share": r.uniform(0.05, 0.4),
     },
     lambda r: {"kind": "idle_drop", "after_ms": r.uniform(50.0, 1000.0)},
+    lambda r: {"kind": "late_connections", "for_s": r.uniform(0.2, 1.0)},
     lambda r: {"kind": "drain"},
     lambda r: {"kind": "replace", "gap_s": r.uniform(0.0, 1.0)},
     lambda r: {"kind": "rolling_restart", "drain_s": r.uniform(0.2, 1.0), "down_s": r.uniform(0.1, 0.5)},
@@ -103,7 +104,12 @@
             "silent_notice_s": random.choice([1.0, 4.0]),
             "mode": random.choice(["push", "ask"]),
         },
-        "nodes": {"count": nodes, "kill_slack_s": 0.0, "sockets": random.choice([256, 1024])},
+        "nodes": {
+            "count": nodes,
+            "kill_slack_s": 0.0,
+            "sockets": random.choice([256, 1024]),
+            "dial_timeout_ms": random.choice([250.0, 2000.0]),
+        },
         "clients": {
             "rate_per_s": random.uniform(20.0, 45.0),
             "arrivals": "bursty",
