The judge excuses only stops that a node does not have to bear

The judge excused each request that overlapped any stop of its node.

Change: a stop of up to 0.25 s (0.15 s, and what its two signals take) excuses nothing; it adds its length to the limits it lies at. Longer ones excuse as before.

--- a/cloverhold/rehearsal/rules.py
+++ b/cloverhold/rehearsal/rules.py
@@ -32,6 +32,7 @@
 FREED_S = 0.25  # an id that a stranger takes may have become free within this
 TOLD_AFTER_HUP_S = 4.0  # what discovery has to tell counts as told after this
 CALL_S = 1.0  # a call at the management address is answered by then
+HELD_UP_S = 0.25  # a stop of up to 0.15 s, with its signals, is one that a node has to bear
 GONE_S = 0.1  # an attempt that begins later than this after its client left is one too many
 TOLD_SLACK_S = 0.15  # a server may be told so much more than what the client has left
 TERM_S = 0.7  # after SIGTERM and the longest deadline, SIGKILL may come
@@ -69,6 +70,7 @@
         for life in ledger.of(NodeLife):
             self.by_node[life.node].append(life)
         self.lags = [(lag.at_s, max(lag.late_ms, default=0.0) / 1000) for lag in ledger.of(Lag)]
+        self.held_up = [(b, e) for n in ledger.of(NodeLife) for b, e in n.stops if e - b <= HELD_UP_S]
         # Ids that a stranger sent too, and since when.
         self.strangers = {name: s for s in ledger.of(Stranger) for name in s.ids}
 
@@ -87,14 +89,19 @@
         return [a for a in self.arrivals.get(row.id, ()) if (row.sent_s or 0.0) <= a.first_byte_s < until]
 
     def margin(self, at_s: float) -> float:
-        """What is allowed beyond a limit at this time: the way there, and what the kit itself was late."""
-        return MARGIN_S + max((late for end, late in self.lags if at_s - 0.2 <= end <= at_s + 1.4), default=0.0)
+        """What is allowed beyond a limit at this time: the way there, what the kit itself was late, and for how long a
+        node was held up.
+        """
+        late = max((late for end, late in self.lags if at_s - 0.2 <= end <= at_s + 1.4), default=0.0)
+        held = max((end - begin for begin, end in self.held_up if begin <= at_s + 0.1 and at_s <= end), default=0.0)
+        return MARGIN_S + late + held
 
     def stopped(self, row: Try) -> bool:
-        """Whether the process that held a try was stopped in its time."""
+        """Whether the process that held a try was stopped in its time, for longer than it has to bear."""
         sent = row.sent_s if row.sent_s is not None else row.intended_s
         life = self.life_at(row.node, sent)
-        return life is not None and any(begin <= self.limit(row) and sent <= end for begin, end in life.stops)
+        stops = [] if life is None else [(b, e) for b, e in life.stops if e - b > HELD_UP_S]
+        return any(begin <= self.limit(row) and sent <= end for begin, end in stops)
 
     def limit(self, row: Try) -> float:
         """Until when a try must have its answer."""
--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -352,3 +352,17 @@
 ) -> None:
     row = Stranger("huge_body", 0, 1.0, ["h1"], patience_s=6.0, first_answer_s=first_answer_s, stopped_s=stopped_s)
     assert len(waits_in_vain(ledger(row))) == in_vain
+
+
+@pytest.mark.parametrize("stop, excused", [((1.1, 1.24), False), ((1.1, 1.9), True), ((1.1, float("inf")), True)])
+def test_only_a_long_stop_of_its_node_excuses_a_lost_request(stop: tuple[float, float], excused: bool) -> None:
+    seen = ledger(a_try(ended_s=1.5, ended="closed"), arrival(1.05, **HELD))
+    seen.of(NodeLife)[0].stops.append(stop)
+    assert ("one_answer" not in broken(seen)) is excused
+
+
+@pytest.mark.parametrize("at_s, breach", [(2.0, False), (2.3, True)])
+def test_a_node_that_is_held_up_at_the_end_of_a_clients_time_may_be_so_late(at_s: float, breach: bool) -> None:
+    seen = ledger(a_try(answers=[Answer(at_s, 200, "d")]), arrival(1.1))  # its time ends at 1.87
+    seen.of(NodeLife)[0].stops.append((1.8, 1.94))
+    assert ("one_answer" in broken(seen)) is breach
