Calls to servers and the limit of idle connections stand in modules of their own

Change: a move. Call and payload -> http1_call.py, IdleLimit -> idle_limit.py; tests name the new places.

--- a/tests/moments/test_connections.py
+++ b/tests/moments/test_connections.py
@@ -15,7 +15,8 @@
 from cloverhold.bodies.upload import Upload
 from cloverhold.net.upstreams import http1
 from cloverhold.net.upstreams.calls import Outgoing, Upstream
-from cloverhold.net.upstreams.http1 import Call, Pool
+from cloverhold.net.upstreams.http1 import Pool
+from cloverhold.net.upstreams.http1_call import Call
 from loopback import (
     CLASSES, OK, WAIT_S, Running, Scripted, Server, held, part, play, read_answer, request, running, target, until,
 )  # fmt: skip
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -10,7 +10,8 @@
 
 from cloverhold import Status
 from cloverhold.net.upstreams.calls import Call, Outgoing, Upstream
-from cloverhold.net.upstreams.http1 import REST_S, Pool, payload
+from cloverhold.net.upstreams.http1 import REST_S, Pool
+from cloverhold.net.upstreams.http1_call import payload
 from loopback import OK, WAIT_S, Server, play, until
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
