Two commands run click by one function

Need: the soak's command wrote again how the simulation's runs: eleven lines.

Change: cloverhold/commands.py, used by both.

--- a/cloverhold/rehearsal/soak/command.py
+++ b/cloverhold/rehearsal/soak/command.py
@@ -8,7 +8,6 @@
 import json
 import multiprocessing
 import shlex
-import sys
 from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor, as_completed
 from dataclasses import asdict
@@ -17,11 +16,12 @@
 
 import click
 
+from cloverhold.commands import run
 from cloverhold.rehearsal.nodes import COMMAND
 from cloverhold.rehearsal.soak.play import play
 from cloverhold.rehearsal.soak.verdict import SoakResult
 
-FOUND, BAD, VOID = 1, 2, 3
+FOUND, VOID = 1, 3
 
 
 def _line(result: SoakResult) -> str:
@@ -61,11 +61,4 @@
 
 def main(words: Sequence[str], prog_name: str) -> int:
     """Run the command; its exit status."""
-    try:
-        status = soak.main(list(words), prog_name=prog_name, standalone_mode=False)
-    except click.ClickException as error:
-        print(f"{prog_name}: {' '.join(error.format_message().split())}", file=sys.stderr)
-        return BAD
-    except click.Abort:
-        return BAD
-    return status if isinstance(status, int) else 0
+    return run(soak, words, prog_name)
--- a/cloverhold/simulation/command.py
+++ b/cloverhold/simulation/command.py
@@ -6,16 +6,16 @@
 from __future__ import annotations
 
 import json
-import sys
 from collections.abc import Sequence
 from dataclasses import asdict
 
 import click
 
+from cloverhold.commands import run
 from cloverhold.simulation.days import KINDS, draw
 from cloverhold.simulation.figures import Figures, play
 
-BAD, BROKEN = 2, 1
+BROKEN = 1
 LEAST_NODES, MOST_NODES = 4, 400
 COLUMNS = (
     "day", "seed", "nodes", "servers", "service", "worst 10 s", "worst class", "refused", "early", "idle then",
@@ -67,11 +67,4 @@
 
 def main(words: Sequence[str], prog_name: str) -> int:
     """Run the command; its exit status."""
-    try:
-        status = simulate.main(list(words), prog_name=prog_name, standalone_mode=False)
-    except click.ClickException as error:
-        print(f"{prog_name}: {' '.join(error.format_message().split())}", file=sys.stderr)
-        return BAD
-    except click.Abort:
-        return BAD
-    return status if isinstance(status, int) else 0
+    return run(simulate, words, prog_name)
