A body's stall and missing memory are waited for 2.4 s again

Need: a slow client may pause for 2 s, and a busy machine adds to that; 2.3 s left 0.3 s for it.

Heads stay at 2.3 s in all.

--- a/cloverhold/net/fronts/waits.py
+++ b/cloverhold/net/fronts/waits.py
@@ -24,10 +24,10 @@
 
 HEAD_TIMEOUT_S = 2.3
 # Owed to a client that stops: an error or a close 3 s after its last byte. A slow one may pause for 2 s.
-BODY_STALL_TIMEOUT_S = 2.3
+BODY_STALL_TIMEOUT_S = 2.4
 BODY_TIMEOUT_S, MINIMUM_BODY_RATE = 5.0, 16 * 1024  # of a whole body: so long, and as long as it takes at so many B/s
 SERVER_READ_TIMEOUT_S = 5.0
-BUFFER_TIMEOUT_S = 2.3
+BUFFER_TIMEOUT_S = 2.4
 ANSWER_READ_TIMEOUT_S, LAST_READ_TIMEOUT_S = 20.0, 4.0
 LINGER_TIMEOUT_S = 0.5
 IDLE_TIMEOUT_S = 2.0
