A drain no longer hides the wait for a client's first byte

What callers saw: clients that connect and say nothing were ended up to 3.8 s after they came, where a drain began meanwhile; 3 s are owed.

Cause: on a draining node an idle connection ends by the drain's spread alone; the first byte's wait stood in the other branch.

Change: the first byte's wait holds whatever else does.

Evidence: the new test failed before (3.8 s) for a lame duck, and passes; for SIGTERM it passed before.

Result: the fault tests of silent clients and the drains' tests pass.

--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -222,11 +222,10 @@
     def _wait_idle(self, waiting: Waiting, now: float) -> None:
         """Nothing is here of any request."""
         life = self.listener.life
+        waiting.silent_since = self.reader.begun  # None behind a first request
         if life.closing():
             waiting.drains_at = life.rests_until(self.rested or self.reader.begun or now, self.place)
-        elif self.reader.begun is not None:
-            waiting.silent_since = self.reader.begun
-        else:
+        elif self.reader.begun is None:
             waiting.idle_since = self.rested
 
     def _end(self, wait: Wait) -> None:
--- a/tests/faults/test_stalled_clients.py
+++ b/tests/faults/test_stalled_clients.py
@@ -284,3 +284,28 @@
             writer.transport.abort()
 
     play(test)
+
+
+@pytest.mark.parametrize("drain", ["lame duck", "SIGTERM"])
+def test_client_that_says_nothing_is_ended_in_3_s_also_where_a_drain_begins(drain: str, tmp_path: Path) -> None:
+    """The drain's spread of closes must not hide the wait for its first byte."""
+
+    async def silent(port: int) -> float:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        came = time.monotonic()
+        async with asyncio.timeout(2 * GIVEN_UP_S):
+            assert await reader.read() == b""
+        writer.close()
+        return time.monotonic() - came
+
+    async def test() -> None:
+        async with node_process(tmp_path, reading()) as node:
+            waiting = asyncio.gather(*(silent(node.port) for _ in range(12)))
+            await asyncio.sleep(2.0)
+            if drain == "lame duck":
+                assert (await node.manage("POST /_lameduck/on"))[0] == 200
+            else:
+                node.process.send_signal(signal.SIGTERM)
+            assert max(await waiting) < OWED_S
+
+    play(test)
