--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -20,6 +20,7 @@
     Life,
     NodeLife,
     Row,
+    Said,
     Stranger,
     Told,
     Try,
@@ -366,3 +367,22 @@
     seen = ledger(a_try(answers=[Answer(at_s, 200, "d")]), arrival(1.1))  # its time ends at 1.87
     seen.of(NodeLife)[0].stops.append((1.8, 1.94))
     assert ("one_answer" in broken(seen)) is breach
+
+
+@pytest.mark.parametrize(
+    "status, took_s, term_s, breach",
+    [
+        (503, 0.01, 1.0, False),  # it ends already: drained
+        (503, 1.5, 1.0, True),
+        (0, 0.01, 1.0, True),
+        (503, 0.01, 2.5, True),  # before it was told to end
+        (503, 0.01, None, True),
+        (200, 0.01, 1.0, False),
+    ],
+)
+def test_a_call_to_drain_may_be_refused_in_time_by_a_node_that_ends(
+    status: int, took_s: float, term_s: float | None, breach: bool
+) -> None:
+    seen = ledger(Said(0, 0, "on", 2.0, status, took_s))
+    seen.of(NodeLife)[0].term_s = term_s
+    assert ("one_answer" in broken(seen)) is breach
