A long answer cut at the process's end is not counted as a late one

Cause: the count stood before the branch for answers on their way.

Change: it stands where a final answer is given.

Evidence: the new test failed before and passes.

--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -376,12 +376,12 @@
 
     def _answer(self, opened: OpenRequest, status: int, body: bytes = b"", headers: Iterable[Field] = ()) -> None:
         """Write the one answer of a request that has been closed."""
-        if (denial := answered_in_time(opened.expires_at - self.clock.now())) is not None:
-            self.request_log.answer_late(opened, status, denial)
         if opened.begun and opened.exchange.passing is not None:
             opened.exchange.passing.abort_answer(opened.exchange)  # too late for another
-        else:
-            opened.exchange.answer(status, body, headers)
+            return
+        if (denial := answered_in_time(opened.expires_at - self.clock.now())) is not None:
+            self.request_log.answer_late(opened, status, denial)
+        opened.exchange.answer(status, body, headers)
 
     # --------------------------------------------------------------- attempts
 
--- a/tests/faults/test_permission.py
+++ b/tests/faults/test_permission.py
@@ -10,7 +10,7 @@
 from cloverhold.decision import interface as io
 from cloverhold.net.telemetry import Happening
 from cloverhold.permission import (
-    VIOLATIONS, Denial, Run, SendFacts, answered_in_time, may_close, may_send, may_take,
+    ANSWER_GRACE_MS, VIOLATIONS, Denial, Run, SendFacts, answered_in_time, may_close, may_send, may_take,
 )  # fmt: skip
 from loopback import Server, play, request, running, until
 
@@ -106,3 +106,21 @@
 
 def test_violations_are_what_nobody_may_ask_for() -> None:
     assert {Denial.TWO_AT_ONCE, Denial.UNSAFE_REPEAT, Denial.OUT_OF_GROUP, Denial.ANSWER_DROPPED} < VIOLATIONS
+
+
+def test_long_answer_that_is_cut_at_the_end_of_the_process_is_not_counted_as_late() -> None:
+    """It began in its client's time, and goes on as long as its server gives it."""
+    long = b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + b"y" * 200_000
+
+    async def test() -> None:
+        async with running(Server(lambda target, body: long), probes=False) as node:
+            host = node.node.host
+            _reader, writer = await node.connect()
+            writer.write(request())
+            await until(lambda: any(opened.begun for opened in host.open.values()))
+            next(iter(host.open.values())).expires_at = host.clock.now() - 2 * ANSWER_GRACE_MS
+            host.fail_all()
+            assert not host.telemetry.get(Happening.RULE_VIOLATED, Denial.ANSWER_LATE.value)
+            writer.close()
+
+    play(test)
