The 504 for a server that takes nothing no longer comes into an answer on its way

Cause: that wait held while an answer was on its way, and the end of a request wrote its error whatever had begun.

Change: the wait does not hold then; whoever ends a request with an answer on its way aborts its connection.

Evidence: the new test failed before (200,095 bytes of 400,000, the last 95 the 504) and passes.

--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -197,7 +197,7 @@
             return waiting
         if self.unread:
             waiting.unread_since = self.unread_since
-        if self.open is not None and self.open.request is self.reader.incoming:
+        if self.open is not None and self.open.request is self.reader.incoming and not self.streaming:
             waiting.held_since = self.paused_since
         if self.starved is not None and self.open is None:
             waiting.starved_since = self.starved
@@ -251,8 +251,8 @@
         exchange, self.open = self.open, None
         if exchange is not None:
             self.listener.taker.client_gone(exchange)
-        if self.unread and self.transport is not None:
-            self.transport.abort()  # it takes no error either
+        if (self.unread or self.streaming) and self.transport is not None:
+            self.transport.abort()  # it takes no error, or would take it for a part of its answer
             return
         self._turn_away(error or self.reader.broken or BadRequest(408, "not whole in time"), close=True)
 
--- a/tests/faults/test_held_bodies.py
+++ b/tests/faults/test_held_bodies.py
@@ -8,7 +8,7 @@
 
 from cloverhold.bodies.upload import WINDOW
 from cloverhold.net.fronts import waits
-from loopback import OK, Scripted, Server, play, read_answer, request, running, until
+from loopback import OK, WAIT_S, Scripted, Server, play, read_answer, request, running, until
 
 
 @pytest.mark.parametrize("size", [WINDOW - 1, WINDOW, WINDOW + 1])
@@ -85,3 +85,26 @@
             writer.close()
 
     play(test)
+
+
+def test_answer_on_its_way_is_not_spoilt_by_the_wait_for_its_server_to_read(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The server answers before it reads the body: the 504 of that wait must not come into the answer."""
+    monkeypatch.setattr(waits, "SERVER_READ_TIMEOUT_S", 0.5)
+    size, answer = 32_000_000, 200_000
+
+    async def script(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (2 * answer, b"y" * answer))
+        await asyncio.sleep(1.5)  # several sweeps behind the bound
+        await reader.readexactly(size)
+        writer.write(b"y" * answer)
+
+    async def test() -> None:
+        async with running(Scripted(script), probes=False) as node:
+            reader, writer = await node.connect()
+            writer.write(request("alerta").replace(b"Length: 0", b"Length: %d" % size) + b"x" * size)
+            async with asyncio.timeout(WAIT_S):
+                assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+                assert await reader.readexactly(2 * answer) == b"y" * 2 * answer
+            writer.close()
+
+    play(test)
