--- a/tests/faults/node_process.py
+++ b/tests/faults/node_process.py
@@ -7,7 +7,7 @@
 import os
 import signal
 import sys
-from collections.abc import AsyncIterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -31,7 +31,7 @@
     process: asyncio.subprocess.Process
     port: int
     management_port: int
-    catalog: Catalog
+    catalog: Any  # the discovery that it was given
     config: dict[str, Any]
     path: Path
     log: list[str] = field(default_factory=list)
@@ -71,19 +71,23 @@
     variables: Mapping[str, str] | None = None,
     limits: Mapping[str, float] | None = None,
     targets: Sequence[Mapping[str, Any]] | None = None,
+    settings: Mapping[str, Any] | None = None,
+    discovery: Callable[[list[dict[str, Any]]], Listening] = Catalog,
 ) -> AsyncIterator[NodeProcess]:
-    """A node before these servers, ready to serve. preload: a shared library for its process alone."""
+    """A node before these servers, ready to serve. preload: a shared library for its process alone;
+    settings: keys of the settings to replace; discovery: made of the lines of the list.
+    """
     for server in servers:
         await server.start()
     listed = [dict(t) for t in targets] if targets is not None else []
-    catalog = Catalog(listed or [target(f"s{i}", server.port) for i, server in enumerate(servers)])
+    catalog = discovery(listed or [target(f"s{i}", server.port) for i, server in enumerate(servers)])
     await catalog.start()
     port, management_port = free_ports(2)
     config = {
         "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{catalog.port}",
         "mgmt": f"127.0.0.1:{management_port}", "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, **(limits or {})},
-        "settings": {**SETTINGS, "Profiles": list(profiles)},
+        "settings": {**SETTINGS, "Profiles": list(profiles), **(settings or {})},
     }  # fmt: skip
     path = folder / "config.json"
     path.write_text(json.dumps(config))
