Discovery in three modules: the list's form, a connection, the watcher

Need: the follower of the list is to become a pure core with a thin shell; one file held parsing, sockets and waits.

Change: a move that changes nothing else, but for the names of one class (Connection).

--- a/benchmarks/scale/state.py
+++ b/benchmarks/scale/state.py
@@ -19,7 +19,8 @@
 from cloverhold.fleet.membership.interface import Rules
 from cloverhold.fleet.wire.datagrams import NEWEST, Claim, Datagram, Digest, Kind, State, encode, fill, fleet_of
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery import LIST_LIMIT, read_members
+from cloverhold.net.discovery.connection import LIST_LIMIT
+from cloverhold.net.discovery.server_list import read_members
 
 FLEET = fleet_of("scale")
 
--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -27,7 +27,8 @@
 from cloverhold.lifecycle import Event, Life
 from cloverhold.limits import OWN, descriptors
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery import Discovery, Members, members_value
+from cloverhold.net.discovery.server_list import Members, members_value
+from cloverhold.net.discovery.watcher import Discovery
 from cloverhold.net.fronts.listener import Listener
 from cloverhold.net.host import Host
 from cloverhold.net.inherited import NotListening, inherited_socket
--- a/cloverhold/fleet/capacity/reckoning.py
+++ b/cloverhold/fleet/capacity/reckoning.py
@@ -80,7 +80,7 @@
 
 
 PATH, CONTROL, ZONE, FLEET, MACHINES = "node, data path", "node, control", "zone", "region and fleet", "the machines"
-LIST_LIMIT = 4 * 1024 * 1024  # bytes of one answer of discovery: net/discovery.py
+LIST_LIMIT = 4 * 1024 * 1024  # bytes of one answer of discovery: net/discovery/connection.py
 MOST_PEERS = 4096  # numbers of one fleet: platform.py
 # ms added, 99 in 100: the mean of two phases of benchmarks/scale/felt.py among 80 fellows (docs/measurements/).
 # It hangs on the rate a node and on the servers of a service, which are not varied there.
@@ -96,9 +96,9 @@
     _Line(PATH, "quiet", "routes and services", "", "none yet", built=False),
     _Line(PATH, "peak", "added to a request, 99 in 100, control beside it", "ms", "net/upstreams/http1.py", "",
           lambda at, s: FELT_MS, lambda s: s.added_ms),
-    _Line(CONTROL, "cold", "the whole list in one answer", "MB", "net/discovery.py", "list_bytes",
+    _Line(CONTROL, "cold", "the whole list in one answer", "MB", "net/discovery/connection.py", "list_bytes",
           lambda at, s: at(s.servers) / 1e6, lambda s: LIST_LIMIT / 1e6),
-    _Line(CONTROL, "cold", "the whole list at the bytes allowed", "s", "net/discovery.py", "list_bytes",
+    _Line(CONTROL, "cold", "the whole list at the bytes allowed", "s", "net/discovery/connection.py", "list_bytes",
           lambda at, s: at(s.servers) / s.bytes_per_s, lambda s: s.in_force_s),
     _Line(CONTROL, "changes", "configuration: routes, tenants, settings", "", "a file and SIGHUP", built=False),
     _Line(CONTROL, "quiet", "numbers of one fleet", "nodes", "platform.py", "",
--- a/cloverhold/fleet/command.py
+++ b/cloverhold/fleet/command.py
@@ -12,7 +12,7 @@
 
 import click
 
-from cloverhold.net.discovery import parse_address
+from cloverhold.net.discovery.server_list import parse_address
 
 PATIENCE_S = 3.0
 COLUMNS = ("number", "state", "incarnation", "since", "rtt ms", "lost", "program", "why")
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -16,7 +16,7 @@
 from cloverhold.decision import interface as io
 from cloverhold.decision.decide import Balancer
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery import Members
+from cloverhold.net.discovery.server_list import Members
 from cloverhold.net.exchange import Exchange, retry_after
 from cloverhold.net.messages import Field, Response
 from cloverhold.net.open_request import Attempt, OpenRequest, ResponseStream, request_to_send, take_attempt
--- a/cloverhold/net/upstream_table.py
+++ b/cloverhold/net/upstream_table.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from cloverhold.decision.interface import Lifecycle, ServerEntry
-from cloverhold.net.discovery import Members
+from cloverhold.net.discovery.server_list import Members
 from cloverhold.net.upstreams.calls import Upstream
 
 
--- a/cloverhold/platform.py
+++ b/cloverhold/platform.py
@@ -12,7 +12,7 @@
 from cloverhold.decision import interface as io
 from cloverhold.decision.checks import check_settings
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery import ListError, Members, parse_address, read_members
+from cloverhold.net.discovery.server_list import ListError, Members, parse_address, read_members
 from cloverhold.net.upstreams.calls import Address
 from cloverhold.settings import SettingsError, module_settings, unlike
 
--- a/tests/fleet/test_bad_lists.py
+++ b/tests/fleet/test_bad_lists.py
@@ -9,7 +9,7 @@
 from loopback import Server, list_value, play, request, running, target, until
 
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery import ListError, read_members
+from cloverhold.net.discovery.server_list import ListError, read_members
 
 
 @pytest.mark.parametrize(
--- a/tests/fleet/test_first_call.py
+++ b/tests/fleet/test_first_call.py
@@ -8,7 +8,8 @@
 
 from cloverhold import ListMode
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery import Discovery, Members
+from cloverhold.net.discovery.server_list import Members
+from cloverhold.net.discovery.watcher import Discovery
 
 
 def test_a_remembered_list_is_followed_by_its_changes_and_not_told_whole_again() -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -21,7 +21,7 @@
 from cloverhold.h3.table import Http3Table
 from cloverhold.store.table import StoreTable
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery import read_members
+from cloverhold.net.discovery.server_list import read_members
 from cloverhold.net.http1 import ResponseParser
 from cloverhold.net.messages import Response
 from cloverhold.net.upstreams.http1 import Connection
--- a/tests/moments/test_watch.py
+++ b/tests/moments/test_watch.py
@@ -15,7 +15,9 @@
 from cloverhold import ListKind, ServerList, SetTimer, Settings, Timer
 from cloverhold.decision.decide import Balancer
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery import AT_ONCE, Discovery, ListError, Members, Waits, _Link
+from cloverhold.net.discovery.connection import Connection
+from cloverhold.net.discovery.server_list import ListError, Members
+from cloverhold.net.discovery.watcher import AT_ONCE, Discovery, Waits
 from loopback import ASKED, PUSHED, Catalog, Server, free_ports, list_value, play, request, running, target, until
 
 
@@ -122,7 +124,7 @@
 
 def test_a_fault_behind_a_list_does_not_end_the_watch(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
-        monkeypatch.setattr("cloverhold.net.discovery.AGAIN_S", 0.01)
+        monkeypatch.setattr("cloverhold.net.discovery.watcher.AGAIN_S", 0.01)
         service, told = Catalog([target("s0", 9)]), list[Members]()
         await service.start()
 
@@ -159,7 +161,7 @@
 
             said, rest, kept = threading.Event(), threading.Event(), list[socket.socket]()
             threading.Thread(target=serve, daemon=True).start()
-            loop, link = asyncio.get_running_loop(), _Link(("127.0.0.1", listening.getsockname()[1]))
+            loop, link = asyncio.get_running_loop(), Connection(("127.0.0.1", listening.getsockname()[1]))
 
             def hold_up() -> None:
                 assert said.wait(5)
--- a/tests/scale/test_slopes.py
+++ b/tests/scale/test_slopes.py
@@ -12,7 +12,7 @@
 from cloverhold.fleet.capacity.reckoning import LINES, LIST_LIMIT, MOST_PEERS, Size, alone, rows
 from cloverhold.fleet.capacity.slopes import Slope, Term, fitted
 from cloverhold.fleet.command import main
-from cloverhold.net import discovery
+from cloverhold.net.discovery import connection
 from cloverhold import platform
 
 ROOT = Path(__file__).parents[2]
@@ -93,7 +93,7 @@
 
 
 def test_bounds_are_those_of_the_code_and_each_slope_that_a_line_names_was_measured() -> None:
-    assert (LIST_LIMIT, MOST_PEERS) == (discovery.LIST_LIMIT, platform.MOST_PEERS)
+    assert (LIST_LIMIT, MOST_PEERS) == (connection.LIST_LIMIT, platform.MOST_PEERS)
     held = measured()
     assert {line.slope for line in LINES if line.slope} <= held.keys()
 
