Calls to discovery overlap, none is given up for being slow, and 6 s bound the whole

Cause: a call's patience was a constant (0.13 to 0.8 s) that knew neither the service's pace nor the 6 s. A call that was given up was lost, however near its answer, and the next one had the same patience; a watch of 15 to 20 s was begun behind a failure or into a silence, and relied on for its whole wait. No one place owned by when the list must have been heard.

Change: net/discovery/calls.py, a pure schedule. Where an answer is overdue another call is opened beside it; the older one stays open until a later one is answered, or too many are open (3 polled, 5 streamed; the oldest goes last). Patience grows with how long answers take. A polled watch waits 3 s at most, so that one which is lost leaves time for two more calls; intervals and backoff grow to 2 s. Answers that were overtaken are not taken. Where 429 or 408 answers a call, the version that is held is not forgotten. The 6 s are one constant there. New counters and log lines: calls begun and ended by why, answers by what they are worth, state "answering"/"not_answering" with the silence and latency, servers that a list changes.

The schedule is explored in simulated time: all schedules of up to three lost, refused or reset calls at four latencies, silences of 0.2 to 100 s, lost watches, services that overtake themselves or count anew.

Replaced tests: test_watch.py held the constants of `Waits` (wait 20 s, two calls in 2 s behind it); in their place the third call of a silence begins within 5 s of the watch, no two are more than 2 s apart, half of the grace where lists are pushed. The late loop's test holds it up for 2 s instead of 0.4 and wants no call given up.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -79,7 +79,7 @@
             self.store, unsafe=config.store is None or self.store is not None, telemetry=self.telemetry,
         )  # fmt: skip
         self.discovery = Discovery(
-            config.discovery, clock, self._members, self.host.list_failed, lambda: self.host.settings
+            config.discovery, clock, self._members, self.host.list_failed, lambda: self.host.settings, self.telemetry
         )
         self.budget = Budget(budget_of(config.memory_mb))
         self.listener = Listener(self.host, self.life, self.budget, shares.clients, shares.resting, self.telemetry)
--- /dev/null
+++ b/cloverhold/net/discovery/calls.py
@@ -0,0 +1,317 @@
+"""When discovery is called, how long an answer is waited for, and which answers count. Pure.
+
+What discovery has to say must be heard `HEAR_WITHIN_S` after it had it and could be reached, whatever failed before.
+Two rules follow. No call is relied on for longer than that leaves: when an answer is overdue, another call is opened
+beside it, on a connection of its own. And no call is given up for being slow: it stays open until a later one is
+answered or there are too many.
+
+| what happens              | then                                                   | next call                |
+| ------------------------- | ------------------------------------------------------ | ------------------------ |
+| a call begins             | at most `most_open` are kept: `_evict` gives one up    | its wait and `patience`  |
+| no answer in that time    | the call stays open                                    | at once, without a wait  |
+| again no answer           | the same, at intervals that grow to `retry_most_s`     | at once, without a wait  |
+| an answer                 | calls that began before it end; counters restart       | at once, a watch         |
+| one that brings no news   | the same                                               | `PACE_S` after its begin |
+| a refusal, reset, bad list | that call is over                                     | after a growing backoff  |
+
+All times are seconds on one monotonic clock.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+
+from cloverhold.decision import interface as io
+
+HEAR_WITHIN_S = 6.0
+MARGIN_S = 0.5  # of that, for the way and a loop that is held up
+PACE_S = 0.1  # between the begins of calls that bring nothing new; the next must come within 200 ms
+STALLED_AFTER_S = 6.0  # without a byte, behind its wait: the oldest call is given up first from here on
+LEAST_HOLD_S = 0.5
+LATENCY_DECAY = 0.7  # of what is remembered of slower answers, at each answer
+PERMANENT_ERRORS = frozenset(range(400, 500)) - {408, 429}  # discovery may not know the version that was named
+
+
+class CallKind(Enum):
+    """What a call asks for."""
+
+    WHOLE = "whole"
+    WATCH = "watch"  # changes, and waits for some
+    CHECK = "check"  # changes, without a wait
+
+
+class CallEnd(Enum):
+    """Why a call is over."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"  # a status of failure
+    BROKEN = "broken"  # the connection failed or ended
+    UNUSABLE = "unusable"  # an answer that is no list
+    SUPERSEDED = "superseded"  # a later call was answered
+    GIVEN_UP = "given_up"  # too many were open
+
+
+class Verdict(Enum):
+    """What an answer is worth."""
+
+    TAKE = "take"
+    RESTARTED = "restarted"  # discovery counts versions from anew; its changes are taken, the whole list comes next
+    STALE = "stale"  # of a call that was overtaken by another
+
+
+@dataclass(frozen=True, slots=True)
+class CallTimes:
+    """How long calls may take, in seconds."""
+
+    hold_s: float  # the longest wait of a watch
+    patience_s: float  # least time that an answer is waited for alone
+    patience_most_s: float
+    patience_per_latency: float  # patience as a multiple of how long answers take
+    whole_patience_s: float  # least time where the whole list is asked for
+    backoff_first_s: float
+    retry_most_s: float  # between the begins of two calls while none is answered
+    most_open: int
+
+    @classmethod
+    def of(cls, settings: io.Settings, random: Random) -> CallTimes:
+        """By what the settings say of discovery and drains."""
+        if settings.list_mode is io.ListMode.ASK:
+            return cls._polled(settings, random)
+        return cls._streamed(settings)
+
+    @classmethod
+    def _polled(cls, settings: io.Settings, random: Random) -> CallTimes:
+        """One service for all nodes: each call is work for it. Half of `must_ask_ms` bounds the time without a call."""
+        must_ask_s = math.inf if settings.must_ask_ms is None else settings.must_ask_ms / 1000
+        return cls(
+            hold_s=random.uniform(2.5, 3.0),  # no two nodes in step
+            patience_s=0.5,
+            patience_most_s=1.5,
+            patience_per_latency=2.0,
+            whole_patience_s=1.0,
+            backoff_first_s=1.0,
+            retry_most_s=min(2.0, must_ask_s / 2),
+            most_open=3,
+        )
+
+    @classmethod
+    def _streamed(cls, settings: io.Settings) -> CallTimes:
+        """An agent on this machine: calls cost nothing, and what it has counts as notified at once. So calls overlap,
+        and the time between two of them stays within half of the grace, also through an outage.
+        """
+        part_s = min(0.5, max(0.05, settings.drain_grace_ms / 4000))
+        return cls(
+            hold_s=part_s,
+            patience_s=part_s,
+            patience_most_s=1.5,
+            patience_per_latency=0.8,  # two calls in flight: more would only queue at an agent that is crowded
+            whole_patience_s=4 * part_s,
+            backoff_first_s=part_s,
+            retry_most_s=2 * part_s,
+            most_open=5,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What an answer says of itself."""
+
+    version: int
+    whole: bool
+    entries: int
+
+
+@dataclass(slots=True)
+class OpenCall:
+    """A call that has no answer yet."""
+
+    number: int
+    kind: CallKind
+    since: int | None  # the version from which on changes are asked for
+    hold_s: float
+    begun_at: float
+    progress_at: float = -math.inf  # when bytes of its answer came last
+
+    def waits_from(self) -> float:
+        """The instant from which on its answer is due, or the last bytes of it."""
+        return max(self.begun_at + self.hold_s, self.progress_at)
+
+
+@dataclass(frozen=True, slots=True)
+class Begin:
+    """Make this call; beside others it takes a connection of its own."""
+
+    call: OpenCall
+
+
+@dataclass(frozen=True, slots=True)
+class Abandon:
+    """Close the connection of this call: its answer is wanted no more."""
+
+    call: OpenCall
+    why: CallEnd
+
+
+Action = Begin | Abandon
+
+
+@dataclass
+class CallSchedule:
+    """The calls of one follower of the list."""
+
+    times: Callable[[], CallTimes]  # those in force, asked for at each call
+    random: Random
+    version: int | None = None  # of the list that is held; None: the whole list is asked for
+    failures: int = 0  # in a row
+    unanswered: int = 0  # calls since the last answer that are not known to have failed
+    next_at: float = math.inf  # when the next call begins, if nothing happens before
+    latency_s: float = 0.0  # how long answers take, slow ones remembered for a while
+    _open: dict[int, OpenCall] = field(default_factory=dict)  # oldest first
+    _numbers: int = 0
+    _version_at: float = -math.inf  # when the version was taken
+
+    def open_calls(self) -> list[OpenCall]:
+        """Those without an answer, the oldest first."""
+        return list(self._open.values())
+
+    def start(self, now: float) -> None:
+        """Begin to follow; nothing where that has begun."""
+        if not self.is_active():
+            self.next_at = now
+
+    def is_active(self) -> bool:
+        """Whether a call is open or due."""
+        return bool(self._open) or self.next_at < math.inf
+
+    def stop(self) -> list[Action]:
+        """Follow no more. The version stays."""
+        given_up: list[Action] = [Abandon(call, CallEnd.GIVEN_UP) for call in self.open_calls()]
+        self._open.clear()
+        self.next_at = math.inf
+        self.failures = self.unanswered = 0
+        return given_up
+
+    def forget_version(self) -> None:
+        """The list that is held is of another discovery, or only half taken: the whole list is asked for next."""
+        self.version = None
+
+    def tick(self, now: float) -> list[Action]:
+        """Time has passed."""
+        return self._begin(now) if now >= self.next_at else []
+
+    def progressed(self, number: int, now: float) -> None:
+        """Bytes of an answer have come."""
+        if number in self._open:
+            self._open[number].progress_at = now
+
+    def judge(self, number: int, answer: Answer) -> Verdict:
+        """What an answer is worth. Calls overlap, so that one may answer what another has told already."""
+        call, held = self._open[number], self.version
+        if answer.whole:
+            behind = held is not None and answer.version < held and call.begun_at < self._version_at
+            return Verdict.STALE if behind else Verdict.TAKE
+        if held is None or call.since is None or call.since > held:
+            return Verdict.STALE  # what it builds on is not held
+        if answer.version < call.since:
+            return Verdict.RESTARTED if call.since == held else Verdict.STALE
+        return Verdict.STALE if answer.version < held else Verdict.TAKE
+
+    def answered(self, number: int, answer: Answer, now: float) -> list[Action]:
+        """A call has its answer, which `judge` has seen and which can be read."""
+        verdict = self.judge(number, answer)
+        call = self._open.pop(number)
+        self._note_latency(call, answer, now)
+        self.failures = self.unanswered = 0
+        news = verdict is Verdict.RESTARTED or (verdict is Verdict.TAKE and answer.version != call.since)
+        if verdict is Verdict.TAKE:
+            self.version, self._version_at = answer.version, now
+        elif verdict is Verdict.RESTARTED:
+            self.version = None
+        superseded = self._supersede(call)
+        if not self._open:
+            self.next_at = now if news else max(now, call.begun_at + min(PACE_S, self.times().hold_s))
+        return superseded
+
+    def failed(self, number: int, now: float, status: int = 0) -> None:
+        """A call is over without a list. status: of the answer, where there was one."""
+        newest = number == max(self._open)
+        del self._open[number]
+        self.failures += 1
+        self.unanswered = max(0, self.unanswered - 1)
+        if status in PERMANENT_ERRORS:
+            self.version = None
+        if newest:
+            self.next_at = now + self._backoff_s()
+
+    def patience_s(self, times: CallTimes) -> float:
+        """How long an answer is waited for alone."""
+        return min(times.patience_most_s, max(times.patience_s, times.patience_per_latency * self.latency_s))
+
+    def hold_s(self, times: CallTimes) -> float:
+        """How long a watch may wait, so that one which is lost still leaves time for another call."""
+        left_s = HEAR_WITHIN_S - MARGIN_S - self.patience_s(times) - self.latency_s
+        return min(times.hold_s, max(LEAST_HOLD_S, left_s))
+
+    def _begin(self, now: float) -> list[Action]:
+        times = self.times()
+        actions = self._evict(now, times.most_open)
+        kind = self._next_kind()
+        hold_s = self.hold_s(times) if kind is CallKind.WATCH else 0.0
+        self._numbers += 1
+        call = OpenCall(self._numbers, kind, self.version, hold_s, now)
+        self.next_at = now + hold_s + self._interval_s(times, kind)
+        self.unanswered += 1
+        self._open[call.number] = call
+        return [*actions, Begin(call)]
+
+    def _next_kind(self) -> CallKind:
+        if self.version is None:
+            return CallKind.WHOLE
+        return CallKind.CHECK if self._open or self.failures else CallKind.WATCH
+
+    def _interval_s(self, times: CallTimes, kind: CallKind) -> float:
+        """After a call's wait, how long its answer is waited for before the next call begins."""
+        patience_s = self.patience_s(times)
+        if kind is CallKind.WHOLE:
+            patience_s = max(patience_s, times.whole_patience_s)
+        if self.unanswered == 0:
+            return patience_s
+        grown_s = min(times.retry_most_s, patience_s * 2.0 ** min(self.unanswered, 6))
+        return max(patience_s, grown_s * self.random.uniform(0.75, 1.0))
+
+    def _backoff_s(self) -> float:
+        times = self.times()
+        grown_s = min(times.retry_most_s, times.backoff_first_s * 2.0 ** min(self.failures - 1, 6))
+        return grown_s * self.random.uniform(0.5, 1.0)
+
+    def _evict(self, now: float, most_open: int) -> list[Action]:
+        """Make room for one more call. The oldest is nearest to its answer, unless it has stalled: else the one behind
+        it goes.
+        """
+        evicted: list[Action] = []
+        while len(self._open) >= most_open:
+            oldest, *others = self._open.values()
+            stalled = not others or now - oldest.waits_from() > STALLED_AFTER_S
+            call = oldest if stalled else others[0]
+            del self._open[call.number]
+            evicted.append(Abandon(call, CallEnd.GIVEN_UP))
+        return evicted
+
+    def _supersede(self, answered: OpenCall) -> list[Action]:
+        older = [call for call in self.open_calls() if call.number < answered.number]
+        for call in older:
+            del self._open[call.number]
+        return [Abandon(call, CallEnd.SUPERSEDED) for call in older]
+
+    def _note_latency(self, call: OpenCall, answer: Answer, now: float) -> None:
+        """Learn how long answers take. A watch that is answered within its wait tells only if it brings no news."""
+        took_s = now - call.begun_at
+        if took_s < call.hold_s and answer.entries:
+            return
+        latency_s = took_s - call.hold_s if took_s >= call.hold_s else took_s
+        latency_s = min(latency_s, HEAR_WITHIN_S)
+        self.latency_s = max(latency_s, LATENCY_DECAY * self.latency_s + (1 - LATENCY_DECAY) * latency_s)
--- a/cloverhold/net/discovery/server_list.py
+++ b/cloverhold/net/discovery/server_list.py
@@ -8,6 +8,7 @@
 
 from cloverhold.decision import interface as io
 from cloverhold.net.clock import Clock
+from cloverhold.net.discovery.calls import Answer
 from cloverhold.net.upstreams.calls import Address
 
 _STATES = {"active": io.Lifecycle.READY, "leaving": io.Lifecycle.DRAINING, "left": io.Lifecycle.GONE}
@@ -35,6 +36,16 @@
     addresses: dict[str, Address]
 
 
+def answer_of(value: object) -> Answer:
+    """What an answer says of itself, before its entries are read; ListError for one that is not a list."""
+    try:
+        if not isinstance(value, dict):
+            raise ValueError("not an object")
+        return Answer(int(value["rev"]), bool(value["all"]), len(value["targets"]))
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
+        raise ListError(f"list of servers: {type(error).__name__}: {error}") from None
+
+
 def _start(line: dict[str, Any]) -> tuple[str, float]:
     """The uid, and when it started in Unix ms."""
     uid, boot = line["uid"], float(line.get("boot_ms") or 0)
--- a/cloverhold/net/discovery/watcher.py
+++ b/cloverhold/net/discovery/watcher.py
@@ -1,156 +1,257 @@
-"""Follows the list of servers: when discovery is called, and what its answers change."""
+"""Follows the list of servers: makes the calls that `CallSchedule` asks for, and hands on what their answers say."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
+import math
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from functools import partial
 
 from cloverhold.decision import interface as io
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery.connection import Connection, Refused, Silent
-from cloverhold.net.discovery.server_list import ListError, Members, read_members
+from cloverhold.net.discovery.calls import (
+    Abandon,
+    Action,
+    Begin,
+    CallEnd,
+    CallKind,
+    CallSchedule,
+    CallTimes,
+    OpenCall,
+    Verdict,
+)
+from cloverhold.net.discovery.connection import Connection, ConnectionEnded, Refused
+from cloverhold.net.discovery.server_list import ListError, Members, answer_of, read_members
+from cloverhold.net.telemetry import Happening, Telemetry
 from cloverhold.net.upstreams.calls import Address
 
 log = logging.getLogger(__name__)
 
-PACE_S = 0.1  # between calls that bring nothing new; the next must come within 200 ms
-AT_ONCE = 2  # calls that fell silent in a row before a service is left alone for a while
-AGAIN_S = 2.0  # after a fault of the node in the watch
-
-
-@dataclass(frozen=True, slots=True)
-class Waits:
-    """How long calls may take, in seconds. What a watch that fell silent has missed counts as told 6 s after it fell
-    silent, or 2 s after its wait is over if that is later, whether or not it came; and a drain is to be kept within
-    its grace from then on.
-
-    | | asked | pushed |
-    | --- | --- | --- |
-    | the wait | `hold`, 15 to 20 s: each call is work for the one service, and no wait above 4 s leaves more than 2 s behind it | a quarter of the grace: calls cost nothing |
-    | its answer | 0.8 s behind the wait | a quarter of the grace |
-    | then | two calls that do not wait, 0.6 s each: 0.8 + 0.6 + 0.6 = 2 s, so that one of them may be silent too | calls that do not wait, at a like pace: an agent that was silent is heard of within half of the grace, as what it gets at its return counts at once |
-    """  # noqa: E501
-
-    hold: float
-    answer: float
-    at_once: float  # a call for changes that does not wait
-    whole: float  # a call for the whole list
-    pause: float  # behind a call that failed, where lists are pushed
-
-    @classmethod
-    def of(cls, settings: io.Settings) -> Waits:
-        """By what the settings say of discovery and drains."""
-        if settings.list_mode is io.ListMode.ASK:
-            return cls(random.uniform(15.0, 20.0), 0.8, 0.6, 2.0, 0.0)  # no two nodes in step
-        part = min(0.5, max(0.05, settings.drain_grace_ms / 4000))
-        return cls(part, part, part, 4 * part, part * random.uniform(0.5, 1.0))
+RESTART_DELAY_S = 2.0  # after a fault of the node itself
+LEAST_HOLD_MS = 1  # of a call that is not to wait
+PATH = "/catalog/members"
 
 
 class Discovery:
-    """Follows the list. `told` gets each list; `failed` hears of a call that did not succeed."""
+    """Follows the list. `notified` gets each list; `failed` hears of a call that did not succeed, where discovery is
+    polled.
+    """
 
     def __init__(
         self,
         address: Address,
         clock: Clock,
-        told: Callable[[Members], None],
+        notified: Callable[[Members], None],
         failed: Callable[[], None],
         settings: Callable[[], io.Settings],
+        telemetry: Telemetry | None = None,
     ) -> None:
-        """settings: those in use; they say whether discovery is asked, and how long a drain may go unknown."""
-        self.link, self.clock, self.told, self.failed, self.settings = (
-            Connection(address),
-            clock,
-            told,
-            failed,
-            settings,
-        )
-        self.version: int | None = None  # None: the whole list is fetched first
-        self.task: asyncio.Task[None] | None = None
-        self.failures = self.silences = 0  # calls in a row that failed, that fell silent
+        """settings: those in use; they say whether discovery is polled, and how long a drain may go unknown."""
+        self.address, self.clock = address, clock
+        self.notified, self.call_failed, self.settings = notified, failed, settings
+        self.telemetry = telemetry if telemetry is not None else Telemetry()
+        chance = random.Random()
+        self.schedule = CallSchedule(lambda: CallTimes.of(settings(), chance), chance)
+        self._calls: dict[int, tuple[asyncio.Task[object], Connection]] = {}
+        self._idle: Connection | None = None  # kept for the next call
+        self._timer: asyncio.TimerHandle | None = None
+        self._answered_at_s = time.monotonic()
+        self._answering = True
+
+    @property
+    def version(self) -> int | None:
+        """The version of the list that is held; None: the whole list is asked for next."""
+        return self.schedule.version
 
     def resume(self, version: int) -> None:
         """Go on from a list that is held already: only what has changed since is asked for. Guards against a fleet
         that starts at once: each whole list is work for the one service, and the watches behind them then failed.
         """
-        self.version = version
+        self.schedule.version = version
 
     def watch(self, on: bool = True) -> None:
-        """Begin to watch, or end it. Where discovery is asked, a failure ends it until it is begun anew."""
-        if on and self.task is None:
-            self.task = asyncio.get_running_loop().create_task(self._follow())
-            self.task.add_done_callback(self._ended)
-        elif not on:
+        """Begin to follow the list, or end it. Nothing where that is done already."""
+        if on:
+            self.schedule.start(time.monotonic())
+            self._arm()
+        else:
             self.stop()
 
-    def _ended(self, task: asyncio.Task[None]) -> None:
-        """A watch that a fault of the node ended begins anew, with the whole list: its last may be half taken."""
-        if task.cancelled() or (error := task.exception()) is None:
-            return
-        log.error("the watch has ended, and begins anew", exc_info=error)
-        if self.task is task:
-            self.task, self.version = None, None
-            self.link.close()
-            task.get_loop().call_later(AGAIN_S, self.watch)
-
     def follow(self, address: Address) -> None:
         """Watch discovery at another address. The last list stays until that one tells the whole of its own:
         its versions need not be those of the old one.
         """
-        if address != self.link.address:
+        if address != self.address:
             log.info("discovery is now at %s:%d", *address)
             self.stop()
-            self.link, self.version, self.failures, self.silences = Connection(address), None, 0, 0
+            self.address = address
+            self.schedule.forget_version()
         self.watch()
 
     def stop(self) -> None:
-        if self.task is not None:
-            self.task.cancel()
-            self.task = None
-        self.link.close()
-
-    async def _follow(self) -> None:
-        while True:
-            begun, settings = time.monotonic(), self.settings()
-            waits, asked = Waits.of(settings), settings.list_mode is io.ListMode.ASK
-            try:
-                changed = await self._call(waits)
-            except (ListError, OSError) as error:
-                self.failures += 1
-                self.silences = self.silences + 1 if isinstance(error, Silent) else 0
-                if self.failures == 1:
-                    log.warning("discovery: %s", error)
-                if asked and not 0 < self.silences <= AT_ONCE:
-                    self.task = None  # whoever hears of it may ask for a watch at once
-                    self.failed()
-                    return
-                await asyncio.sleep(waits.pause)
-                continue
-            if self.failures:
-                log.info("discovery is back")
-            self.failures = self.silences = 0
-            if not changed:  # an agent on this machine answers at once: it is asked at an even pace
-                await asyncio.sleep(max(0.0, min(PACE_S, waits.hold) - (time.monotonic() - begun)))
-
-    async def _call(self, waits: Waits) -> bool:
-        target, timeout = "/catalog/members", waits.whole
-        if self.version is not None:
-            hold, timeout = (0.001, waits.at_once) if self.silences else (waits.hold, waits.hold + waits.answer)
-            target += f"?from={self.version}&hold_ms={hold * 1000:.0f}"
+        """Make no more calls."""
+        self._carry_out(self.schedule.stop())
+        self._arm()
+        self._keep(None)
+
+    def is_following(self) -> bool:
+        """Whether a call is open or due."""
+        return self.schedule.is_active()
+
+    def silent_s(self) -> float:
+        """How long ago discovery answered last, in seconds."""
+        return time.monotonic() - self._answered_at_s
+
+    def _advance(self) -> None:
+        self._carry_out(self.schedule.tick(time.monotonic()))
+        self._arm()
+
+    def _arm(self) -> None:
+        """One timer, for when the next call is due."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = None
+        due_s = self.schedule.next_at
+        if due_s < math.inf:
+            delay_s = max(0.0, due_s - time.monotonic())
+            self._timer = asyncio.get_running_loop().call_later(delay_s, self._advance)
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Begin(call):
+                    self._begin(call)
+                case Abandon(call, why):
+                    self._abandon(call, why)
+
+    # ------------------------------------------------------------------ calls
+
+    def _begin(self, call: OpenCall) -> None:
+        connection = self._connection()
+        progressed = partial(self._progressed, call.number)
+        task = asyncio.get_running_loop().create_task(connection.get(_target(call), progressed))
+        self._calls[call.number] = (task, connection)
+        task.add_done_callback(partial(self._done, call))
+        self.telemetry.count(Happening.DISCOVERY_CALL_BEGUN, call.kind.value)
+        if self._calls.keys() != {call.number}:
+            self._note_unanswered(call)
+
+    def _connection(self) -> Connection:
+        """The kept connection, or one of the call's own."""
+        kept, self._idle = self._idle, None
+        if kept is not None and kept.is_open():
+            return kept
+        return Connection(self.address)
+
+    def _keep(self, connection: Connection | None) -> None:
+        """Keep one connection for the next call, and no other."""
+        if self._idle is not None and self._idle is not connection:
+            self._idle.close()
+        self._idle = connection
+
+    def _abandon(self, call: OpenCall, why: CallEnd) -> None:
+        task, connection = self._calls.pop(call.number)
+        task.cancel()
+        connection.close()
+        self._note_end(call, why)
+
+    def _progressed(self, number: int) -> None:
+        self.schedule.progressed(number, time.monotonic())
+
+    def _done(self, call: OpenCall, task: asyncio.Task[object]) -> None:
+        """A call has ended by itself, or was abandoned."""
+        if task.cancelled():
+            return
+        error = task.exception()
+        if call.number not in self._calls:
+            return
+        _, connection = self._calls.pop(call.number)
+        if error is None:
+            error = self._answered(call, task.result(), connection)
+        if isinstance(error, (ListError, OSError)):
+            connection.close()
+            self._failed(call, error)
+        elif error is not None:
+            log.error("a fault in the follower of the list; the whole list is asked for anew", exc_info=error)
+            self._restart()
+        self._advance()
+
+    def _answered(self, call: OpenCall, value: object, connection: Connection) -> Exception | None:
+        """Hand on what an answer says; why it can't be used, or the fault of who was handed it."""
         try:
-            members = read_members(await self.link.get(target, timeout), self.clock)
-        except Refused as error:
-            if 400 <= error.status < 500:  # it may not know that version
-                self.version = None
-            raise
-        changed = members.full or bool(members.entries)
-        # One that counts from anew, and so knows nothing of what this node holds, tells the whole list next.
-        reset = self.version is not None and not members.full and members.version < self.version
-        self.version = None if reset else members.version
-        if changed:
-            self.told(members)
-        return changed
+            answer = answer_of(value)
+            verdict = self.schedule.judge(call.number, answer)
+            members = read_members(value, self.clock) if verdict is not Verdict.STALE else None
+        except ListError as error:
+            return error
+        self._carry_out(self.schedule.answered(call.number, answer, time.monotonic()))
+        self._keep(connection if connection.is_open() else None)
+        self._note_answer(call, verdict)
+        if members is not None and (members.full or members.entries):
+            return self._hand_on(members)
+        return None
+
+    def _hand_on(self, members: Members) -> Exception | None:
+        try:
+            self.notified(members)
+        except Exception as error:
+            return RuntimeError(f"a list was not taken over: {error!r}").with_traceback(error.__traceback__)
+        return None
+
+    def _failed(self, call: OpenCall, error: ListError | OSError) -> None:
+        status = error.status if isinstance(error, Refused) else 0
+        why = _why(error)
+        self.schedule.failed(call.number, time.monotonic(), status)
+        self._note_end(call, why, error=str(error) or type(error).__name__)
+        self._note_unanswered(call)
+        if self.settings().list_mode is io.ListMode.ASK:
+            self.call_failed()
+
+    def _restart(self) -> None:
+        """After a fault of the node: from the whole list, as the last one may be half taken."""
+        self._carry_out(self.schedule.stop())
+        self.schedule.forget_version()
+        self.schedule.start(time.monotonic() + RESTART_DELAY_S)
+
+    # -------------------------------------------------------------- telemetry
+
+    def _note_end(self, call: OpenCall, why: CallEnd, **details: object) -> None:
+        self.telemetry.event(
+            Happening.DISCOVERY_CALL_ENDED, why.value, call=call.number, kind=call.kind.value, since=call.since,
+            took_s=time.monotonic() - call.begun_at, hold_s=call.hold_s, **details,
+        )  # fmt: skip
+
+    def _note_answer(self, call: OpenCall, verdict: Verdict) -> None:
+        self.telemetry.count(Happening.DISCOVERY_CALL_ENDED, CallEnd.ANSWERED.value)
+        self.telemetry.count(Happening.DISCOVERY_ANSWER, verdict.value)
+        if not self._answering:
+            self._answering = True
+            self.telemetry.event(
+                Happening.DISCOVERY_STATE, "answering", call=call.number, silent_s=self.silent_s(),
+                latency_s=self.schedule.latency_s, version=self.schedule.version,
+            )  # fmt: skip
+        self._answered_at_s = time.monotonic()
+
+    def _note_unanswered(self, call: OpenCall) -> None:
+        """An answer is overdue, or a call has failed."""
+        if self._answering:
+            self._answering = False
+            self.telemetry.event(
+                Happening.DISCOVERY_STATE, "not_answering", call=call.number, silent_s=self.silent_s(),
+                latency_s=self.schedule.latency_s, version=self.schedule.version,
+            )  # fmt: skip
+
+
+def _target(call: OpenCall) -> str:
+    if call.kind is CallKind.WHOLE:
+        return PATH
+    return f"{PATH}?from={call.since}&hold_ms={max(LEAST_HOLD_MS, round(call.hold_s * 1000))}"
+
+
+def _why(error: ListError | OSError) -> CallEnd:
+    if isinstance(error, Refused):
+        return CallEnd.REFUSED
+    return CallEnd.BROKEN if isinstance(error, (OSError, ConnectionEnded)) else CallEnd.UNUSABLE
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -23,7 +23,7 @@
 from cloverhold.net.probing import Prober, parse_load
 from cloverhold.net.request_log import RequestLog
 from cloverhold.net.telemetry import Ending, Happening, Telemetry
-from cloverhold.net.upstream_table import UpstreamTable
+from cloverhold.net.upstream_table import Change, UpstreamTable
 from cloverhold.net.upstreams.calls import Call, Pool
 from cloverhold.permission import Denial, Run, SendFacts, answered_in_time, may_send, may_take
 
@@ -513,6 +513,7 @@
         kind = io.ListKind.FULL if members.full else io.ListKind.CHANGES
         if remembered:
             kind = io.ListKind.REMEMBERED
+        self._note_list(kind, members.version, change)
         self.dispatch(io.ServerList(kind, members.entries, members.version))
         if self.router is not None:
             self.router.members(members.entries, full=members.full)
@@ -522,5 +523,16 @@
         for upstream in change.draining:
             self.pool.turn_back(upstream)
 
+    def _note_list(self, kind: io.ListKind, version: int, change: Change) -> None:
+        self.telemetry.count(Happening.LIST_TAKEN, kind.value)
+        counts = {
+            "draining": len(change.newly_draining),
+            "gone": len(change.gone),
+            "replaced": len(change.replaced),
+        }
+        for what, count in counts.items():
+            if count:
+                self.telemetry.event(Happening.SERVERS_CHANGED, what, version=version, servers=count)
+
     def list_failed(self) -> None:
         self.dispatch(io.ServerList(io.ListKind.ERROR))
--- a/cloverhold/net/telemetry.py
+++ b/cloverhold/net/telemetry.py
@@ -32,6 +32,12 @@
     ATTEMPT_ENDED = "attempt_ended"  # by its outcome
     ACT_DENIED = "act_denied"  # what may not be done now, and was not
     RULE_VIOLATED = "rule_violated"  # what must never be asked for, or was found done
+    DISCOVERY_CALL_BEGUN = "discovery_call_begun"  # by what it asks for
+    DISCOVERY_CALL_ENDED = "discovery_call_ended"  # by why it is over
+    DISCOVERY_ANSWER = "discovery_answer"  # by what it is worth
+    DISCOVERY_STATE = "discovery_state"  # "answering" or "not_answering", when that changes
+    LIST_TAKEN = "list_taken"  # "whole", "changes" or "remembered"
+    SERVERS_CHANGED = "servers_changed"  # by what a list changes: "draining", "gone", "replaced"
     PHASE_ENTERED = "phase_entered"  # of the process
 
 
--- a/cloverhold/net/upstream_table.py
+++ b/cloverhold/net/upstream_table.py
@@ -16,6 +16,7 @@
 
     replaced: list[Upstream] = field(default_factory=list)  # another process, or address, has their uid now
     draining: list[Upstream] = field(default_factory=list)
+    newly_draining: list[str] = field(default_factory=list)  # which the list before had as ready
     gone: list[str] = field(default_factory=list)
 
 
@@ -30,6 +31,10 @@
         """Take over a list, or changes of one. Who has gone stays until `remove`: the module hears of it first."""
         entries = {entry.server: entry for entry in members.entries}
         change = Change(gone=[uid for uid in self if members.full and uid not in entries])
+        ready = {uid for uid, entry in self.listed.items() if entry.lifecycle is Lifecycle.READY}
+        change.newly_draining = [
+            uid for uid, entry in entries.items() if uid in ready and entry.lifecycle is Lifecycle.DRAINING
+        ]
         if members.full:
             self.listed.clear()
         self.listed.update(entries)
--- /dev/null
+++ b/tests/faults/simulated_discovery.py
@@ -0,0 +1,143 @@
+"""A follower's calls against a discovery in simulated time: slow, crowded, losing calls, refusing, counting anew."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+
+from cloverhold import Settings
+from cloverhold.net.discovery.calls import Abandon, Action, Answer, Begin, CallSchedule, CallTimes, OpenCall, Verdict
+
+
+class Fate(Enum):
+    """What becomes of one call."""
+
+    ANSWER = "answer"
+    LOST = "lost"
+    REFUSED = "refused"
+    RESET = "reset"
+
+
+@dataclass
+class Service:
+    """Discovery: servers with the version of their last change."""
+
+    latency_s: Callable[[], float]
+    call_s: float = 0.0  # calls are worked through in turn
+    fates: deque[Fate] = field(default_factory=deque)
+    silent_until: float = 0.0  # calls that come before are lost
+    rev: int = 1
+    servers: dict[str, tuple[int, str]] = field(default_factory=lambda: {"s0": (1, "active"), "s1": (1, "active")})
+    free_at: float = 0.0
+
+
+class Follower:
+    """The schedule of one node, its list, and the time."""
+
+    def __init__(self, settings: Settings, service: Service, seed: int) -> None:
+        chance = Random(seed)
+        self.service, self.now = service, 0.0
+        self.schedule = CallSchedule(lambda: CallTimes.of(settings, chance), chance)
+        self.servers: dict[str, str] = {}
+        self.heard: dict[int, float] = {}  # when each version was held first
+        self.begun: list[float] = []
+        self.most_open = 0
+        self.versions: list[int] = []
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._watching: dict[int, OpenCall] = {}  # watches that wait at the service
+        self._dead: set[int] = set()  # calls whose connection was closed
+        self.schedule.start(0.0)
+
+    def at(self, when: float, do: Callable[[], None]) -> None:
+        """Let something happen at a time."""
+        heapq.heappush(self._events, (when, next(self._order), do))
+
+    def run(self, until: float, *, stop: Callable[[], bool] = lambda: False) -> None:
+        """Let time pass."""
+        while not stop():
+            due = min(self.schedule.next_at, self._events[0][0] if self._events else math.inf)
+            if due > until:
+                break
+            self.now = max(self.now, due)
+            if self._events and self._events[0][0] <= self.now:
+                heapq.heappop(self._events)[2]()
+            else:
+                self._carry_out(self.schedule.tick(self.now))
+        self.now = max(self.now, until) if not stop() else self.now
+
+    def change(self, uid: str, state: str) -> int:
+        """Discovery has a change; its version."""
+        service = self.service
+        service.rev += 1
+        service.servers[uid] = (service.rev, state)
+        for call in list(self._watching.values()):
+            self._answer_later(call)
+        return service.rev
+
+    def lose_watches(self) -> None:
+        """The watches that wait are never answered."""
+        self._watching.clear()
+
+    def reset_watches(self) -> None:
+        """The watches that wait are reset."""
+        for call in list(self._watching.values()):
+            self._watching.pop(call.number)
+            self._fail(call, 0)
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Begin(call):
+                    self.begun.append(self.now)
+                    self._come(call)
+                case Abandon(call, _):
+                    self._dead.add(call.number)
+                    self._watching.pop(call.number, None)
+        self.most_open = max(self.most_open, len(self.schedule.open_calls()))
+
+    def _come(self, call: OpenCall) -> None:
+        service = self.service
+        fate = service.fates.popleft() if service.fates else Fate.ANSWER
+        if fate is Fate.LOST or self.now < service.silent_until:
+            return
+        if fate is not Fate.ANSWER:
+            self.at(self.now + 0.001, lambda: self._fail(call, 503 if fate is Fate.REFUSED else 0))
+        elif call.since == service.rev and call.hold_s > 0:
+            self._watching[call.number] = call
+            self.at(self.now + call.hold_s, lambda: self._answer_later(call, only_waiting=True))
+        else:
+            self._answer_later(call)
+
+    def _answer_later(self, call: OpenCall, *, only_waiting: bool = False) -> None:
+        waiting = self._watching.pop(call.number, None)
+        if only_waiting and waiting is None:
+            return
+        service = self.service
+        service.free_at = max(service.free_at, self.now) + service.call_s
+        rev, since = service.rev, call.since
+        news = {u: s for u, (at, s) in service.servers.items() if since is None or at > since}
+        self.at(service.free_at + service.latency_s(), lambda: self._answer(call, rev, news))
+
+    def _fail(self, call: OpenCall, status: int) -> None:
+        if call.number not in self._dead:
+            self.schedule.failed(call.number, self.now, status)
+
+    def _answer(self, call: OpenCall, rev: int, news: dict[str, str]) -> None:
+        if call.number in self._dead:
+            return
+        answer = Answer(rev, call.since is None, len(news))
+        verdict = self.schedule.judge(call.number, answer)
+        self._carry_out(self.schedule.answered(call.number, answer, self.now))
+        if verdict is Verdict.STALE:
+            return
+        self.servers = {**({} if answer.whole else self.servers), **news}
+        self.versions.append(rev)
+        for version in range(1, rev + 1):
+            self.heard.setdefault(version, self.now)
--- /dev/null
+++ b/tests/faults/test_call_schedule.py
@@ -0,0 +1,230 @@
+"""When discovery is called: every short schedule of lost, refused and slow calls against the time owed, simulated."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import replace
+from itertools import product
+from random import Random
+
+import pytest
+
+from cloverhold import Settings
+from cloverhold.net.discovery.calls import (
+    HEAR_WITHIN_S,
+    Abandon,
+    Answer,
+    Begin,
+    CallEnd,
+    CallSchedule,
+    CallTimes,
+    Verdict,
+)
+from loopback import ASKED, PUSHED
+from simulated_discovery import Fate, Follower, Service
+
+GRACE_S, SLACK_S = 0.5, 0.05
+POLLED = replace(ASKED, must_ask_ms=10_000.0, drain_grace_ms=1000 * GRACE_S)
+STREAMED = replace(PUSHED, drain_grace_ms=1000 * GRACE_S)
+LATENCIES_S = (0.01, 0.3, 1.0, 2.0)
+SEEDS = range(4)
+
+
+def quiet(settings: Settings, latency_s: float, seed: int, quiet_s: float = 20.0) -> Follower:
+    """A follower that has heard discovery for a while."""
+    follower = Follower(settings, Service(lambda: latency_s), seed)
+    follower.run(quiet_s + seed * 0.7)
+    assert follower.servers == {"s0": "active", "s1": "active"}
+    return follower
+
+
+def heard_after(follower: Follower, since: float) -> float:
+    """Seconds from an instant to when a drain that discovery has now is known."""
+    version = follower.change("s0", "leaving")
+    follower.run(since + 60.0, stop=lambda: version in follower.heard)
+    assert version in follower.heard, "never heard"
+    return follower.heard[version] - since
+
+
+@pytest.mark.parametrize("latency_s", LATENCIES_S)
+@pytest.mark.parametrize("fates", [f for n in (1, 2, 3) for f in product(Fate, repeat=n) if Fate.ANSWER not in f[-1:]])
+def test_polled_service_that_fails_some_calls_is_heard_in_6_s_of_the_last(
+    fates: tuple[Fate, ...], latency_s: float
+) -> None:
+    for seed in SEEDS:
+        follower = quiet(POLLED, latency_s, seed)
+        follower.service.fates = deque(fates)
+        follower.reset_watches()
+        follower.run(follower.now + 60.0, stop=lambda f=follower: not f.service.fates)  # type: ignore[misc]
+        assert heard_after(follower, follower.now) <= HEAR_WITHIN_S
+
+
+@pytest.mark.parametrize("latency_s", LATENCIES_S)
+@pytest.mark.parametrize("lost_after_s", [0.0, 0.5, 1.5, 2.9])
+@pytest.mark.parametrize("drained_after_s", [0.0, 0.5, 2.0, 3.5, 5.0])
+def test_polled_watch_that_falls_silent_costs_no_more_than_6_s(
+    latency_s: float, lost_after_s: float, drained_after_s: float
+) -> None:
+    for seed in SEEDS:
+        follower = quiet(POLLED, latency_s, seed)
+        follower.run(follower.now + lost_after_s)
+        follower.lose_watches()
+        follower.run(follower.now + drained_after_s)
+        assert heard_after(follower, follower.now) <= HEAR_WITHIN_S
+
+
+@pytest.mark.parametrize("latency_s", LATENCIES_S)
+@pytest.mark.parametrize("silent_s", [0.2, 1.0, 3.0, 8.0, 30.0, 100.0])
+def test_polled_service_that_was_silent_is_heard_in_6_s_of_its_return(latency_s: float, silent_s: float) -> None:
+    """Old calls stay silent, and their connections are not reset."""
+    for seed in SEEDS:
+        follower = quiet(POLLED, latency_s, seed)
+        follower.service.silent_until = follower.now + silent_s
+        follower.lose_watches()
+        follower.run(follower.service.silent_until)
+        assert heard_after(follower, follower.now) <= HEAR_WITHIN_S
+
+
+@pytest.mark.parametrize("silent_s", [0.2, 1.0, 3.0, 8.0, 30.0, 100.0])
+def test_streamed_news_of_an_agents_return_are_heard_within_the_grace(silent_s: float) -> None:
+    for seed in range(20):
+        follower = quiet(STREAMED, 0.01, seed)
+        follower.service.silent_until = follower.now + silent_s
+        follower.lose_watches()
+        follower.run(follower.service.silent_until)
+        assert heard_after(follower, follower.now) <= GRACE_S
+
+
+@pytest.mark.parametrize("latency_s", [0.01, 0.1, 0.25, 0.3])
+def test_streamed_news_of_a_slow_agent_are_heard_within_the_grace(latency_s: float) -> None:
+    for seed in range(40):
+        follower = quiet(STREAMED, 0.01, seed)
+        follower.service.latency_s = lambda: latency_s
+        follower.run(follower.now + 30.0 + 0.037 * seed)
+        assert heard_after(follower, follower.now) <= GRACE_S + SLACK_S
+
+
+@pytest.mark.parametrize("latency_s", [0.5, 1.0, 2.0, 3.0, 5.0])
+def test_streamed_news_of_an_agent_slower_than_the_grace_wait_for_no_third_answer(latency_s: float) -> None:
+    for seed in range(40):
+        follower = quiet(STREAMED, 0.01, seed)
+        follower.service.latency_s = lambda: latency_s
+        follower.run(follower.now + 30.0 + 0.037 * seed)
+        assert heard_after(follower, follower.now) <= 2 * latency_s + SLACK_S
+
+
+@pytest.mark.parametrize("call_s", [0.05, 0.15, 0.2])
+def test_streamed_agent_that_works_through_calls_in_turn_is_not_crowded_by_its_own_node(call_s: float) -> None:
+    for seed in range(40):
+        follower = quiet(STREAMED, 0.01, seed)
+        follower.service.call_s = call_s
+        follower.run(follower.now + 30.0 + 0.037 * seed)
+        assert heard_after(follower, follower.now) <= GRACE_S + SLACK_S
+
+
+@pytest.mark.parametrize("trouble", ["silent", "refused", "reset", "slow", "well"])
+def test_polled_service_is_not_flooded(trouble: str) -> None:
+    """A node calls once a second at most in the long run, whatever becomes of its calls, and holds three at most."""
+    for seed in SEEDS:
+        follower = quiet(POLLED, 0.01, seed)
+        if trouble == "silent":
+            follower.service.silent_until = 1e9
+        elif trouble in ("refused", "reset"):
+            follower.service.fates = deque([Fate(trouble)] * 10_000)
+        elif trouble == "slow":
+            follower.service.latency_s = lambda: 2.0
+        begin = follower.now
+        follower.run(begin + 100.0)
+        assert sum(at > begin for at in follower.begun) <= 100 and follower.most_open <= 3
+
+
+def test_polled_calls_are_as_rare_after_trouble_as_before() -> None:
+    for seed in SEEDS:
+        follower = quiet(POLLED, 0.01, seed)
+        follower.service.latency_s = lambda: 5.0
+        follower.run(follower.now + 60.0)
+        follower.service.latency_s = lambda: 0.01
+        follower.run(follower.now + 60.0)
+        begin = follower.now
+        follower.run(begin + 60.0)
+        assert sum(at > begin for at in follower.begun) <= 60 / 2.5 + 1
+
+
+@pytest.mark.parametrize("settings", [POLLED, STREAMED])
+def test_answers_that_overtake_one_another_never_put_a_change_back(settings: Settings) -> None:
+    for seed in range(100):
+        chance = Random(f"overtake:{seed}")
+        service = Service(lambda chance=chance: chance.choice([0.01, 0.2, 1.0, 3.0]))  # type: ignore[misc]
+        follower = Follower(settings, service, seed)
+        for _ in range(60):
+            follower.run(follower.now + chance.uniform(0.05, 2.0))
+            follower.change(f"s{chance.randrange(2)}", chance.choice(["active", "leaving"]))
+            if chance.random() < 0.2:
+                follower.service.fates.append(chance.choice(list(Fate)))
+        follower.run(follower.now + 30.0)
+        assert follower.versions == sorted(follower.versions)
+        assert follower.servers == {uid: state for uid, (_, state) in service.servers.items()}
+
+
+def two_calls(since: int | None) -> tuple[CallSchedule, int, int]:
+    """A schedule that made a call and, as that was overdue, another."""
+    times = CallTimes.of(POLLED, Random(1))
+    schedule = CallSchedule(lambda: times, Random(1), version=since)
+    schedule.start(0.0)
+    schedule.tick(0.0)
+    schedule.tick(schedule.next_at)
+    older, newer = schedule.open_calls()
+    return schedule, older.number, newer.number
+
+
+@pytest.mark.parametrize(
+    ("since", "first", "second", "verdict"),
+    [
+        (5, Answer(8, False, 1), Answer(7, False, 1), Verdict.STALE),  # a replica of the service that lags
+        (5, Answer(8, False, 1), Answer(8, False, 1), Verdict.TAKE),
+        (5, Answer(8, False, 1), Answer(9, False, 1), Verdict.TAKE),
+        (5, Answer(8, True, 2), Answer(7, True, 2), Verdict.STALE),
+        (5, Answer(8, True, 2), Answer(9, True, 2), Verdict.TAKE),
+        (5, Answer(3, True, 2), Answer(6, False, 1), Verdict.STALE),  # builds on a version that is held no more
+        (None, Answer(8, True, 2), Answer(7, True, 2), Verdict.STALE),
+    ],
+)
+def test_answer_of_a_call_that_was_overtaken_is_not_taken(
+    since: int | None, first: Answer, second: Answer, verdict: Verdict
+) -> None:
+    schedule, older, newer = two_calls(since)
+    assert schedule.judge(older, first) is Verdict.TAKE
+    assert schedule.answered(older, first, 10.0) == []
+    assert schedule.judge(newer, second) is verdict
+
+
+def test_older_calls_end_with_the_answer_of_a_later_one() -> None:
+    schedule, older, newer = two_calls(5)
+    (ended,) = schedule.answered(newer, Answer(6, False, 1), 10.0)
+    assert isinstance(ended, Abandon) and (ended.call.number, ended.why) == (older, CallEnd.SUPERSEDED)
+    assert not schedule.open_calls() and schedule.next_at == 10.0
+
+
+def test_refusals_between_silent_calls_do_not_lengthen_the_wait_for_the_next() -> None:
+    times = CallTimes.of(POLLED, Random(1))
+    schedule, now = CallSchedule(lambda: times, Random(1), version=5), 0.0
+    schedule.start(now)
+    for _ in range(5):
+        (begin,) = schedule.tick(now)
+        assert isinstance(begin, Begin)
+        schedule.failed(begin.call.number, now, 503)
+        now = schedule.next_at
+    schedule.tick(now)
+    assert schedule.next_at - now <= times.patience_s
+
+
+@pytest.mark.parametrize("settings", [POLLED, STREAMED])
+def test_service_that_counts_from_anew_is_believed(settings: Settings) -> None:
+    for seed in range(20):
+        follower = quiet(settings, 0.3, seed)
+        for _ in range(50):
+            follower.change("s0", "active")
+        follower.run(follower.now + 10.0)
+        follower.service.rev, follower.service.servers = 3, {"s0": (2, "leaving"), "s1": (3, "active")}
+        follower.run(follower.now + 10.0)
+        assert follower.servers == {"s0": "leaving", "s1": "active"} and follower.schedule.version == 3
--- a/tests/moments/test_stop.py
+++ b/tests/moments/test_stop.py
@@ -219,6 +219,6 @@
             path.write_text(json.dumps(moved))
             monkeypatch.setenv("PROXY_CONFIG", str(path))
             node.node.reload()
-            assert node.node.discovery.task is None
+            assert not node.node.discovery.is_following()
 
     play(test)
--- a/tests/moments/test_watch.py
+++ b/tests/moments/test_watch.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import json
+import random
 import socket
 import threading
 import time
 from dataclasses import replace
+from itertools import pairwise
 from typing import Any
 
 import pytest
@@ -15,9 +17,10 @@
 from cloverhold import ListKind, ServerList, SetTimer, Settings, Timer
 from cloverhold.decision.decide import Balancer
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery.connection import Connection
-from cloverhold.net.discovery.server_list import ListError, Members
-from cloverhold.net.discovery.watcher import AT_ONCE, Discovery, Waits
+from cloverhold.net.discovery.calls import Begin, CallSchedule, CallTimes
+from cloverhold.net.discovery.server_list import Members
+from cloverhold.net.discovery.watcher import Discovery
+from cloverhold.net.telemetry import Telemetry
 from loopback import ASKED, PUSHED, Catalog, Server, free_ports, list_value, play, request, running, target, until
 
 
@@ -36,14 +39,25 @@
         return await super().serve(asked, head, body, writer)
 
 
+def begins_in_a_silence(settings: Settings, seed: int, seconds: float) -> list[float]:
+    """When calls begin, from a watch on that is lost as all after it are."""
+    chance = random.Random(seed)
+    schedule, now, begun = CallSchedule(lambda: CallTimes.of(settings, chance), chance, version=1), 0.0, list[float]()
+    schedule.start(now)
+    while now < seconds:
+        begun.extend(now for action in schedule.tick(now) if isinstance(action, Begin))
+        now = schedule.next_at
+    return begun
+
+
 @pytest.mark.parametrize("grace", [100.0, 300.0, 500.0, 2000.0, 60000.0])
 def test_what_a_silent_watch_missed_is_asked_for_before_it_counts_as_told(grace: float) -> None:
-    for _ in range(50):
-        asked = Waits.of(replace(ASKED, drain_grace_ms=grace))
-        assert asked.hold <= 20.0 and asked.answer + AT_ONCE * asked.at_once <= 2.0
-        pushed = Waits.of(replace(PUSHED, drain_grace_ms=grace))
-        assert pushed.at_once + pushed.pause <= max(0.1, grace / 1000 / 2)
-        assert pushed.hold + pushed.answer + pushed.pause + 2 * pushed.at_once < 6.0
+    """Also where the first call behind the watch falls silent too."""
+    for seed in range(50):
+        polled = begins_in_a_silence(replace(ASKED, drain_grace_ms=grace), seed, 60.0)
+        assert polled[2] < 5.0 and max(b - a for a, b in pairwise(polled[1:])) <= 2.0
+        streamed = begins_in_a_silence(replace(PUSHED, drain_grace_ms=grace), seed, 60.0)
+        assert max(b - a for a, b in pairwise(streamed)) <= max(0.1, min(1.0, grace / 1000 / 2))
 
 
 @pytest.mark.parametrize("must_ask", [None, 1000.0, 10000.0, 60000.0])
@@ -51,19 +65,27 @@
     """6 s behind its return, however long it was away and whatever else the settings allow. Without the mend the second
     call came after up to 10 s, or up to 60.
     """
-    balancer, waits = Balancer(replace(ASKED, must_ask_ms=must_ask), 1), Waits.of(ASKED)
+    settings = replace(ASKED, must_ask_ms=must_ask)
+    balancer, times = Balancer(settings, 1), CallTimes.of(settings, random.Random(1))
+    schedule = CallSchedule(lambda: times, random.Random(1), version=1)
+    schedule.start(0.0)
     for failure in range(40):
         now = 100_000.0 * failure
         (delay,) = [a.delay_ms for a in balancer.handle(now, ServerList(ListKind.ERROR)) if isinstance(a, SetTimer)]
-        assert 2 * (delay + 1000 * waits.at_once) < 6000 and delay <= (must_ask or 4000.0) / 2
+        assert 2 * (delay + 1000 * 0.6) < 6000 and delay <= (must_ask or 4000.0) / 2
         balancer.handle(now + delay, Timer(failure + 1))
+        (begin,) = schedule.tick(schedule.next_at)
+        schedule.failed(begin.call.number, now / 1000, 503)
+        backoff = 1000 * schedule.next_at - now
+        assert 2 * (backoff + 1000 * times.patience_s) < 6000 and backoff <= (must_ask or 4000.0) / 2
 
 
 def test_two_silent_calls_in_a_row_cost_a_node_that_asks_no_news(monkeypatch: pytest.MonkeyPatch) -> None:
     """Without the mend: the next call came 22 s later, and behind a back-off."""
 
     async def test() -> None:
-        monkeypatch.setattr(Waits, "of", classmethod(lambda cls, settings: Waits(0.3, 0.2, 0.2, 2.0, 0.0)))
+        times = CallTimes(0.3, 0.2, 0.2, 1.0, 2.0, 0.1, 0.2, 3)
+        monkeypatch.setattr(CallTimes, "of", classmethod(lambda cls, settings, chance: times))
         service, told, failed = Mute([target("s0", 9)], swallows=2), list[Members](), list[int]()
         await service.start()
         service.rev = 42
@@ -124,7 +146,7 @@
 
 def test_a_fault_behind_a_list_does_not_end_the_watch(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
-        monkeypatch.setattr("cloverhold.net.discovery.watcher.AGAIN_S", 0.01)
+        monkeypatch.setattr("cloverhold.net.discovery.watcher.RESTART_DELAY_S", 0.01)
         service, told = Catalog([target("s0", 9)]), list[Members]()
         await service.start()
 
@@ -161,20 +183,21 @@
 
             said, rest, kept = threading.Event(), threading.Event(), list[socket.socket]()
             threading.Thread(target=serve, daemon=True).start()
-            loop, link = asyncio.get_running_loop(), Connection(("127.0.0.1", listening.getsockname()[1]))
+            loop, told, telemetry = asyncio.get_running_loop(), list[Members](), Telemetry()
 
             def hold_up() -> None:
                 assert said.wait(5)
-                time.sleep(0.4)
+                time.sleep(2.0)  # as long as many calls may take
                 loop.call_later(0.005, rest.set)
 
-            loop.call_later(0.15, hold_up)  # due in the same turn as the call's own time, or one before it
-            try:
-                value = await link.get("/catalog/members", 0.2)
-            except ListError as error:
-                pytest.fail(f"taken for silence: {error}")
-            assert value == json.loads(text)
-            link.close()
+            loop.call_later(0.15, hold_up)
+            address = ("127.0.0.1", listening.getsockname()[1])
+            discovery = Discovery(address, Clock(), told.append, lambda: None, lambda: PUSHED, telemetry)
+            discovery.watch()
+            await until(lambda: told)
+            ends = {name for name in telemetry.report() if name.startswith("discovery_call_ended.")}
+            assert told[0].version == 1 and ends == {"discovery_call_ended.answered"}
+            discovery.stop()
             for client in kept:
                 client.close()
 
