The kit's judge holds the terms' 6 s, an agent's news at once; discovery is played slow

Need: the judge let a polled list's drain go unknown for 40 s (four times must_ask_s) and a pushed one's for 6 s; the terms say 6 s after discovery had it and could be reached, and that what an agent has counts at once (4 s after SIGHUP). A soak lasted 14 s, less than the longest wait of the node, and discovery was either well or down.

Change: DiscoverySettings.notified_after_s is 6 s polled, 0 pushed; the reference checker reads the same terms by itself, on both modes. New faults: discovery_slow, discovery_crowded (calls in turn, dead ones too), discovery_trickle, discovery_half_silent, and discovery_down "mute" (its old calls stay silent at its return). Soaks last 18 s; four of five have one of these around a drain; a quarter are quiet for 20 to 40 s first.

Replaced tests: the drains of test_judge.py that were read with 6 s where lists are pushed are read as polled, where they are the same; a table says for both modes when a drain counts as notified. test_soak's "faults begin within LENGTH_S" is "within the soak", which may be longer now.

--- a/cloverhold/rehearsal/agents.py
+++ b/cloverhold/rehearsal/agents.py
@@ -12,11 +12,19 @@
 import httptools
 
 from cloverhold.rehearsal.catalog import Agent, Counter, Entry, line
+from cloverhold.rehearsal.faults import (
+    DiscoveryCrowded,
+    DiscoveryHalfSilent,
+    DiscoverySlow,
+    DiscoveryTrickle,
+    Fault,
+)
 from cloverhold.rehearsal.sockets import LOOPBACK, accepted, hold, listen, port_of
 from cloverhold.rehearsal.wire import answer
 from cloverhold.rehearsal.world import World
 
 MOST_HOLD_S = 60.0
+TRICKLE_PIECES = 20
 
 
 class Desk:
@@ -33,6 +41,9 @@
         self.current = 0
         self.down: dict[int, str] = {}  # by fault: how
         self.stale: set[int] = set()
+        self.ailments: dict[int, Fault] = {}  # by fault
+        self.calls_lost = 0  # calls that came while some are lost
+        self.free_at = 0.0  # when the calls that came are worked through, where it is crowded
 
     def address(self) -> str:
         """The address that the configuration names."""
@@ -73,20 +84,53 @@
         self.agent.hold()
         if how == "refuse":
             self._deaf(self.current)
-        if how != "silent":
+        if how not in ("silent", "mute"):
             for call in list(self.calls):
                 call.abort()
 
     def mend(self, number: int) -> None:
-        """It is back; calls that were left without an answer end."""
-        self.down.pop(number, None)
-        if not self.down:
+        """It is back; calls that were left without an answer end, or stay as they are."""
+        how = self.down.pop(number, None)
+        if not self.down and how != "mute":
             for call in list(self.calls):
                 if call.unheard:
                     call.abort()
         self.listen()
         self._release()
 
+    def ail(self, number: int, fault: Fault) -> None:
+        """Answers come late, in turn, in pieces or not at all."""
+        self.ailments[number] = fault
+        if isinstance(fault, DiscoveryHalfSilent):
+            for call in list(self.calls):
+                call.lose()
+
+    def heal(self, number: int) -> None:
+        """That is over."""
+        self.ailments.pop(number, None)
+
+    def loses_call(self) -> bool:
+        """Whether a call that has come now is never answered."""
+        every = min((a.every for a in self.ailments.values() if isinstance(a, DiscoveryHalfSilent)), default=0)
+        if not every:
+            return False
+        self.calls_lost += 1
+        return self.calls_lost % every == 0
+
+    def delay_s(self) -> float:
+        """How much later an answer is written that could be written now."""
+        now, ailments = self.world.now(), self.ailments.values()
+        late_s = max((a.delay_ms / 1000 for a in ailments if isinstance(a, DiscoverySlow)), default=0.0)
+        call_s = max((a.call_ms / 1000 for a in ailments if isinstance(a, DiscoveryCrowded)), default=0.0)
+        if call_s:
+            self.free_at = max(self.free_at, now) + call_s
+            late_s += self.free_at - now
+        return late_s
+
+    def trickle_s(self) -> float:
+        """How long the pieces of an answer take to come."""
+        return max((a.over_ms / 1000 for a in self.ailments.values() if isinstance(a, DiscoveryTrickle)), default=0.0)
+
     def freeze(self, number: int, *, on: bool) -> None:
         """Go on answering with nothing new, or no longer."""
         if on:
@@ -186,6 +230,9 @@
             else:
                 self.unheard = True
             return
+        if self.desk.loses_call():
+            self.unheard = True
+            return
         since, hold_ms = said.get("from", [""])[0], said.get("hold_ms", ["0"])[0]
         self.since = int(since) if since.isdigit() else None
         if self.since is None or self.desk.agent.changes(self.since)[1]:
@@ -200,6 +247,12 @@
         if self.waits and not self.desk.down:
             self._tell()
 
+    def lose(self) -> None:
+        """A watch that waits falls silent."""
+        if self.waits:
+            self._rest()
+            self.unheard = True
+
     def _rest(self) -> None:
         self.waits = False
         if self._timer is not None:
@@ -211,21 +264,40 @@
         if self.desk.down:
             self.unheard = True
             return
-        counter, now = self.desk.counter, self.desk.world.now()
-        if counter is None:
-            self._write()
-            return
-        lines = self.desk.agent.whole() if self.since is None else self.desk.agent.changes(self.since)
-        wait = counter.take(now, len(lines[1]))
+        wait = self._turn_s()
         if wait is None:
             self._put(answer("503 Service Unavailable", b""))
-        else:
+            return
+        wait += self.desk.delay_s()
+        if wait:
             self._timer = self.desk.world.loop.call_later(wait, self._write)
+        else:
+            self._write()
+
+    def _turn_s(self) -> float | None:
+        """After how many seconds the service comes to this call; None where that would take too long."""
+        counter = self.desk.counter
+        if counter is None:
+            return 0.0
+        lines = self.desk.agent.whole() if self.since is None else self.desk.agent.changes(self.since)
+        return counter.take(self.desk.world.now(), len(lines[1]))
 
     def _write(self) -> None:
+        if self.desk.down:
+            self.unheard = True
+            return
         rev, body = self.desk.told(self.since)
-        self._put(answer("200 OK", body))
-        if self.transport is not None:
+        data, over_s = answer("200 OK", body), self.desk.trickle_s()
+        count = TRICKLE_PIECES if over_s else 1
+        size = -(-len(data) // count)
+        self._write_pieces([data[at : at + size] for at in range(0, len(data), size)], over_s / count, rev)
+
+    def _write_pieces(self, pieces: list[bytes], gap_s: float, rev: int) -> None:
+        """Write an answer; it counts as written with its last byte."""
+        self._put(pieces[0])
+        if len(pieces) > 1:
+            self._timer = self.desk.world.loop.call_later(gap_s, self._write_pieces, pieces[1:], gap_s, rev)
+        elif self.transport is not None:
             self.desk.agent.wrote(self.desk.world.now(), rev)
 
     def _put(self, data: bytes) -> None:
--- a/cloverhold/rehearsal/faults.py
+++ b/cloverhold/rehearsal/faults.py
@@ -166,10 +166,40 @@
 
 
 class DiscoveryDown(_OnNodes):
-    """Discovery is silent (`how`: silent, refuse, error) towards these nodes."""
+    """Discovery is down towards these nodes. `how`: silent (calls without an answer are reset at its return), mute
+    (they stay silent for good), refuse, error.
+    """
 
     kind: Literal["discovery_down"]
-    how: Literal["silent", "refuse", "error"] = "silent"
+    how: Literal["silent", "mute", "refuse", "error"] = "silent"
+
+
+class DiscoverySlow(_OnNodes):
+    """Each answer of discovery to these nodes comes late."""
+
+    kind: Literal["discovery_slow"]
+    delay_ms: Annotated[float, Field(gt=0)] = 200.0
+
+
+class DiscoveryCrowded(_OnNodes):
+    """Discovery works through the calls of these nodes in turn, also those that were given up."""
+
+    kind: Literal["discovery_crowded"]
+    call_ms: Annotated[float, Field(gt=0)] = 100.0
+
+
+class DiscoveryTrickle(_OnNodes):
+    """Answers of discovery to these nodes come in small pieces, over this time."""
+
+    kind: Literal["discovery_trickle"]
+    over_ms: Annotated[float, Field(gt=0)] = 200.0
+
+
+class DiscoveryHalfSilent(_OnNodes):
+    """Open watches of these nodes fall silent for good, and so does every so manieth call that comes."""
+
+    kind: Literal["discovery_half_silent"]
+    every: Annotated[int, Field(ge=2)] = 2
 
 
 class DiscoveryStale(_OnNodes):
@@ -317,6 +347,10 @@
         RollingRestart,
         DiscoveryDown,
         DiscoveryStale,
+        DiscoverySlow,
+        DiscoveryCrowded,
+        DiscoveryTrickle,
+        DiscoveryHalfSilent,
         NodeKill,
         NodeTerm,
         SignalSeries,
--- a/cloverhold/rehearsal/rules.py
+++ b/cloverhold/rehearsal/rules.py
@@ -30,7 +30,7 @@
 
 MARGIN_S = 0.05
 FREED_S = 0.25  # an id that a stranger takes may have become free within this
-TOLD_AFTER_HUP_S = 4.0  # what discovery has to tell counts as told after this
+NOTIFIED_AFTER_HUP_S = 4.0  # what discovery has counts as notified after this
 CALL_S = 1.0  # a call at the management address is answered by then
 HELD_UP_S = 0.25  # a stop of up to 0.15 s, with its signals, is one that a node has to bear
 GONE_S = 0.1  # an attempt that begins later than this after its client left is one too many
@@ -321,16 +321,18 @@
         return self.unwanted_since[place - 1] if place else None
 
 
-def _told_at(case: Case, row: Told) -> float:
-    """When a change counts as told."""
-    times = [row.due_s + case.scenario.discovery.told_s()]
-    if row.written_s is not None:
-        times.append(row.written_s)
+def _notified_at(case: Case, row: Told) -> float:
+    """When a node counts as notified of a change: when it was written to it, at the latest by the settings."""
     life: NodeLife | None = case.lives.get((row.node, row.node_life))
-    if life is None:
-        return min(times)
-    times.extend(hup + TOLD_AFTER_HUP_S for hup in life.hups if hup >= row.due_s)
-    return max(life.started_s, min(times))
+    hups = life.hups if life is not None else []
+    latest = row.due_s + case.scenario.discovery.notified_after_s()
+    if case.scenario.discovery.mode == "push":
+        latest = max([latest, *(hup + NOTIFIED_AFTER_HUP_S for hup in hups if hup <= row.due_s)])
+    else:
+        latest = min([latest, *(hup + NOTIFIED_AFTER_HUP_S for hup in hups if hup >= row.due_s)])
+    if row.written_s is not None:
+        latest = min(latest, row.written_s)
+    return latest if life is None else max(life.started_s, latest)
 
 
 def _states(case: Case) -> dict[tuple[int, int, str], _States]:
@@ -338,7 +340,7 @@
     for life in case.ledger.of(NodeLife):
         for server, state in life.known.items():
             found[(life.node, life.life, server)].put(life.started_s, state)
-    for at_s, row in sorted(((_told_at(case, r), r) for r in case.ledger.of(Told)), key=lambda pair: pair[0]):
+    for at_s, row in sorted(((_notified_at(case, r), r) for r in case.ledger.of(Told)), key=lambda pair: pair[0]):
         found[(row.node, row.node_life, row.server)].put(at_s, row.state)
     return found
 
@@ -374,7 +376,7 @@
     told: dict[tuple[str, int], list[tuple[float, float]]] = defaultdict(list)
     for row in case.ledger.of(Told):
         if row.state == "active" and row.boot_s is not None:
-            told[(row.server, row.node)].append((row.boot_s, _told_at(case, row)))
+            told[(row.server, row.node)].append((row.boot_s, _notified_at(case, row)))
     for life in case.ledger.of(Life):
         if life.cold_s > 0 and life.cold_from < 1:
             yield from _pushed(case, life, told)
--- a/cloverhold/rehearsal/scenario.py
+++ b/cloverhold/rehearsal/scenario.py
@@ -67,6 +67,9 @@
     kind: Annotated[tuple[Kind, ...], Field(min_length=1, strict=False)] = (Kind(name="media"),)
 
 
+NOTIFIED_AFTER_S = 6.0  # whatever failed before
+
+
 class DiscoverySettings(Table):
     """How late the list is."""
 
@@ -81,9 +84,11 @@
     timeout_s: Positive = 2.0  # asked: a call that would wait longer is turned away
     must_ask_s: Positive = 10.0  # asked: without a call for this long, a node counts as told
 
-    def told_s(self) -> float:
-        """After which what discovery has to tell counts as told. Asked, a call may have failed before."""
-        return 6.0 if self.mode == "push" else 4 * self.must_ask_s
+    def notified_after_s(self) -> float:
+        """After which a node counts as notified of what discovery has, whether or not it arrived. An agent's news
+        counts at once; a service that is polled may have failed a call before, or lost a watch.
+        """
+        return 0.0 if self.mode == "push" else NOTIFIED_AFTER_S
 
 
 class Nodes(Table):
--- a/cloverhold/rehearsal/soak/draw.py
+++ b/cloverhold/rehearsal/soak/draw.py
@@ -12,8 +12,11 @@
 from cloverhold.rehearsal.faults import Hostility
 from cloverhold.rehearsal.scenario import Scenario, server_name
 
-LENGTH_S = 14.0
+LENGTH_S = 18.0
 QUIET_S = 1.0  # at the start, before the first fault
+LONG_QUIET_S = 20.0, 40.0  # the same, where it is long: the longest wait of a node begins and ends within it
+LONG_QUIET = 0.25  # part of the soaks that are quiet for so long first
+AILING = 0.8  # part of the soaks in which discovery answers badly around a drain
 FEWEST, MOST = 5, 11  # faults
 CROWDED = 0.3  # part of the soaks with a crowd of idle clients
 NODES = 3, 6
@@ -45,7 +48,7 @@
     lambda r: {"kind": "rolling_restart", "drain_s": r.uniform(0.2, 1.0), "down_s": r.uniform(0.1, 0.5)},
 )
 ON_NODES: tuple[Callable[[Random], Table], ...] = (
-    lambda r: {"kind": "discovery_down", "how": r.choice(["silent", "refuse", "error"])},
+    lambda r: {"kind": "discovery_down", "how": r.choice(["silent", "mute", "refuse", "error"])},
     lambda r: {"kind": "discovery_stale"},
     lambda r: {"kind": "node_kill"},
     lambda r: {"kind": "node_term"},
@@ -65,6 +68,14 @@
         "factor": r.uniform(5.0, 30.0),
     },
 )
+AILMENTS_MOST_S = {"push": 0.15, "ask": 2.0}  # how much later an answer may come, by the mode of the lists
+AILMENTS: tuple[Callable[[Random, float], Table], ...] = (
+    lambda r, most: {"kind": "discovery_slow", "delay_ms": 1000 * r.uniform(most / 4, most)},
+    lambda r, most: {"kind": "discovery_crowded", "call_ms": 1000 * r.uniform(most / 8, most / 2)},
+    lambda r, most: {"kind": "discovery_trickle", "over_ms": 1000 * r.uniform(most / 4, most)},
+    lambda r, most: {"kind": "discovery_half_silent", "every": r.randint(2, 4)},
+    lambda r, most: {"kind": "discovery_down", "how": r.choice(["silent", "mute", "refuse", "error"])},
+)
 CALLS: tuple[tuple[str, str], ...] = (
     ("accept", "ENFILE"),
     ("accept", "EMFILE"),
@@ -88,11 +99,16 @@
     if random.random() < CROWDED:
         faults.append(_crowd(random))
     faults.extend(_repeated_terms(faults))
+    mode = random.choice(["push", "ask"])
+    faults.extend(_drains_under_ailing_discovery(seed, mode, nodes, servers))
+    quiet_s = _quiet_s(seed)
+    for fault in faults:
+        fault["at_s"] += quiet_s
     raw: Table = {
         "name": f"soak-{seed}",
         "summary": "Random faults that overlap.",
         "seed": seed,
-        "length_s": LENGTH_S,
+        "length_s": LENGTH_S + quiet_s,
         "fleet": {
             "servers": servers,
             "cell_size": random.choice([2, 4, servers]),
@@ -102,7 +118,7 @@
         "discovery": {
             "notice_s": random.choice([0.1, 1.0]),
             "silent_notice_s": random.choice([1.0, 4.0]),
-            "mode": random.choice(["push", "ask"]),
+            "mode": mode,
         },
         "nodes": {
             "count": nodes,
@@ -124,6 +140,36 @@
     return Scenario.model_validate(raw)
 
 
+def _quiet_s(seed: int) -> float:
+    random = Random(f"soak-quiet:{seed}")
+    return random.uniform(*LONG_QUIET_S) if random.random() < LONG_QUIET else 0.0
+
+
+def _drains_under_ailing_discovery(seed: int, mode: str, nodes: int, servers: int) -> list[Table]:
+    """Discovery answers some nodes badly, or was down for them, and servers drain meanwhile or right behind it.
+
+    What an agent has counts as notified at once: there answers come late by less than the grace. No drain comes so late
+    that its 6 s and its grace are not over in time to be judged.
+    """
+    random = Random(f"soak-discovery:{seed}")
+    if random.random() >= AILING:
+        return []
+    begin, for_s = random.uniform(5.0, 6.5), random.uniform(1.0, 3.0)
+    chosen = sorted(random.sample(range(nodes), random.randint(1, nodes)))
+    drained = sorted(random.sample(range(servers), max(1, servers // random.randint(2, 4))))
+    ailment = random.choice(AILMENTS)(random, AILMENTS_MOST_S[mode])
+    drain_at = begin + random.choice([random.uniform(0.0, for_s), for_s + random.uniform(0.0, 0.5)])
+    return [
+        {"at_s": begin, "for_s": for_s, "nodes": chosen, **ailment},
+        {
+            "kind": "drain",
+            "at_s": min(drain_at, LENGTH_S - 9.0),
+            "for_s": LENGTH_S,
+            "servers": [server_name(n) for n in drained],
+        },
+    ]
+
+
 def _crowd(random: Random) -> Table:
     """Idle clients, or clients that stop within a head, more than the descriptors of a small node bear."""
     how, begin = random.choice(["silent", "stays_in_head"]), random.uniform(QUIET_S, LENGTH_S - 6.0)
--- a/cloverhold/rehearsal/stage.py
+++ b/cloverhold/rehearsal/stage.py
@@ -337,6 +337,9 @@
         assert isinstance(fault, f.DiscoveryDown)
         desk.fail(step.fault, fault.how)
 
+    def _ails(self, desk: Desk, step: Step) -> None:
+        desk.ail(step.fault, self.scenario.faults[step.fault])
+
     async def _on_node(self, node: Node, step: Step) -> None:
         match step.what:
             case "node_kill":
@@ -399,6 +402,8 @@
 _ON_DESKS: dict[str, Callable[[Stage, Desk, Step], None]] = {
     "discovery_down": Stage._down,
     "discovery_up": lambda stage, desk, step: desk.mend(step.fault),
+    "discovery_ails": Stage._ails,
+    "discovery_heals": lambda stage, desk, step: desk.heal(step.fault),
     "discovery_stale": lambda stage, desk, step: desk.freeze(step.fault, on=True),
     "discovery_fresh": lambda stage, desk, step: desk.freeze(step.fault, on=False),
     "discovery_old_closes": lambda stage, desk, step: desk.close_old(),
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import sys
 from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 from itertools import pairwise
 from multiprocessing import get_context
 from pathlib import Path
@@ -12,12 +14,13 @@
 
 from cloverhold.rehearsal.faults import ALL
 from cloverhold.rehearsal.ledger import Ledger, NodeLife, Stranger
-from cloverhold.rehearsal.soak.draw import LENGTH_S, draw
+from cloverhold.rehearsal.soak.draw import LENGTH_S, LONG_QUIET_S, QUIET_S, draw
 from cloverhold.rehearsal.soak.play import play
 from cloverhold.rehearsal.soak.verdict import MOST_DESCRIPTORS_AT_REST, AtRest, assess
 
 SEEDS = (1, 2, 3, 4, 5, 6, 7, 8)
 JOBS = 4
+DEAF_NODE, DEAF_SEEDS = Path(__file__).parent / "deaf_node.py", (4, 5, 9, 12)
 
 
 def test_a_seed_draws_the_same_soak_each_time_and_seeds_differ() -> None:
@@ -32,7 +35,16 @@
     for scenario in drawn:
         spans = sorted((fault.at_s, fault.at_s + fault.for_s) for fault in scenario.faults)
         assert any(second[0] < first[1] for first, second in pairwise(spans))
-        assert all(fault.at_s < LENGTH_S for fault in scenario.faults)
+        assert all(fault.at_s < scenario.length_s for fault in scenario.faults)
+
+
+def test_some_soaks_are_quiet_for_longer_than_any_wait_of_a_node_and_most_drain_under_bad_discovery() -> None:
+    drawn = [draw(seed) for seed in range(200)]
+    quiet = [min(fault.at_s for fault in scenario.faults) for scenario in drawn]
+    assert sum(at >= LONG_QUIET_S[0] for at in quiet) >= 30 and all(at >= QUIET_S for at in quiet)
+    ailing = [scenario for scenario in drawn if any(f.kind.startswith("discovery_") for f in scenario.faults)]
+    assert sum(any(f.kind == "drain" for f in scenario.faults) for scenario in ailing) >= 140
+    assert all(scenario.length_s - quiet_s >= LENGTH_S - 8.0 for scenario, quiet_s in zip(drawn, quiet, strict=True))
 
 
 def findings(tmp_path: Path, *rows: object, at_rest: tuple[AtRest, ...] = ()) -> list[str]:
@@ -69,3 +81,11 @@
         results = list(pool.map(play, SEEDS))
     assert {result.seed: result.findings for result in results if result.findings} == {}
     assert all(result.requests for result in results)
+
+
+def test_node_that_hears_discovery_no_more_is_found_where_lists_are_pushed_and_where_they_are_polled() -> None:
+    command = (sys.executable, str(DEAF_NODE))
+    assert {draw(seed).discovery.mode for seed in DEAF_SEEDS} == {"push", "ask"}
+    with ProcessPoolExecutor(JOBS, mp_context=get_context("spawn")) as pool:
+        results = list(pool.map(partial(play, command=command), DEAF_SEEDS))
+    assert all(any("drains_kept" in finding for finding in result.findings) for result in results)
--- a/tests/rehearsal/second_reading.py
+++ b/tests/rehearsal/second_reading.py
@@ -101,13 +101,18 @@
 
     # Drains.
     def told_at(row: Told) -> float:
-        at = row.due_s + 6.0
-        if row.written_s is not None and row.written_s < at:
-            at = row.written_s
+        pushed = scenario.discovery.mode == "push"
+        at = row.due_s if pushed else row.due_s + 6.0
         for n in nodes:
             for hup in n.hups:
-                if (n.node, n.life) == (row.node, row.node_life) and hup >= row.due_s and hup + 4.0 < at:
-                    at = hup + 4.0
+                if (n.node, n.life) != (row.node, row.node_life):
+                    continue
+                if pushed and hup <= row.due_s:  # it may have another agent since
+                    at = max(at, hup + 4.0)
+                if not pushed and hup >= row.due_s:
+                    at = min(at, hup + 4.0)
+        if row.written_s is not None and row.written_s < at:
+            at = row.written_s
         for n in nodes:
             if (n.node, n.life) == (row.node, row.node_life):
                 at = max(at, n.started_s)  # nobody is told before he is there
--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -27,14 +27,17 @@
     lines,
     read,
 )
+from cloverhold.rehearsal.scenario import Scenario
 from small import CLASSES, small
 
 CLASS_OF = {"safe": "consulta", "unsafe": "alerta-umbral", "keyed": "lote"}
 KEYED_MS = 1505.0  # no multiple of the grid of the generated times: a tie would be read either way
-SCENARIO = small(
-    rules={"fall_ms": 1505.0},
-    **{"class": [{**k, **({"key_ttl_ms": KEYED_MS} if k["repeats"] == "keyed" else {})} for k in CLASSES]},
-)
+CHANGES: dict[str, Any] = {
+    "rules": {"fall_ms": 1505.0},
+    "class": [{**k, **({"key_ttl_ms": KEYED_MS} if k["repeats"] == "keyed" else {})} for k in CLASSES],
+}
+SCENARIO = small(**CHANGES)
+POLLED = small(**CHANGES, discovery={"notice_s": 0.1, "silent_notice_s": 1.0, "mode": "ask"})
 
 
 def ledger(*rows: Row, nodes: int = 1, **changes: Any) -> Ledger:
@@ -63,9 +66,9 @@
 HELD = {"outcome": "held", "ended_s": None, "closed_s": None, "digest": ""}
 
 
-def broken(seen: Ledger) -> dict[str, str]:
+def broken(seen: Ledger, scenario: Scenario = SCENARIO) -> dict[str, str]:
     """The rules that are broken, with what is said of each."""
-    return {name: found[0].what for name, found in judge(SCENARIO, seen).rules.items() if found}
+    return {name: found[0].what for name, found in judge(scenario, seen).rules.items() if found}
 
 
 @pytest.mark.parametrize(
@@ -140,6 +143,62 @@
         ({}, [a_try("unsafe", answers=[Answer(1.3, 503, "")]), arrival(outcome="rejected")]),
         ({}, [a_try("safe", answers=[Answer(1.3, 503, "")]), arrival(outcome="reset")]),
         ({"no_repeat": "sent on what no client asked for"}, [arrival(outcome="unknown", id="h0-hidden")]),
+        # Cold servers.
+        (
+            {"cold_kept": "4000 ms of work within 1.505 s, 0.50 s after its start"},
+            [
+                Life("s0", 1, 0, 1.0, 0.4, 6.0, 0.5),
+                Told(0, 0, "s0", "active", 0.5, 0.6, 0.6),
+                a_try(answers=[GOOD]),
+                arrival(life=1, work_ms=4000.0),
+            ],
+        ),
+        (  # nobody knew
+            {},
+            [Life("s0", 1, 0, 1.0, 0.4, 6.0, 0.5), a_try(answers=[GOOD]), arrival(life=1, work_ms=4000.0)],
+        ),
+    ],
+)
+def test_each_breach_is_seen_and_nothing_else(said: dict[str, str], rows: list[Row]) -> None:
+    assert broken(ledger(*rows)) == said
+
+
+@pytest.mark.parametrize(
+    ("due_s", "written_s", "hups", "pushed", "polled"),
+    [
+        # When discovery had a drain, when it was written, SIGHUPs; how long after it counted as notified
+        # a request came; None: not past the grace.
+        (0.2, 0.3, [], 0.8, 0.7),
+        (0.2, 0.5, [], 0.8, None),
+        (0.5, 0.5, [], None, None),
+        (0.2, None, [], 0.8, None),  # an agent has it; a service has 6 s
+        (-4.9, None, [], 5.9, None),
+        (-5.4, None, [], 6.4, None),
+        (-5.6, None, [], 6.6, 0.6),
+        (-8.0, None, [], 9.0, 3.0),
+        (-4.9, None, [-4.0], 5.9, 1.0),  # by a reload 4 s before
+        (-2.0, None, [-2.5], None, None),  # an agent of its own since
+        (-3.0, None, [-4.0], 1.0, None),
+        (-3.0, -2.0, [-4.0], 3.0, 3.0),
+    ],
+)
+def test_drain_counts_as_notified_by_the_terms(
+    due_s: float, written_s: float | None, hups: list[float], pushed: float | None, polled: float | None
+) -> None:
+    for scenario, late_s in ((SCENARIO, pushed), (POLLED, polled)):
+        rows = (
+            NodeLife(0, 1, -9.0, {"s0": "active"}, ready_s=-8.5, hups=hups),
+            a_try(answers=[GOOD]),
+            arrival(),
+            Told(0, 1, "s0", "leaving", None, due_s, written_s),
+        )
+        what = f"sent {late_s:.2f} s after the node was told that it is unwanted" if late_s is not None else ""
+        assert broken(ledger(*rows), scenario) == ({"drains_kept": what} if what else {})
+
+
+@pytest.mark.parametrize(
+    ("said", "rows"),
+    [
         # Drains.
         (
             {"drains_kept": "sent 0.70 s after the node was told that it is unwanted"},
@@ -179,24 +238,10 @@
                 Told(0, 0, "s0", "left", None, 0.2, 0.3),
             ],
         ),
-        # Cold servers.
-        (
-            {"cold_kept": "4000 ms of work within 1.505 s, 0.50 s after its start"},
-            [
-                Life("s0", 1, 0, 1.0, 0.4, 6.0, 0.5),
-                Told(0, 0, "s0", "active", 0.5, 0.6, 0.6),
-                a_try(answers=[GOOD]),
-                arrival(life=1, work_ms=4000.0),
-            ],
-        ),
-        (  # nobody knew
-            {},
-            [Life("s0", 1, 0, 1.0, 0.4, 6.0, 0.5), a_try(answers=[GOOD]), arrival(life=1, work_ms=4000.0)],
-        ),
     ],
 )
-def test_each_breach_is_seen_and_nothing_else(said: dict[str, str], rows: list[Row]) -> None:
-    assert broken(ledger(*rows)) == said
+def test_drains_of_a_polled_list(said: dict[str, str], rows: list[Row]) -> None:
+    assert broken(ledger(*rows), POLLED) == said
 
 
 def test_what_a_killed_node_held_is_its_clients_to_repeat() -> None:
@@ -314,9 +359,10 @@
 @given(rows())
 def test_the_judge_agrees_with_a_second_reading(generated: list[Row]) -> None:
     seen = ledger(*generated, nodes=2)
-    verdict = judge(SCENARIO, seen)
-    mine = {(name, v.server if name == "cold_kept" else v.id) for name, found in verdict.rules.items() for v in found}
-    assert mine == second_reading.read(SCENARIO, seen)
+    for scenario in (SCENARIO, POLLED):
+        rules = judge(scenario, seen).rules
+        mine = {(name, v.server if name == "cold_kept" else v.id) for name, found in rules.items() for v in found}
+        assert mine == second_reading.read(scenario, seen)
 
 
 @settings(max_examples=40, deadline=None)
