A list without a length is whole at the end of its connection

What callers would see: a discovery whose answers end with their connection (RFC 9112, 6.3, rule 8) was never heard: each was taken for a broken connection.

Cause: the reader of discovery's answers did not ask the parser for what the end of the connection completes.

Change: it does. Beside it, simulated: discovery that SIGHUP moved is heard in 4 s though its first call is lost, refused or reset.

--- a/cloverhold/net/discovery/connection.py
+++ b/cloverhold/net/discovery/connection.py
@@ -64,7 +64,7 @@
         while True:
             data = await self.reader.read(READ_BYTES)
             if not data:
-                raise ConnectionEnded("the connection ended")
+                return _ended_by_close(parser)
             progressed()
             try:
                 response = parser.feed(data)
@@ -80,6 +80,14 @@
         self.reader = self.writer = None
 
 
+def _ended_by_close(parser: ResponseParser) -> Response:
+    """An answer without a length is whole at the end of its connection."""
+    response = parser.finish()
+    if response is None:
+        raise ConnectionEnded("the connection ended")
+    return response
+
+
 def _json(text: bytes) -> object:
     try:
         value: object = json.loads(text)
--- a/tests/faults/simulated_discovery.py
+++ b/tests/faults/simulated_discovery.py
@@ -81,6 +81,12 @@
             self._answer_later(call)
         return service.rev
 
+    def move(self) -> None:
+        """SIGHUP: discovery is at another address, which has the same list."""
+        self._carry_out(self.schedule.stop())
+        self.schedule.forget_version()
+        self.schedule.start(self.now)
+
     def lose_watches(self) -> None:
         """The watches that wait are never answered."""
         self._watching.clear()
--- a/tests/faults/test_call_schedule.py
+++ b/tests/faults/test_call_schedule.py
@@ -26,6 +26,7 @@
 GRACE_S, SLACK_S = 0.5, 0.05
 POLLED = replace(ASKED, must_ask_ms=10_000.0, drain_grace_ms=1000 * GRACE_S)
 STREAMED = replace(PUSHED, drain_grace_ms=1000 * GRACE_S)
+SIGHUP_S = 4.0  # after which what discovery has counts as notified
 LATENCIES_S = (0.01, 0.3, 1.0, 2.0)
 SEEDS = range(4)
 
@@ -138,6 +139,23 @@
         assert sum(at > begin for at in follower.begun) <= 100 and follower.most_open <= 3
 
 
+@pytest.mark.parametrize("latency_s", LATENCIES_S)
+@pytest.mark.parametrize("fate", [Fate.LOST, Fate.REFUSED, Fate.RESET])
+@pytest.mark.parametrize("settings", [POLLED, STREAMED])
+def test_discovery_that_moved_is_heard_in_4_s_though_its_first_call_fails(
+    settings: Settings, fate: Fate, latency_s: float
+) -> None:
+    for seed in range(20):
+        follower = quiet(settings, 0.01, seed)
+        follower.service.latency_s = lambda: latency_s
+        follower.service.fates.append(fate)
+        version = follower.change("s0", "leaving")
+        follower.move()
+        moved_at = follower.now
+        follower.run(moved_at + 20.0, stop=lambda f=follower, v=version: v in f.heard)  # type: ignore[misc]
+        assert follower.heard[version] - moved_at <= SIGHUP_S
+
+
 def test_polled_calls_are_as_rare_after_trouble_as_before() -> None:
     for seed in SEEDS:
         follower = quiet(POLLED, 0.01, seed)
--- a/tests/moments/test_watch.py
+++ b/tests/moments/test_watch.py
@@ -204,6 +204,32 @@
     play(test)
 
 
+def test_list_without_a_length_is_whole_at_the_end_of_its_connection() -> None:
+    """Without the mend such a discovery was never heard: each of its answers was taken for a broken connection."""
+
+    class Closing(Catalog):
+        async def serve(self, asked: str, head: bytes, body: bytes, writer: asyncio.StreamWriter) -> bool:
+            text = json.dumps(list_value(7, [target("s0", 9)])).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + text[: 5 + len(self.requests)])
+            await asyncio.sleep(0.01)
+            self.requests.append((asked, head, body))
+            writer.write(text[4 + len(self.requests) :])
+            writer.close()
+            return True
+
+    async def test() -> None:
+        service, told = Closing([]), list[Members]()
+        await service.start()
+        discovery = Discovery(("127.0.0.1", service.port), Clock(), told.append, lambda: None, lambda: PUSHED)
+        discovery.watch()
+        await until(lambda: told)
+        assert told[0].version == 7 and told[0].full
+        discovery.stop()
+        service.stop()
+
+    play(test)
+
+
 def test_sighup_moves_discovery_while_the_old_one_is_silent_and_the_new_one_too() -> None:
     async def test() -> None:
         async with running(Server()) as node:
