--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -129,7 +129,7 @@
             b"/_ready": (b"GET", lambda: self.life.ready() and self.host.ready()),
             b"/_lameduck/on": (b"POST", lambda: self._lame_duck(on=True)),
             b"/_lameduck/off": (b"POST", lambda: self._lame_duck(on=False)),
-            b"/_metrics": (b"GET", lambda: json.dumps(self.telemetry.report()).encode()),
+            b"/_metrics": (b"GET", lambda: json.dumps(self.telemetry.report() | self.discovery.gauges()).encode()),
         }
         if (membership := self.membership) is not None:
             calls[b"/_members"] = (b"GET", lambda: json.dumps(membership.report()).encode())
--- a/cloverhold/limits.py
+++ b/cloverhold/limits.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass
 
-# Parts of the descriptors; the rest is for discovery, the listening sockets and the interpreter.
+# Parts of the descriptors; the rest is for the calls to discovery, the listening sockets and the interpreter.
 CLIENT_PART, SERVER_PART = 0.5, 0.4
 RESTING_PART = 1 / 6  # of connections between requests: clients hold a third at most
-OWN = 30  # standard streams, the loop's own, listening handles, discovery, what is accepted and closed in one turn
+OWN = 34  # standard streams, the loop's own, listening handles, discovery, what is accepted and closed in one turn
 MANAGEMENT = 20  # the listening socket of management, its callers, and those that give way
 LEAST = 8
 
--- a/cloverhold/net/discovery/watcher.py
+++ b/cloverhold/net/discovery/watcher.py
@@ -105,6 +105,15 @@
         """How long ago discovery answered last, in seconds."""
         return time.monotonic() - self._answered_at_s
 
+    def gauges(self) -> dict[str, int]:
+        """How it stands now, by the names that the counters' report gives; version 0: no list is held."""
+        return {
+            "discovery.version": self.schedule.version or 0,
+            "discovery.silent_ms": round(1000 * self.silent_s()),
+            "discovery.latency_ms": round(1000 * self.schedule.latency_s),
+            "discovery.open_calls": len(self.schedule.open_calls()),
+        }
+
     def _advance(self) -> None:
         self._carry_out(self.schedule.tick(time.monotonic()))
         self._arm()
--- /dev/null
+++ b/tests/faults/test_discovery_telemetry.py
@@ -0,0 +1,54 @@
+"""What a node says of its calls to discovery: counters, log lines and gauges."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from discovery_service import Answer, DiscoveryService
+from loopback import Server, play, target
+from node_process import NodeProcess, node_process
+
+SETTINGS = {"RegistryMode": "subscribe"}
+
+
+async def counted(node: NodeProcess, name: str, least: float = 1) -> dict[str, float]:
+    """The metrics, once a counter has come so far."""
+    async with asyncio.timeout(20.0):
+        while (metrics := await node.metrics()).get(name, 0) < least:
+            await asyncio.sleep(0.05)
+    return metrics
+
+
+def test_silence_refusals_and_drains_are_counted_and_logged(tmp_path: Path) -> None:
+    async def test() -> None:
+        first, second = Server(), Server()
+        async with node_process(tmp_path, first, second, settings=SETTINGS, discovery=DiscoveryService) as node:
+            service: DiscoveryService = node.catalog
+            before = await counted(node, "discovery_call_begun.watch")
+            assert before["discovery.version"] == 1 and before["discovery.open_calls"] == 1
+            assert "discovery_state.not_answering" not in before
+            service.conditions.next_calls.append(Answer.UNAVAILABLE)
+            service.reset_open_calls()
+            await counted(node, "discovery_call_ended.refused")
+            after = await counted(node, "discovery_state.answering")
+            assert after["discovery_call_ended.broken"] == after["discovery_call_ended.refused"] == 1
+            await counted(node, "discovery_call_begun.watch", before["discovery_call_begun.watch"] + 1)
+            service.lose_open_calls()
+            await counted(node, "discovery_call_ended.superseded")
+            service.change([target("s0", first.port, "leaving")])
+            metrics = await counted(node, "servers_changed.draining")
+            assert metrics["discovery.version"] == 2 and metrics["list_taken.changes"] == 1
+            lines = [line for line in node.log if "discovery_" in line or "servers_changed" in line]
+            for text in (
+                "reason=broken call=2 kind='watch' since=1",
+                "reason=refused call=3 kind='check' since=1",
+                "error='status 503'",
+                "reason=not_answering",
+                "reason=answering",
+                "reason=superseded",
+                "reason=draining version=2 servers=1",
+            ):
+                assert any(text in line for line in lines), (text, lines)
+
+    play(test)
