The kit's discovery is DiscoveryStandIn and CallQueue (was Desk and Counter)

Need: names of the house style, where this change touched the code; the conventions' table asks for them.

Change: a rename that changes nothing else.

Result: layout, ruff, mypy and the tests of judge, told and model pass.

--- a/cloverhold/rehearsal/agents.py
+++ b/cloverhold/rehearsal/agents.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from cloverhold.rehearsal.catalog import Agent, Counter, Entry, line
+from cloverhold.rehearsal.catalog import Agent, CallQueue, Entry, line
 from cloverhold.rehearsal.faults import (
     DiscoveryCrowded,
     DiscoveryHalfSilent,
@@ -27,12 +27,14 @@
 TRICKLE_PIECES = 20
 
 
-class Desk:
+class DiscoveryStandIn:
     """One node's discovery: its agent's state, two addresses, and what is wrong with it."""
 
-    def __init__(self, world: World, node: int, endpoint: Callable[[str], int], counter: Counter | None = None) -> None:
+    def __init__(
+        self, world: World, node: int, endpoint: Callable[[str], int], call_queue: CallQueue | None = None
+    ) -> None:
         self.world, self.node, self.endpoint = world, node, endpoint
-        self.counter = counter  # None: what the agent has costs nothing
+        self.call_queue = call_queue  # None: what the agent has costs nothing
         self.agent = Agent(node, world.ledger.rows.append)
         self.held = [hold(), hold()]
         self.ports = [port_of(h) for h in self.held]
@@ -175,16 +177,16 @@
 class Call(asyncio.Protocol):
     """One connection from a node to its agent."""
 
-    def __init__(self, desk: Desk, place: int, accepted: socket.socket) -> None:
-        self.desk, self.place = desk, place
+    def __init__(self, stand_in: DiscoveryStandIn, place: int, accepted: socket.socket) -> None:
+        self.stand_in, self.place = stand_in, place
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
         self.target = b""
         self.since: int | None = None
         self.waits = self.unheard = False
         self._timer: asyncio.TimerHandle | None = None
-        desk.calls.add(self)
-        loop = desk.world.loop
+        stand_in.calls.add(self)
+        loop = stand_in.world.loop
         self._up = loop.create_task(loop.connect_accepted_socket(lambda: self, accepted))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -195,7 +197,7 @@
         """It has ended."""
         self._rest()
         self.transport = None
-        self.desk.calls.discard(self)
+        self.stand_in.calls.discard(self)
 
     def abort(self) -> None:
         """End it with a reset."""
@@ -224,27 +226,27 @@
         if path != "/catalog/members":
             self._put(answer("404 Not Found", b""))
             return
-        if self.desk.down:
-            if "error" in self.desk.down.values():
+        if self.stand_in.down:
+            if "error" in self.stand_in.down.values():
                 self._put(answer("503 Service Unavailable", b""))
             else:
                 self.unheard = True
             return
-        if self.desk.loses_call():
+        if self.stand_in.loses_call():
             self.unheard = True
             return
         since, hold_ms = said.get("from", [""])[0], said.get("hold_ms", ["0"])[0]
         self.since = int(since) if since.isdigit() else None
-        if self.since is None or self.desk.agent.changes(self.since)[1]:
+        if self.since is None or self.stand_in.agent.changes(self.since)[1]:
             self._tell()
             return
         self.waits = True
         wait = min(MOST_HOLD_S, int(hold_ms) / 1000 if hold_ms.isdigit() else 0.0)
-        self._timer = self.desk.world.loop.call_later(wait, self._tell)
+        self._timer = self.stand_in.world.loop.call_later(wait, self._tell)
 
     def look(self) -> None:
         """There are news: a call that waits is answered."""
-        if self.waits and not self.desk.down:
+        if self.waits and not self.stand_in.down:
             self._tell()
 
     def lose(self) -> None:
@@ -261,33 +263,33 @@
 
     def _tell(self) -> None:
         self._rest()
-        if self.desk.down:
+        if self.stand_in.down:
             self.unheard = True
             return
         wait = self._turn_s()
         if wait is None:
             self._put(answer("503 Service Unavailable", b""))
             return
-        wait += self.desk.delay_s()
+        wait += self.stand_in.delay_s()
         if wait:
-            self._timer = self.desk.world.loop.call_later(wait, self._write)
+            self._timer = self.stand_in.world.loop.call_later(wait, self._write)
         else:
             self._write()
 
     def _turn_s(self) -> float | None:
         """After how many seconds the service comes to this call; None where that would take too long."""
-        counter = self.desk.counter
-        if counter is None:
+        call_queue = self.stand_in.call_queue
+        if call_queue is None:
             return 0.0
-        lines = self.desk.agent.whole() if self.since is None else self.desk.agent.changes(self.since)
-        return counter.take(self.desk.world.now(), len(lines[1]))
+        lines = self.stand_in.agent.whole() if self.since is None else self.stand_in.agent.changes(self.since)
+        return call_queue.take(self.stand_in.world.now(), len(lines[1]))
 
     def _write(self) -> None:
-        if self.desk.down:
+        if self.stand_in.down:
             self.unheard = True
             return
-        rev, body = self.desk.told(self.since)
-        data, over_s = answer("200 OK", body), self.desk.trickle_s()
+        rev, body = self.stand_in.told(self.since)
+        data, over_s = answer("200 OK", body), self.stand_in.trickle_s()
         count = TRICKLE_PIECES if over_s else 1
         size = -(-len(data) // count)
         self._write_pieces([data[at : at + size] for at in range(0, len(data), size)], over_s / count, rev)
@@ -296,9 +298,9 @@
         """Write an answer; it counts as written with its last byte."""
         self._put(pieces[0])
         if len(pieces) > 1:
-            self._timer = self.desk.world.loop.call_later(gap_s, self._write_pieces, pieces[1:], gap_s, rev)
+            self._timer = self.stand_in.world.loop.call_later(gap_s, self._write_pieces, pieces[1:], gap_s, rev)
         elif self.transport is not None:
-            self.desk.agent.wrote(self.desk.world.now(), rev)
+            self.stand_in.agent.wrote(self.stand_in.world.now(), rev)
 
     def _put(self, data: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
--- a/cloverhold/rehearsal/catalog.py
+++ b/cloverhold/rehearsal/catalog.py
@@ -95,7 +95,7 @@
         self.written = {uid: e for uid, e in self.written.items() if e.state != "left"}
 
 
-class Counter:
+class CallQueue:
     """Discovery that is asked: one service for all nodes, which works through calls in turn."""
 
     def __init__(self, lines_per_s: float, call_lines: float, timeout_s: float) -> None:
--- a/cloverhold/rehearsal/nodes.py
+++ b/cloverhold/rehearsal/nodes.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import IO, Any
 
-from cloverhold.rehearsal.agents import Desk
+from cloverhold.rehearsal.agents import DiscoveryStandIn
 from cloverhold.rehearsal.catalog import line
 from cloverhold.rehearsal.failing_calls import SHORT, Call, Control, ShimError, build
 from cloverhold.rehearsal.faults import FailingCalls, NodeDrain, SignalSeries, WallClock
@@ -94,10 +94,10 @@
     """One node: its address, its configuration and its processes, one after the other."""
 
     def __init__(
-        self, world: World, number: int, desk: Desk, front: Front, folder: Path, command: Sequence[str],
+        self, world: World, number: int, stand_in: DiscoveryStandIn, front: Front, folder: Path, command: Sequence[str],
         ended: Callable[[int], None],
     ) -> None:  # fmt: skip
-        self.world, self.number, self.desk, self.front = world, number, desk, front
+        self.world, self.number, self.stand_in, self.front = world, number, stand_in, front
         self.folder, self.command, self.ended = folder, tuple(command), ended
         self.held = hold()
         self.port = port_of(self.held)
@@ -149,10 +149,10 @@
         limits = self.world.scenario.nodes
         seed = self.world.source("node", self.number, self.life).getrandbits(64)
         return json.dumps({
-            "name": f"n{self.number}", "listen": f"{LOOPBACK}:{self.port}", "discovery": self.desk.address(),
+            "name": f"n{self.number}", "listen": f"{LOOPBACK}:{self.port}", "discovery": self.stand_in.address(),
             "seed": f"{seed:016x}",
             "limits": {"cores": limits.cores, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
-            "known": {"rev": self.desk.agent.rev if self.life == 0 else 0, "all": True, "targets": self.known},
+            "known": {"rev": self.stand_in.agent.rev if self.life == 0 else 0, "all": True, "targets": self.known},
             "settings": settings(self.world.scenario, self.number),
             **({"mgmt": f"{LOOPBACK}:{port_of(self.managed)}"} if self.managed is not None else {}),
             **({"peer_listen": self.peers[self.number], "peers": self.peers} if self.words is not None else {}),
@@ -186,10 +186,10 @@
     async def start(self) -> None:
         """Start a process with the list that the last one had. Raises NodeFailed."""
         self.life += 1
-        now, agent = self.world.now(), self.desk.agent
+        now, agent = self.world.now(), self.stand_in.agent
         remembered = agent.born(now, self.life)
         zone, unix = self.world.scenario.zone, self.world.unix_s
-        self.known = [line(e, f"{LOOPBACK}:{self.desk.endpoint(e.uid)}", zone, unix) for e in remembered.values()]
+        self.known = [line(e, f"{LOOPBACK}:{self.stand_in.endpoint(e.uid)}", zone, unix) for e in remembered.values()]
         row = NodeLife(self.number, self.life, now, {uid: e.state for uid, e in remembered.items()})
         self.row = row
         self.world.ledger.rows.append(row)
@@ -208,7 +208,7 @@
                 *self.command,
                 env={
                     **kept, "PROXY_NAME": f"n{self.number}", "PROXY_LISTEN": f"{LOOPBACK}:{self.port}",
-                    "PROXY_DISCOVERY": self.desk.address(), "PROXY_CONFIG": str(self.path),
+                    "PROXY_DISCOVERY": self.stand_in.address(), "PROXY_CONFIG": str(self.path),
                     "CLOVERHOLD_CONFIG": self._write_operator(), **self._shim(),
                 },
                 stdin=asyncio.subprocess.DEVNULL, stdout=self._log, stderr=self._log, preexec_fn=limit,
--- a/cloverhold/rehearsal/roster.py
+++ b/cloverhold/rehearsal/roster.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from cloverhold.rehearsal.agents import Desk
+from cloverhold.rehearsal.agents import DiscoveryStandIn
 from cloverhold.rehearsal.catalog import Entry
 from cloverhold.rehearsal.plan import ServerPlan
 from cloverhold.rehearsal.servers import Server
@@ -14,13 +14,13 @@
 
 
 class Roster:
-    """The list as the registry has it; its news reach each desk by themselves, late."""
+    """The list as the registry has it; its news reach each stand-in by themselves, late."""
 
-    def __init__(self, world: World, desks: list[Desk], servers: dict[str, Server]) -> None:
-        self.world, self.desks, self.servers = world, desks, servers
+    def __init__(self, world: World, stand_ins: list[DiscoveryStandIn], servers: dict[str, Server]) -> None:
+        self.world, self.stand_ins, self.servers = world, stand_ins, servers
         self.entries: dict[str, Entry] = {}
         spread = world.scenario.discovery.spread_ms / 1000
-        self.late = [world.source("spread", desk.node).uniform(0.0, spread) for desk in desks]
+        self.late = [world.source("spread", stand_in.node).uniform(0.0, spread) for stand_in in stand_ins]
         self._timers: set[asyncio.TimerHandle] = set()
 
     def nominal(self, plan: ServerPlan) -> float:
@@ -31,9 +31,9 @@
         """List a server that is there from the beginning; every node knows it."""
         entry = Entry(plan.uid, "active", plan.kind.name, plan.cell, self.nominal(plan))
         self.entries[plan.uid] = entry
-        for desk in self.desks:
-            desk.agent.put(0.0, entry)
-            desk.agent.wrote(0.0, desk.agent.rev)
+        for stand_in in self.stand_ins:
+            stand_in.agent.put(0.0, entry)
+            stand_in.agent.wrote(0.0, stand_in.agent.rev)
 
     def list_after(self, delay_s: float, plan: ServerPlan, state: str, still: Callable[[], bool]) -> None:
         """List a server's new state after a time, if that still holds then."""
@@ -56,8 +56,8 @@
 
     def _publish(self, entries: list[Entry]) -> None:
         self.entries.update((entry.uid, entry) for entry in entries)
-        for desk, late in zip(self.desks, self.late, strict=True):
-            self._later(late, lambda desk=desk: desk.put(entries))  # type: ignore[misc]
+        for stand_in, late in zip(self.stand_ins, self.late, strict=True):
+            self._later(late, lambda stand_in=stand_in: stand_in.put(entries))  # type: ignore[misc]
 
     def weigh(self) -> None:
         """Renew the live weights, now and after each period."""
--- a/cloverhold/rehearsal/stage.py
+++ b/cloverhold/rehearsal/stage.py
@@ -11,8 +11,8 @@
 from pathlib import Path
 
 from cloverhold.rehearsal import faults as f
-from cloverhold.rehearsal.agents import Desk
-from cloverhold.rehearsal.catalog import Counter
+from cloverhold.rehearsal.agents import DiscoveryStandIn
+from cloverhold.rehearsal.catalog import CallQueue
 from cloverhold.rehearsal.clients import Clients
 from cloverhold.rehearsal.front import Front
 from cloverhold.rehearsal.hostile import Strangers, patience_s
@@ -59,22 +59,22 @@
         self.at: dict[str, str] = {}  # who is at a place of the fleet, where that is no longer the first one
         self.groups: dict[int, Group] = {}
         self.front = Front(scenario.front.notice_s, world.source("front"))
-        asked, counter = scenario.discovery, None
+        asked, call_queue = scenario.discovery, None
         if asked.mode == "ask":
-            counter = Counter(asked.capacity, asked.call_lines, asked.timeout_s)
-        self.desks = [
-            Desk(world, n, lambda uid, n=n: self.addresses[uid].ports[n], counter)  # type: ignore[misc]
+            call_queue = CallQueue(asked.capacity, asked.call_lines, asked.timeout_s)
+        self.stand_ins = [
+            DiscoveryStandIn(world, n, lambda uid, n=n: self.addresses[uid].ports[n], call_queue)  # type: ignore[misc]
             for n in range(nodes)
         ]
         self.nodes = [
-            Node(world, n, self.desks[n], self.front, folder, command, self._node_ended) for n in range(nodes)
+            Node(world, n, self.stand_ins[n], self.front, folder, command, self._node_ended) for n in range(nodes)
         ]
         words = [port_of(node.words) for node in self.nodes if node.words is not None]
         self.relays = Relays(world, words) if words else None
         ports = [node.port for node in self.nodes]
         self.clients = Clients(world, self.front, ports)
         self.strangers = Strangers(world, self.front, self.clients, ports)
-        self.roster = Roster(world, self.desks, self.servers)
+        self.roster = Roster(world, self.stand_ins, self.servers)
         self.meter = LagMeter(world)
         self.stopped = asyncio.Event()
         self.why = ""
@@ -114,8 +114,8 @@
         """
         for plan in self.world.plan.servers:
             self.roster.first(plan)
-        for desk in self.desks:
-            desk.listen()
+        for stand_in in self.stand_ins:
+            stand_in.listen()
         if self.relays is not None:
             await self.relays.open()
         for node in self.nodes:
@@ -211,8 +211,8 @@
         self.meter.close()
         for server in self.servers.values():
             server.close()
-        for desk in self.desks:
-            desk.close()
+        for stand_in in self.stand_ins:
+            stand_in.close()
         if self.relays is not None:
             self.relays.close()
         for address in {id(a): a for a in self.addresses.values()}.values():
@@ -241,8 +241,8 @@
             _ON_SERVERS[step.what](self, self.servers[self.at.get(step.target, step.target)], step)
         elif step.what in _ON_FLEET:
             _ON_FLEET[step.what](self, step)
-        elif step.what in _ON_DESKS:
-            _ON_DESKS[step.what](self, self.desks[int(step.target[1:])], step)
+        elif step.what in _ON_STAND_INS:
+            _ON_STAND_INS[step.what](self, self.stand_ins[int(step.target[1:])], step)
         else:
             await self._on_node(self.nodes[int(step.target[1:])], step)
 
@@ -332,13 +332,13 @@
         server.start(cold=True)
         self._list_up(server)
 
-    def _down(self, desk: Desk, step: Step) -> None:
+    def _down(self, stand_in: DiscoveryStandIn, step: Step) -> None:
         fault = self.scenario.faults[step.fault]
         assert isinstance(fault, f.DiscoveryDown)
-        desk.fail(step.fault, fault.how)
+        stand_in.fail(step.fault, fault.how)
 
-    def _ails(self, desk: Desk, step: Step) -> None:
-        desk.ail(step.fault, self.scenario.faults[step.fault])
+    def _ails(self, stand_in: DiscoveryStandIn, step: Step) -> None:
+        stand_in.ail(step.fault, self.scenario.faults[step.fault])
 
     async def _on_node(self, node: Node, step: Step) -> None:
         match step.what:
@@ -357,7 +357,7 @@
                     await node.gone()
                     await node.start()
             case "reload_move":
-                node.desk.move()
+                node.stand_in.move()
                 node.write()
                 node.hup()
             case "reload_broken":
@@ -399,14 +399,14 @@
     "behave_again": lambda stage, server, step: server.behave_again(step.fault),
 }
 _ON_FLEET: dict[str, Callable[[Stage, Step], None]] = {"replace": Stage._replace, "join": Stage._join}
-_ON_DESKS: dict[str, Callable[[Stage, Desk, Step], None]] = {
+_ON_STAND_INS: dict[str, Callable[[Stage, DiscoveryStandIn, Step], None]] = {
     "discovery_down": Stage._down,
-    "discovery_up": lambda stage, desk, step: desk.mend(step.fault),
+    "discovery_up": lambda stage, stand_in, step: stand_in.mend(step.fault),
     "discovery_ails": Stage._ails,
-    "discovery_heals": lambda stage, desk, step: desk.heal(step.fault),
-    "discovery_stale": lambda stage, desk, step: desk.freeze(step.fault, on=True),
-    "discovery_fresh": lambda stage, desk, step: desk.freeze(step.fault, on=False),
-    "discovery_old_closes": lambda stage, desk, step: desk.close_old(),
+    "discovery_heals": lambda stage, stand_in, step: stand_in.heal(step.fault),
+    "discovery_stale": lambda stage, stand_in, step: stand_in.freeze(step.fault, on=True),
+    "discovery_fresh": lambda stage, stand_in, step: stand_in.freeze(step.fault, on=False),
+    "discovery_old_closes": lambda stage, stand_in, step: stand_in.close_old(),
 }
 
 
--- a/cloverhold/simulation/registry.py
+++ b/cloverhold/simulation/registry.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from cloverhold.decision.interface import Lifecycle, ListKind, ServerEntry, ServerList
-from cloverhold.rehearsal.catalog import Counter
+from cloverhold.rehearsal.catalog import CallQueue
 from cloverhold.rehearsal.ledger import Row, Told
 from cloverhold.rehearsal.scenario import DiscoverySettings
 from cloverhold.simulation.servers import Server
@@ -45,7 +45,7 @@
         self.readers: list[Reader] = []
         self.owed: dict[int, list[tuple[int, Told]]] = {}  # by node: rows not yet written
         self.lines = self.calls = 0
-        self.counter = Counter(how.capacity, how.call_lines, how.timeout_s) if how.mode == "ask" else None
+        self.call_queue = CallQueue(how.capacity, how.call_lines, how.timeout_s) if how.mode == "ask" else None
 
     def put(self, server: Server, lifecycle: Lifecycle) -> None:
         """What is listed of a server from the next batch on."""
@@ -101,7 +101,7 @@
     def born(self, reader: Reader) -> tuple[tuple[ServerEntry, ...], dict[str, str]]:
         """A process of a node starts: the list that it remembers, and the states in it."""
         reader.life += 1
-        reader.alive, reader.watches, reader.due = True, self.counter is None, reader.version
+        reader.alive, reader.watches, reader.due = True, self.call_queue is None, reader.version
         known = self._known(reader.version)
         self.owed[reader.node] = []
         self._owe(reader, self._missed(reader), known)
@@ -111,11 +111,11 @@
 
     def ask(self, reader: Reader) -> None:
         """A node watches, anew perhaps; where the list is pushed its agent answers at once."""
-        if self.counter is None:
+        if self.call_queue is None:
             return
         self.calls += 1
         life, lines = reader.life, len(self._missed(reader))
-        took = self.counter.take(self.timeline.now / 1000, lines)
+        took = self.call_queue.take(self.timeline.now / 1000, lines)
         wait = 1000 * (took if took is not None else self.how.timeout_s) + RETURN_MS
         self.timeline.after(wait, self._answer, reader, life, took is not None)
 
--- a/tests/rehearsal/test_kit.py
+++ b/tests/rehearsal/test_kit.py
@@ -219,7 +219,7 @@
     assert judge(scenario, ledger).exit_code() == 1
     assert all(node.process is not None and node.process.returncode is not None for node in stage.nodes)
     ports = [p for a in stage.addresses.values() for p in a.ports]
-    ports += [node.port for node in stage.nodes] + [p for desk in stage.desks for p in desk.ports]
+    ports += [node.port for node in stage.nodes] + [p for stand_in in stage.stand_ins for p in stand_in.ports]
     assert len(ports) == 4 * 2 + 2 + 2 * 2 and silent(ports)
     assert sockets() == before
 
--- a/tests/rehearsal/test_told.py
+++ b/tests/rehearsal/test_told.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from cloverhold.rehearsal.catalog import Agent, Counter, Entry, line
+from cloverhold.rehearsal.catalog import Agent, CallQueue, Entry, line
 from cloverhold.rehearsal.front import Front
 from cloverhold.rehearsal.ledger import Told
 
@@ -67,9 +67,9 @@
 
 
 def test_an_asked_service_works_through_calls_in_turn() -> None:
-    counter = Counter(lines_per_s=100.0, call_lines=40.0, timeout_s=1.0)
-    assert [counter.take(0.0, 10) for _ in range(4)] == [0.5, 1.0, 1.5, None]
-    assert counter.take(1.5, 10) == 0.5
+    call_queue = CallQueue(lines_per_s=100.0, call_lines=40.0, timeout_s=1.0)
+    assert [call_queue.take(0.0, 10) for _ in range(4)] == [0.5, 1.0, 1.5, None]
+    assert call_queue.take(1.5, 10) == 0.5
 
 
 def test_a_line_is_in_discoverys_form() -> None:
