What a list changes on a node stands in a module of its own

Change: net/list_updates.py has it; newly draining servers are looked up by those that a list names, no more over the whole table.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -79,7 +79,7 @@
             self.store, unsafe=config.store is None or self.store is not None, telemetry=self.telemetry,
         )  # fmt: skip
         self.discovery = Discovery(
-            config.discovery, clock, self._members, self.host.list_failed, lambda: self.host.settings, self.telemetry
+            config.discovery, clock, self._members, self.host.lists.failed, lambda: self.host.settings, self.telemetry
         )
         self.budget = Budget(budget_of(config.memory_mb))
         self.listener = Listener(self.host, self.life, self.budget, shares.clients, shares.resting, self.telemetry)
@@ -182,7 +182,7 @@
         return True
 
     def _members(self, members: Members) -> None:
-        self.host.members(members)
+        self.host.lists.take(members)
         self._tell_life(Event.LISTED)
         if self.succession is not None:
             self.succession.told(members_value(members, self.clock))
@@ -200,7 +200,7 @@
             if known is None:
                 known = read_known({"known": self.store.known()}, self.clock)
         if known is not None:
-            self.host.members(known, remembered=True)
+            self.host.lists.take(known, remembered=True)
             # Beside a process that serves, one is ready once its list is of now, or discovery does not answer.
             wait = REMEMBERED_S if self.succession is not None and self.succession.share.parts > 1 else 0.0
             asyncio.get_running_loop().call_later(wait, self._tell_life, Event.LISTED)
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -16,14 +16,14 @@
 from cloverhold.decision import interface as io
 from cloverhold.decision.decide import Balancer
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery.server_list import Members
 from cloverhold.net.exchange import Exchange, retry_after
 from cloverhold.net.messages import Field, Response
 from cloverhold.net.open_request import Attempt, OpenRequest, ResponseStream, request_to_send, take_attempt
 from cloverhold.net.probing import Prober, parse_load
 from cloverhold.net.request_log import RequestLog
 from cloverhold.net.telemetry import Ending, Happening, Telemetry
-from cloverhold.net.upstream_table import Change, UpstreamTable
+from cloverhold.net.list_updates import ListUpdates
+from cloverhold.net.upstream_table import UpstreamTable
 from cloverhold.net.upstreams.calls import Call, Pool
 from cloverhold.permission import Denial, Run, SendFacts, answered_in_time, may_send, may_take
 
@@ -76,6 +76,7 @@
             router.serves, router.warm = self.balancer.serves, self._warm
         self.loop = asyncio.get_running_loop()
         self.upstreams = UpstreamTable()
+        self.lists = ListUpdates(self.upstreams, pool, router, self.telemetry, self.dispatch)
         self.prober = Prober(clock, pool, self.upstreams, self.dispatch)
         self.open: dict[int, OpenRequest] = {}
         self.call_ids: set[bytes] = set()  # of the open requests
@@ -504,35 +505,3 @@
     def _warm(self, server: str) -> None:
         if self.settings.probes:
             self.prober.warm(server)
-
-    # -------------------------------------------------------------- discovery
-
-    def members(self, members: Members, *, remembered: bool = False) -> None:
-        """A list, or changes of it. New addresses hold before the module hears of them."""
-        change = self.upstreams.take(members)
-        kind = io.ListKind.FULL if members.full else io.ListKind.CHANGES
-        if remembered:
-            kind = io.ListKind.REMEMBERED
-        self._note_list(kind, members.version, change)
-        self.dispatch(io.ServerList(kind, members.entries, members.version))
-        if self.router is not None:
-            self.router.members(members.entries, full=members.full)
-        # Behind the module's word, which would else send what turns back to the same server again.
-        for upstream in (*change.replaced, *self.upstreams.remove(change.gone)):
-            self.pool.retire(upstream)
-        for upstream in change.draining:
-            self.pool.turn_back(upstream)
-
-    def _note_list(self, kind: io.ListKind, version: int, change: Change) -> None:
-        self.telemetry.count(Happening.LIST_TAKEN, kind.value)
-        counts = {
-            "draining": len(change.newly_draining),
-            "gone": len(change.gone),
-            "replaced": len(change.replaced),
-        }
-        for what, count in counts.items():
-            if count:
-                self.telemetry.event(Happening.SERVERS_CHANGED, what, version=version, servers=count)
-
-    def list_failed(self) -> None:
-        self.dispatch(io.ServerList(io.ListKind.ERROR))
--- a/cloverhold/net/upstream_table.py
+++ b/cloverhold/net/upstream_table.py
@@ -31,9 +31,8 @@
         """Take over a list, or changes of one. Who has gone stays until `remove`: the module hears of it first."""
         entries = {entry.server: entry for entry in members.entries}
         change = Change(gone=[uid for uid in self if members.full and uid not in entries])
-        ready = {uid for uid, entry in self.listed.items() if entry.lifecycle is Lifecycle.READY}
         change.newly_draining = [
-            uid for uid, entry in entries.items() if uid in ready and entry.lifecycle is Lifecycle.DRAINING
+            uid for uid, entry in entries.items() if entry.lifecycle is Lifecycle.DRAINING and self._is_ready(uid)
         ]
         if members.full:
             self.listed.clear()
@@ -50,6 +49,10 @@
                 change.gone.append(uid)
         return change
 
+    def _is_ready(self, uid: str) -> bool:
+        entry = self.listed.get(uid)
+        return entry is not None and entry.lifecycle is Lifecycle.READY
+
     def remove(self, gone: Iterable[str]) -> list[Upstream]:
         """Who has gone is removed; their upstreams."""
         removed = []
