Signals that come between a process's last step and its exit do not end it

Cause: the handlers go with the event loop; until the interpreter has ended the default holds, which kills.

Change: signals are held again from the last step on, in a node and in the supervisor of several workers.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -361,6 +361,7 @@
     loop.add_signal_handler(signal.SIGHUP, node.reload)
     signals.release()
     await node.run(stop)
+    signals.hold()  # their handlers go with the loop, before the process
 
 
 def main(workers: int = 1) -> int:
--- a/cloverhold/signals.py
+++ b/cloverhold/signals.py
@@ -1,4 +1,4 @@
-"""Signals that are held from the program's first line until their handlers stand.
+"""Signals that are held from the program's first line until their handlers stand, and from their last step to its exit.
 
 By default each would end the process, and what SIGHUP says of a file that has just been read would be lost.
 """
--- a/cloverhold/supervise/shell.py
+++ b/cloverhold/supervise/shell.py
@@ -106,6 +106,7 @@
         try:
             return await self.over
         finally:
+            signals.hold()  # their handlers go with the loop, before the process
             if self.fellows is not None:
                 self.fellows.close()
             if self.timer is not None:
--- a/tests/moments/test_stop.py
+++ b/tests/moments/test_stop.py
@@ -8,12 +8,13 @@
 import signal
 import socket
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
 
 from loopback import OK, WAIT_S, Catalog, Server, free_ports, play, read_answer, request, running, target, until
-from test_process import ROOT, SETTINGS, config, environment
+from test_process import ROOT, SETTINGS, config, environment, started
 from test_upstream import rest
 
 NEW = {"Name": "alerta", "AimMs": 4000.0, "DeadlineMs": 8000.0, "Repeat": "non_idempotent"}
@@ -209,6 +210,24 @@
     play(test)
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_signals_that_come_until_the_process_is_gone_do_not_end_it(number: int, tmp_path: Path) -> None:
+    """Guards the time between the last step of its loop and its exit."""
+
+    async def test() -> None:
+        async with started(tmp_path) as (process, _, _):
+            process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(WAIT_S):
+                while process.returncode is None:
+                    with suppress(ProcessLookupError):
+                        process.send_signal(number)
+                    await asyncio.sleep(0.001)
+            assert process.returncode == 0
+
+    for _ in range(3):
+        play(test)
+
+
 def test_sighup_behind_the_end_revives_no_watch(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         async with running(Server()) as node:
--- a/tests/test_supervise.py
+++ b/tests/test_supervise.py
@@ -10,7 +10,7 @@
 import sys
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from itertools import pairwise
 from pathlib import Path
 from random import Random
@@ -19,7 +19,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from helpers import make_settings
-from loopback import OK, Catalog, Server, free_ports, is_free, play, read_answer, request, target, until
+from loopback import WAIT_S, OK, Catalog, Server, free_ports, is_free, play, read_answer, request, target, until
 from test_process import ROOT, config, environment
 
 from cloverhold.platform import Config
@@ -283,6 +283,18 @@
     on_workers(2, tmp_path, test)
 
 
+def test_signals_that_come_until_the_supervisor_is_gone_do_not_end_it(tmp_path: Path) -> None:
+    async def test(process: asyncio.subprocess.Process, port: int) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while process.returncode is None:
+                with suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(0.001)
+        assert process.returncode == 0
+
+    on_workers(2, tmp_path, test)
+
+
 @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
 def test_a_worker_killed_or_stopped_is_replaced(tmp_path: Path, number: signal.Signals) -> None:
     async def test(process: asyncio.subprocess.Process, port: int) -> None:
