--- a/tests/fleet/test_hard_cases.py
+++ b/tests/fleet/test_hard_cases.py
@@ -12,7 +12,7 @@
 from helpers import entries, make_settings
 
 from cloverhold import Lifecycle, ListKind, ListMode, ServerEntry, ServerList, Settings, Status
-from cloverhold.rehearsal.catalog import Counter as Service
+from cloverhold.rehearsal.catalog import CallQueue as Service
 
 
 def settings(me: int) -> Settings:
