--- a/tests/faults/discovery_service.py
+++ b/tests/faults/discovery_service.py
@@ -82,10 +82,7 @@
         self.lose_open_calls()
 
     async def serve(self, target: str, head: bytes, body: bytes, writer: asyncio.StreamWriter) -> bool:
-        lost, said = self.lost, parse_qs(urlsplit(target).query)
-        since = int(said["from"][0]) if "from" in said else None
-        hold_s = int(said["hold_ms"][0]) / 1000 if "hold_ms" in said else 0.0
-        self.calls.append(Call(time.monotonic(), since, hold_s))
+        lost, call = self.lost, self._note_call(target)
         planned = self.conditions.next_calls.popleft() if self.conditions.next_calls else Answer.LIST
         if self.conditions.silent or planned is Answer.NONE:
             return False
@@ -95,13 +92,20 @@
         if planned is Answer.UNAVAILABLE:
             writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
             return True
-        await self._wait_for_news(since, hold_s)
+        await self._wait_for_news(call.since, call.hold_s)
         await self._take_time()
         if self.lost != lost or writer.is_closing():
             return False
-        await self._write(self._list(since), writer)
+        await self._write(self._list(call.since), writer)
         return True
 
+    def _note_call(self, target: str) -> Call:
+        said = parse_qs(urlsplit(target).query)
+        since = int(said["from"][0]) if "from" in said else None
+        call = Call(time.monotonic(), since, int(said["hold_ms"][0]) / 1000 if "hold_ms" in said else 0.0)
+        self.calls.append(call)
+        return call
+
     async def _wait_for_news(self, since: int | None, hold_s: float) -> None:
         if since != self.rev:
             return
