Answers that are not plain news are logged with their version and the node's

discovery_answer is an event now for stale, restarted and lower_version, with call, versions, entries and verdict (five lines of a name in a second at most, as all events); the gauge discovery.no_news_ms says since when the version stands. Measured: the new test of a replica that stands still finds `reason=lower_version ... version=1 held=2`; it fails without the change (26 s, the counter never comes).

--- a/cloverhold/net/discovery/watcher.py
+++ b/cloverhold/net/discovery/watcher.py
@@ -15,6 +15,7 @@
 from cloverhold.net.discovery.calls import (
     Abandon,
     Action,
+    Answer,
     Begin,
     CallEnd,
     CallKind,
@@ -61,6 +62,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._answered_at_s = time.monotonic()
         self._answering = True
+        self._news_at_s = time.monotonic()
 
     @property
     def version(self) -> int | None:
@@ -111,6 +113,7 @@
         return {
             "discovery.version": self.schedule.version or 0,
             "discovery.silent_ms": round(1000 * self.silent_s()),
+            "discovery.no_news_ms": round(1000 * (time.monotonic() - self._news_at_s)),
             "discovery.latency_ms": round(1000 * self.schedule.latency_s),
             "discovery.open_calls": len(self.schedule.open_calls()),
         }
@@ -204,9 +207,11 @@
             members = read_members(value, self.clock) if verdict is not Verdict.STALE else None
         except ListError as error:
             return error
+        held = self.schedule.version
         self._carry_out(self.schedule.answered(call.number, answer, time.monotonic()))
         self._keep(connection if connection.is_open() else None)
-        self._note_answer(call, verdict)
+        self._note_answer(call)
+        self._note_worth(call, answer, verdict, held)
         if members is not None and (members.full or members.entries):
             return self._hand_on(members)
         return None
@@ -241,9 +246,21 @@
             took_s=time.monotonic() - call.begun_at, hold_s=call.hold_s, **details,
         )  # fmt: skip
 
-    def _note_answer(self, call: OpenCall, verdict: Verdict) -> None:
+    def _note_worth(self, call: OpenCall, answer: Answer, verdict: Verdict, held: int | None) -> None:
+        """What an answer is worth; a line for one that is not plain news, or none."""
+        worth = "lower_version" if held is not None and answer.version < held else verdict.value
+        if answer.version != held:
+            self._news_at_s = time.monotonic()
+        if worth == Verdict.TAKE.value:
+            self.telemetry.count(Happening.DISCOVERY_ANSWER, worth)
+            return
+        self.telemetry.event(
+            Happening.DISCOVERY_ANSWER, worth, call=call.number, kind=call.kind.value, since=call.since,
+            version=answer.version, held=held, whole=answer.whole, entries=answer.entries, verdict=verdict.value,
+        )  # fmt: skip
+
+    def _note_answer(self, call: OpenCall) -> None:
         self.telemetry.count(Happening.DISCOVERY_CALL_ENDED, CallEnd.ANSWERED.value)
-        self.telemetry.count(Happening.DISCOVERY_ANSWER, verdict.value)
         if not self._answering:
             self._answering = True
             self.telemetry.event(
--- a/tests/faults/test_discovery_telemetry.py
+++ b/tests/faults/test_discovery_telemetry.py
@@ -7,6 +7,7 @@
 
 from discovery_service import Answer, DiscoveryService
 from loopback import Server, play, target
+from misreporting_service import Misreport, MisreportingService
 from node_process import NodeProcess, node_process
 
 SETTINGS = {"RegistryMode": "subscribe"}
@@ -52,3 +53,20 @@
                 assert any(text in line for line in lines), (text, lines)
 
     play(test)
+
+
+def test_answers_by_which_versions_go_back_are_counted_and_logged_with_both_versions(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = Server()
+        async with node_process(tmp_path, server, settings=SETTINGS, discovery=MisreportingService) as node:
+            service: MisreportingService = node.catalog
+            await counted(node, "discovery_answer.take")
+            service.misreport(Misreport.EVERY_OTHER_CALL_IS_STALE)
+            service.change([target("s0", server.port)])
+            service.reset_open_calls()
+            metrics = await counted(node, "discovery_answer.lower_version")
+            assert metrics["discovery.no_news_ms"] < 20_000
+            lines = [line for line in node.log if "reason=lower_version" in line]
+            assert any("version=1 held=2" in line for line in lines), node.log
+
+    play(test)
