Answers are merged by what is sure in them; a lower version takes no drain back

What callers saw: new work at draining servers, without end, where a line of each answer could not be read or a server was named twice (a list was voided for it, and asked for again with the same end), or where a replica that stands still was asked in turn (its older whole list was taken, and took the drain back; not a line in the log).

Cause: an answer was taken whole or not at all, a whole one whatever its version, and what it was worth was spread over calls.judge, read_members and the watcher.

net/discovery/merge.py, pure, owns it now: lines that can be read are taken, of others what is sure; a server told to drain, or gone, is ready again only by a later version; what is in doubt is withheld, that is handed on as draining, and a whole list is asked for; lower versions are taken once only such came for 2 s, their drains at once. All is counted, logged with both versions, and discovery.withheld_servers is a gauge. Why this works: every order of three answers of 32 (replicas at four versions, odd ones among them), in two paces, keeps the one invariant, and a clean whole list brings the truth back; calls.judge's table of verdicts moved to test_list_merge.py, two rows more.

The play of versions that begin anew did nothing where the version was 1 before: it makes 20 versions first now, and plays wait 3.5 s for the last watch of before, so that it can't tell the drain.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -204,7 +204,7 @@
             # Beside a process that serves, one is ready once its list is of now, or discovery does not answer.
             wait = REMEMBERED_S if self.succession is not None and self.succession.share.parts > 1 else 0.0
             asyncio.get_running_loop().call_later(wait, self._tell_life, Event.LISTED)
-            self.discovery.resume(known.version)
+            self.discovery.resume(known)
             if self.store is not None:
                 self.store.keep_list(members_value(known, self.clock))
         if self.router is not None:
--- a/cloverhold/net/discovery/calls.py
+++ b/cloverhold/net/discovery/calls.py
@@ -1,4 +1,4 @@
-"""When discovery is called, how long an answer is waited for, and which answers count. Pure.
+"""When discovery is called, what for, and how long an answer is waited for. Pure.
 
 What discovery has to say must be heard `HEAR_WITHIN_S` after it had it and could be reached, whatever failed before.
 Two rules follow. No call is relied on for longer than that leaves: when an answer is overdue, another call is opened
@@ -12,6 +12,8 @@
 | again no answer           | the same, at intervals that grow to `retry_most_s`     | at once, without a wait  |
 | an answer                 | calls that began before it end; counters restart       | at once, a watch         |
 | one that brings no news   | the same                                               | `PACE_S` after its begin |
+| one of a lower version    | the same; its connection is not used again             | the same, growing        |
+| one not taken whole       | the whole list is asked for, at growing intervals      | at once                  |
 | a refusal, reset, bad list | that call is over                                     | after a growing backoff  |
 
 All times are seconds on one monotonic clock.
@@ -33,6 +35,7 @@
 STALLED_AFTER_S = 6.0  # without a byte, behind its wait: the oldest call is given up first from here on
 LEAST_HOLD_S = 0.5
 LATENCY_DECAY = 0.7  # of what is remembered of slower answers, at each answer
+SETTLE_FIRST_S, SETTLE_MOST_S = 0.1, 8.0  # until the whole list is asked for, as an answer was not taken whole
 PERMANENT_ERRORS = frozenset(range(400, 500)) - {408, 429}  # discovery may not know the version that was named
 
 
@@ -55,14 +58,6 @@
     GIVEN_UP = "given_up"  # too many were open
 
 
-class Verdict(Enum):
-    """What an answer is worth."""
-
-    TAKE = "take"
-    RESTARTED = "restarted"  # discovery counts versions from anew; its changes are taken, the whole list comes next
-    STALE = "stale"  # of a call that was overtaken by another
-
-
 @dataclass(frozen=True, slots=True)
 class CallTimes:
     """How long calls may take, in seconds."""
@@ -75,6 +70,7 @@
     backoff_first_s: float
     retry_most_s: float  # between the begins of two calls while none is answered
     most_open: int
+    pace_most_s: float = 1.0  # between the begins of calls that are answered with lower versions
 
     @classmethod
     def of(cls, settings: io.Settings, random: Random) -> CallTimes:
@@ -113,16 +109,20 @@
             backoff_first_s=part_s,
             retry_most_s=2 * part_s,
             most_open=5,
+            pace_most_s=PACE_S,
         )
 
 
 @dataclass(frozen=True, slots=True)
-class Answer:
-    """What an answer says of itself."""
+class Heard:
+    """What an answer came to."""
 
-    version: int
-    whole: bool
-    entries: int
+    version: int | None  # of the list that is held now
+    entries: int  # servers that the answer names
+    taken: bool = True  # False: another one had overtaken it, or its version is lower
+    lower: bool = False  # its version is lower
+    ask_whole: bool = False  # only a whole list can tell the rest
+    unsettled: bool = False  # a whole list could tell what is in doubt
 
 
 @dataclass(slots=True)
@@ -172,7 +172,9 @@
     latency_s: float = 0.0  # how long answers take, slow ones remembered for a while
     _open: dict[int, OpenCall] = field(default_factory=dict)  # oldest first
     _numbers: int = 0
-    _version_at: float = -math.inf  # when the version was taken
+    _lower: int = 0  # answers of lower versions in a row
+    _settle_at: float = math.inf  # when it is asked for, as an answer was not taken whole
+    _settle_s: float = SETTLE_FIRST_S
 
     def open_calls(self) -> list[OpenCall]:
         """Those without an answer, the oldest first."""
@@ -208,34 +210,37 @@
         if number in self._open:
             self._open[number].progress_at = now
 
-    def judge(self, number: int, answer: Answer) -> Verdict:
-        """What an answer is worth. Calls overlap, so that one may answer what another has told already."""
-        call, held = self._open[number], self.version
-        if answer.whole:
-            behind = held is not None and answer.version < held and call.begun_at < self._version_at
-            return Verdict.STALE if behind else Verdict.TAKE
-        if held is None or call.since is None or call.since > held:
-            return Verdict.STALE  # what it builds on is not held
-        if answer.version < call.since:
-            return Verdict.RESTARTED if call.since == held else Verdict.STALE
-        return Verdict.STALE if answer.version < held else Verdict.TAKE
-
-    def answered(self, number: int, answer: Answer, now: float) -> list[Action]:
-        """A call has its answer, which `judge` has seen and which can be read."""
-        verdict = self.judge(number, answer)
+    def answered(self, number: int, heard: Heard, now: float) -> list[Action]:
+        """A call has an answer that can be read."""
         call = self._open.pop(number)
-        self._note_latency(call, answer, now)
+        self._note_latency(call, heard, now)
         self.failures = self.unanswered = 0
-        news = verdict is Verdict.RESTARTED or (verdict is Verdict.TAKE and answer.version != call.since)
-        if verdict is Verdict.TAKE:
-            self.version, self._version_at = answer.version, now
-        elif verdict is Verdict.RESTARTED:
-            self.version = None
+        self._lower = self._lower + 1 if heard.lower else 0
+        if heard.taken:
+            self.version = heard.version
+        self._plan_whole(call, heard, now)
         superseded = self._supersede(call)
         if not self._open:
-            self.next_at = now if news else max(now, call.begun_at + min(PACE_S, self.times().hold_s))
+            news = heard.taken and (heard.version != call.since or call.kind is CallKind.WHOLE)
+            self.next_at = now if news else max(now, call.begun_at + self._pace_s())
         return superseded
 
+    def _plan_whole(self, call: OpenCall, heard: Heard, now: float) -> None:
+        """When the whole list is asked for next, though a version is held."""
+        is_needed = heard.unsettled or heard.ask_whole
+        if call.kind is CallKind.WHOLE and not is_needed:
+            self._settle_at, self._settle_s = math.inf, SETTLE_FIRST_S
+        elif is_needed and self._settle_at == math.inf:
+            self._settle_at = now + self._settle_s
+            self._settle_s = min(SETTLE_MOST_S, 2 * self._settle_s)
+
+    def _pace_s(self) -> float:
+        """Between the begins of two calls of which the first brought nothing new."""
+        times = self.times()
+        if not self._lower:
+            return min(PACE_S, times.hold_s)
+        return min(times.pace_most_s, PACE_S * 2.0 ** min(self._lower - 1, 6))
+
     def failed(self, number: int, now: float, status: int = 0) -> None:
         """A call is over without a list. status: of the answer, where there was one."""
         newest = number == max(self._open)
@@ -259,24 +264,27 @@
     def _begin(self, now: float) -> list[Action]:
         times = self.times()
         actions = self._evict(now, times.most_open)
-        kind = self._next_kind()
+        kind = self._next_kind(now)
         hold_s = self.hold_s(times) if kind is CallKind.WATCH else 0.0
         self._numbers += 1
-        call = OpenCall(self._numbers, kind, self.version, hold_s, now)
+        since = None if kind is CallKind.WHOLE else self.version
+        call = OpenCall(self._numbers, kind, since, hold_s, now)
         self.next_at = now + hold_s + self._interval_s(times, kind)
         self.unanswered += 1
         self._open[call.number] = call
+        if kind is CallKind.WHOLE:
+            self._settle_at = math.inf
         return [*actions, Begin(call)]
 
-    def _next_kind(self) -> CallKind:
-        if self.version is None:
+    def _next_kind(self, now: float) -> CallKind:
+        if self.version is None or now >= self._settle_at:
             return CallKind.WHOLE
         return CallKind.CHECK if self._open or self.failures else CallKind.WATCH
 
     def _interval_s(self, times: CallTimes, kind: CallKind) -> float:
         """After a call's wait, how long its answer is waited for before the next call begins."""
         patience_s = self.patience_s(times)
-        if kind is CallKind.WHOLE:
+        if kind is CallKind.WHOLE and self.version is None:
             patience_s = max(patience_s, times.whole_patience_s)
         if self.unanswered == 0:
             return patience_s
@@ -307,10 +315,10 @@
             del self._open[call.number]
         return [Abandon(call, CallEnd.SUPERSEDED) for call in older]
 
-    def _note_latency(self, call: OpenCall, answer: Answer, now: float) -> None:
+    def _note_latency(self, call: OpenCall, heard: Heard, now: float) -> None:
         """Learn how long answers take. A watch that is answered within its wait tells only if it brings no news."""
         took_s = now - call.begun_at
-        if took_s < call.hold_s and answer.entries:
+        if took_s < call.hold_s and heard.entries:
             return
         latency_s = took_s - call.hold_s if took_s >= call.hold_s else took_s
         latency_s = min(latency_s, HEAR_WITHIN_S)
--- a/cloverhold/net/discovery/server_list.py
+++ b/cloverhold/net/discovery/server_list.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Any
 
 from cloverhold.decision import interface as io
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery.calls import Answer
 from cloverhold.net.upstreams.calls import Address
 
 _STATES = {"active": io.Lifecycle.READY, "leaving": io.Lifecycle.DRAINING, "left": io.Lifecycle.GONE}
+_UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
 class ListError(Exception):
@@ -26,9 +27,40 @@
     return host, int(port)
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLine:
+    """What an answer says of one server."""
+
+    uid: str
+    lifecycle: io.Lifecycle
+    address: Address
+    boot_ms: float  # Unix time; 0: long ago
+    zone: str = ""
+    cell: int = 0
+    weight: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadableLine:
+    """What can be read of a line that is not whole; None where that can't be read either."""
+
+    uid: str | None
+    lifecycle: io.Lifecycle | None
+
+
+@dataclass(frozen=True, slots=True)
+class ListAnswer:
+    """One answer of discovery, as it was read."""
+
+    version: int
+    whole: bool  # whether it names all servers, and not only those that changed
+    lines: tuple[ServerLine, ...]
+    unreadable: tuple[UnreadableLine, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Members:
-    """One answer: entries, and where their servers listen as seen from this node."""
+    """A list, or changes of it, as the node takes it over, and where the servers listen as seen from this node."""
 
     version: int
     full: bool
@@ -36,71 +68,104 @@
     addresses: dict[str, Address]
 
 
-def answer_of(value: object) -> Answer:
-    """What an answer says of itself, before its entries are read; ListError for one that is not a list."""
+def read_answer(value: object) -> ListAnswer:
+    """An answer, with the lines that can be read; ListError where nothing in it can be used.
+
+    A whole list of nothing is of no use: a fleet has servers, a discovery that lost its store has none. A list whose
+    servers all drain is taken at its word.
+    """
     try:
         if not isinstance(value, dict):
             raise ValueError("not an object")
-        return Answer(int(value["rev"]), bool(value["all"]), len(value["targets"]))
-    except (KeyError, TypeError, ValueError, OverflowError) as error:
-        raise ListError(f"list of servers: {type(error).__name__}: {error}") from None
-
-
-def _start(line: dict[str, Any]) -> tuple[str, float]:
-    """The uid, and when it started in Unix ms."""
-    uid, boot = line["uid"], float(line.get("boot_ms") or 0)
-    if not isinstance(uid, str) or not uid or not math.isfinite(boot):
+        version, whole, targets = int(value["rev"]), bool(value["all"]), list(value["targets"])
+    except _UNREADABLE as error:
+        raise _list_error(error) from None
+    lines, unreadable, last_error = list[ServerLine](), list[UnreadableLine](), ValueError("names none")
+    for target in targets:
+        try:
+            lines.append(_line(target))
+        except _UNREADABLE as error:
+            unreadable.append(_what_is_left(target))
+            last_error = ValueError(f"{type(error).__name__}: {error}")
+    sure = any(line.uid is not None and line.lifecycle is not None for line in unreadable)
+    if not lines and (whole or (unreadable and not sure)):
+        raise _list_error(last_error)
+    return ListAnswer(version, whole, tuple(lines), tuple(unreadable))
+
+
+def _list_error(error: Exception) -> ListError:
+    return ListError(f"list of servers: {type(error).__name__}: {error}")
+
+
+def _line(target: dict[str, Any]) -> ServerLine:
+    uid, boot_ms = target["uid"], float(target.get("boot_ms") or 0)
+    if not isinstance(uid, str) or not uid or not math.isfinite(boot_ms):
         raise ValueError("uid or boot_ms")
-    return uid, boot
-
-
-def _entry(line: dict[str, Any]) -> tuple[io.ServerEntry, Address]:
-    weight = float(line.get("capacity_hint", 1.0))
+    weight = float(target.get("capacity_hint", 1.0))
     if not math.isfinite(weight):
         raise ValueError("capacity_hint")
-    entry = io.ServerEntry(
-        server=line["uid"],
-        zone=str(line.get("az") or ""),
-        cell=int(line.get("pod_group") or 0),
-        lifecycle=_STATES[line["state"]],
+    return ServerLine(
+        uid=uid,
+        lifecycle=_STATES[target["state"]],
+        address=parse_address(target["endpoint"]),
+        boot_ms=boot_ms,
+        zone=str(target.get("az") or ""),
+        cell=int(target.get("pod_group") or 0),
         weight=max(0.0, weight),
     )
-    return entry, parse_address(line["endpoint"])
 
 
-def read_members(value: object, clock: Clock, *, live: bool = True) -> Members:
-    """Discovery's form of a list; ListError for one that is not that. live: whether discovery tells it now.
+def _what_is_left(target: object) -> UnreadableLine:
+    if not isinstance(target, dict):
+        return UnreadableLine(None, None)
+    uid, state = target.get("uid"), target.get("state")
+    return UnreadableLine(
+        uid if isinstance(uid, str) and uid else None, _STATES.get(state) if isinstance(state, str) else None
+    )
 
-    A line that can't be read voids it: what it hid might be a drain. So does a name that stands twice, as one of the
-    two lines would be passed over, and a whole list of nothing: a fleet has servers, a discovery that lost its store
-    has none. A list whose servers all drain is taken at its word.
-    """
-    try:
-        if not isinstance(value, dict):
-            raise ValueError("not an object")
-        lines, version, full = value["targets"], int(value["rev"]), bool(value["all"])
-        pairs = [_entry(line) for line in lines]
-        boots = dict(map(_start, lines))
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
-        raise ListError(f"list of servers: {type(error).__name__}: {error}") from None
-    addresses = {entry.server: address for entry, address in pairs}
-    if len(addresses) < len(pairs):
+
+def read_members(value: object, clock: Clock) -> Members:
+    """A remembered list in discovery's form; ListError for one that is not whole in all its lines."""
+    answer = read_answer(value)
+    if answer.unreadable:
+        raise ListError("list of servers: a line can't be read")
+    if len({line.uid for line in answer.lines}) < len(answer.lines):
         raise ListError("list of servers: a name stands twice")
-    if full and not pairs:
-        raise ListError("list of servers: names none")
-    starts = clock.starts.resolve(boots, clock.now(), full=full, live=live)
-    entries = tuple(_started(entry, starts[entry.server]) for entry, _ in pairs)
-    for entry in entries:
-        if entry.lifecycle is io.Lifecycle.GONE:
-            clock.starts.forget(entry.server)
-    return Members(version, full, entries, addresses)
-
-
-def _started(entry: io.ServerEntry, started_at: float | None) -> io.ServerEntry:
-    """The entry with its start; most of a large list has none."""
+    return members_of(answer.version, answer.lines, clock, full=answer.whole, live=False)
+
+
+def members_of(version: int, lines: Iterable[ServerLine], clock: Clock, *, full: bool, live: bool = True) -> Members:
+    """Lines, each server's once, as the node takes them over. live: whether discovery tells them now."""
+    lines = tuple(lines)
+    starts = clock.starts.resolve({line.uid: line.boot_ms for line in lines}, clock.now(), full=full, live=live)
+    for line in lines:
+        if line.lifecycle is io.Lifecycle.GONE:
+            clock.starts.forget(line.uid)
+    entries = tuple(_entry(line, starts[line.uid]) for line in lines)
+    return Members(version, full, entries, {line.uid: line.address for line in lines})
+
+
+def _entry(line: ServerLine, started_at: float | None) -> io.ServerEntry:
+    entry = io.ServerEntry(line.uid, line.zone, line.cell, line.lifecycle, line.weight)
     return entry if started_at is None else replace(entry, started_at=started_at)
 
 
+def lines_of(members: Members, clock: Clock) -> tuple[ServerLine, ...]:
+    """A list that was taken over, as an answer would tell it."""
+    return tuple(
+        ServerLine(
+            uid=entry.server,
+            lifecycle=entry.lifecycle,
+            address=members.addresses[entry.server],
+            boot_ms=clock.starts.boot_ms(entry.server, entry.started_at),
+            zone=entry.zone,
+            cell=entry.cell,
+            weight=entry.weight,
+        )
+        for entry in members.entries
+    )
+
+
 def members_value(members: Members, clock: Clock) -> dict[str, Any]:
     """A list in discovery's form, as `read_members` reads it."""
     names = {state: name for name, state in _STATES.items()}
@@ -109,14 +174,14 @@
         "all": members.full,
         "targets": [
             {
-                "uid": e.server,
-                "endpoint": "{}:{}".format(*members.addresses[e.server]),
-                "az": e.zone,
-                "pod_group": e.cell,
-                "state": names[e.lifecycle],
-                "capacity_hint": e.weight,
-                "boot_ms": clock.starts.boot_ms(e.server, e.started_at),
+                "uid": line.uid,
+                "endpoint": "{}:{}".format(*line.address),
+                "az": line.zone,
+                "pod_group": line.cell,
+                "state": names[line.lifecycle],
+                "capacity_hint": line.weight,
+                "boot_ms": line.boot_ms,
             }
-            for e in members.entries
+            for line in lines_of(members, clock)
         ],
     }
--- a/cloverhold/net/discovery/watcher.py
+++ b/cloverhold/net/discovery/watcher.py
@@ -15,17 +15,17 @@
 from cloverhold.net.discovery.calls import (
     Abandon,
     Action,
-    Answer,
     Begin,
     CallEnd,
     CallKind,
     CallSchedule,
     CallTimes,
+    Heard,
     OpenCall,
-    Verdict,
 )
 from cloverhold.net.discovery.connection import Connection, ConnectionEnded, Refused
-from cloverhold.net.discovery.server_list import ListError, Members, answer_of, read_members
+from cloverhold.net.discovery.merge import Asked, HeldList, Merged, Worth
+from cloverhold.net.discovery.server_list import ListAnswer, ListError, Members, lines_of, members_of, read_answer
 from cloverhold.net.telemetry import Happening, Telemetry
 from cloverhold.net.upstreams.calls import Address
 
@@ -56,7 +56,9 @@
         self.notified, self.call_failed, self.settings = notified, failed, settings
         self.telemetry = telemetry if telemetry is not None else Telemetry()
         chance = random.Random()
-        self.schedule = CallSchedule(lambda: CallTimes.of(settings(), chance), chance)
+        self.times: Callable[[], CallTimes] = lambda: CallTimes.of(settings(), chance)
+        self.schedule = CallSchedule(self.times, chance)
+        self.held = HeldList()
         self._calls: dict[int, tuple[asyncio.Task[object], Connection]] = {}
         self._idle: Connection | None = None  # kept for the next call
         self._timer: asyncio.TimerHandle | None = None
@@ -69,11 +71,12 @@
         """The version of the list that is held; None: the whole list is asked for next."""
         return self.schedule.version
 
-    def resume(self, version: int) -> None:
+    def resume(self, members: Members) -> None:
         """Go on from a list that is held already: only what has changed since is asked for. Guards against a fleet
         that starts at once: each whole list is work for the one service, and the watches behind them then failed.
         """
-        self.schedule.version = version
+        self.schedule.version = members.version
+        self.held.remember(members.version, lines_of(members, self.clock))
 
     def watch(self, on: bool = True) -> None:
         """Begin to follow the list, or end it. Nothing where that is done already."""
@@ -92,6 +95,7 @@
             self.stop()
             self.address = address
             self.schedule.forget_version()
+            self.held.expect_other_versions()
         self.watch()
 
     def stop(self) -> None:
@@ -111,7 +115,8 @@
     def gauges(self) -> dict[str, int]:
         """How it stands now, by the names that the counters' report gives; version 0: no list is held."""
         return {
-            "discovery.version": self.schedule.version or 0,
+            "discovery.version": self.held.version or 0,
+            "discovery.withheld_servers": self.held.withheld(),
             "discovery.silent_ms": round(1000 * self.silent_s()),
             "discovery.no_news_ms": round(1000 * (time.monotonic() - self._news_at_s)),
             "discovery.latency_ms": round(1000 * self.schedule.latency_s),
@@ -202,21 +207,30 @@
     def _answered(self, call: OpenCall, value: object, connection: Connection) -> Exception | None:
         """Hand on what an answer says; why it can't be used, or the fault of who was handed it."""
         try:
-            answer = answer_of(value)
-            verdict = self.schedule.judge(call.number, answer)
-            members = read_members(value, self.clock) if verdict is not Verdict.STALE else None
+            answer = read_answer(value)
         except ListError as error:
             return error
-        held = self.schedule.version
-        self._carry_out(self.schedule.answered(call.number, answer, time.monotonic()))
-        self._keep(connection if connection.is_open() else None)
+        now, held = time.monotonic(), self.held.version
+        merged = self.held.merge(answer, Asked(call.since, call.begun_at), now)
+        heard = self._heard(answer, merged)
+        self._carry_out(self.schedule.answered(call.number, heard, now))
+        self._keep(connection if connection.is_open() and not heard.lower else None)
         self._note_answer(call)
-        self._note_worth(call, answer, verdict, held)
-        if members is not None and (members.full or members.entries):
-            return self._hand_on(members)
-        return None
-
-    def _hand_on(self, members: Members) -> Exception | None:
+        self._note_worth(call, answer, merged, held)
+        return self._hand_on(merged) if merged.lines else None
+
+    def _heard(self, answer: ListAnswer, merged: Merged) -> Heard:
+        return Heard(
+            version=self.held.version,
+            entries=len(answer.lines),
+            taken=merged.worth in (Worth.TAKEN, Worth.ADOPTED),
+            lower=merged.worth is Worth.LOWER_VERSION,
+            ask_whole=merged.ask_whole,
+            unsettled=self.held.is_unsettled(),
+        )
+
+    def _hand_on(self, merged: Merged) -> Exception | None:
+        members = members_of(self.held.version or 0, merged.lines, self.clock, full=merged.whole)
         try:
             self.notified(members)
         except Exception as error:
@@ -236,6 +250,7 @@
         """After a fault of the node: from the whole list, as the last one may be half taken."""
         self._carry_out(self.schedule.stop())
         self.schedule.forget_version()
+        self.held.hand_on_again()
         self.schedule.start(time.monotonic() + RESTART_DELAY_S)
 
     # -------------------------------------------------------------- telemetry
@@ -246,18 +261,23 @@
             took_s=time.monotonic() - call.begun_at, hold_s=call.hold_s, **details,
         )  # fmt: skip
 
-    def _note_worth(self, call: OpenCall, answer: Answer, verdict: Verdict, held: int | None) -> None:
-        """What an answer is worth; a line for one that is not plain news, or none."""
-        worth = "lower_version" if held is not None and answer.version < held else verdict.value
+    def _note_worth(self, call: OpenCall, answer: ListAnswer, merged: Merged, held: int | None) -> None:
+        """What an answer is worth; a line for one that is not taken, or not whole."""
         if answer.version != held:
             self._news_at_s = time.monotonic()
-        if worth == Verdict.TAKE.value:
-            self.telemetry.count(Happening.DISCOVERY_ANSWER, worth)
-            return
-        self.telemetry.event(
-            Happening.DISCOVERY_ANSWER, worth, call=call.number, kind=call.kind.value, since=call.since,
-            version=answer.version, held=held, whole=answer.whole, entries=answer.entries, verdict=verdict.value,
-        )  # fmt: skip
+        details = {
+            "call": call.number, "kind": call.kind.value, "since": call.since, "version": answer.version,
+            "held": held, "whole": answer.whole, "entries": len(answer.lines),
+        }  # fmt: skip
+        if merged.worth is Worth.TAKEN:
+            self.telemetry.count(Happening.DISCOVERY_ANSWER, merged.worth.value)
+        else:
+            self.telemetry.event(Happening.DISCOVERY_ANSWER, merged.worth.value, **details)
+        for reason, servers in merged.not_taken.items():
+            withheld = self.held.withheld()
+            self.telemetry.event(
+                Happening.DISCOVERY_NOT_TAKEN, reason.value, servers=servers, withheld=withheld, **details
+            )
 
     def _note_answer(self, call: OpenCall) -> None:
         self.telemetry.count(Happening.DISCOVERY_CALL_ENDED, CallEnd.ANSWERED.value)
--- a/cloverhold/net/telemetry.py
+++ b/cloverhold/net/telemetry.py
@@ -35,6 +35,7 @@
     DISCOVERY_CALL_BEGUN = "discovery_call_begun"  # by what it asks for
     DISCOVERY_CALL_ENDED = "discovery_call_ended"  # by why it is over
     DISCOVERY_ANSWER = "discovery_answer"  # by what it is worth
+    DISCOVERY_NOT_TAKEN = "discovery_not_taken"  # a part of an answer, by why
     DISCOVERY_STATE = "discovery_state"  # "answering" or "not_answering", when that changes
     LIST_TAKEN = "list_taken"  # "whole", "changes" or "remembered"
     SERVERS_CHANGED = "servers_changed"  # by what a list changes: "draining", "gone", "replaced"
--- a/cloverhold/platform.py
+++ b/cloverhold/platform.py
@@ -179,7 +179,7 @@
     if not raw.get("known"):
         return None
     try:
-        return read_members(raw["known"], clock, live=False)
+        return read_members(raw["known"], clock)
     except ListError as error:
         log.warning("known: %s", error)
         return None
--- a/tests/faults/simulated_discovery.py
+++ b/tests/faults/simulated_discovery.py
@@ -12,7 +12,13 @@
 from random import Random
 
 from cloverhold import Settings
-from cloverhold.net.discovery.calls import Abandon, Action, Answer, Begin, CallSchedule, CallTimes, OpenCall, Verdict
+from cloverhold import Lifecycle
+from cloverhold.net.discovery.calls import Abandon, Action, Begin, CallSchedule, CallTimes, Heard, OpenCall
+from cloverhold.net.discovery.merge import Asked, HeldList, Worth
+from cloverhold.net.discovery.server_list import ListAnswer, ServerLine
+
+
+STATES = {"active": Lifecycle.READY, "leaving": Lifecycle.DRAINING, "left": Lifecycle.GONE}
 
 
 class Fate(Enum):
@@ -44,6 +50,7 @@
         chance = Random(seed)
         self.service, self.now = service, 0.0
         self.schedule = CallSchedule(lambda: CallTimes.of(settings, chance), chance)
+        self.held = HeldList()
         self.servers: dict[str, str] = {}
         self.heard: dict[int, float] = {}  # when each version was held first
         self.begun: list[float] = []
@@ -138,12 +145,24 @@
     def _answer(self, call: OpenCall, rev: int, news: dict[str, str]) -> None:
         if call.number in self._dead:
             return
-        answer = Answer(rev, call.since is None, len(news))
-        verdict = self.schedule.judge(call.number, answer)
-        self._carry_out(self.schedule.answered(call.number, answer, self.now))
-        if verdict is Verdict.STALE:
+        lines = tuple(ServerLine(uid, STATES[state], ("127.0.0.1", 1), 0.0) for uid, state in news.items())
+        answer = ListAnswer(rev, call.since is None, lines)
+        merged = self.held.merge(answer, Asked(call.since, call.begun_at), self.now)
+        taken = merged.worth in (Worth.TAKEN, Worth.ADOPTED)
+        heard = Heard(
+            version=self.held.version,
+            entries=len(lines),
+            taken=taken,
+            lower=merged.worth is Worth.LOWER_VERSION,
+            ask_whole=merged.ask_whole,
+            unsettled=self.held.is_unsettled(),
+        )
+        self._carry_out(self.schedule.answered(call.number, heard, self.now))
+        names = {state: name for name, state in STATES.items()}
+        told = {line.uid: names[line.lifecycle] for line in merged.lines}
+        self.servers = {**({} if merged.whole and merged.lines else self.servers), **told}
+        if not taken:
             return
-        self.servers = {**({} if answer.whole else self.servers), **news}
         self.versions.append(rev)
         for version in range(1, rev + 1):
             self.heard.setdefault(version, self.now)
--- a/tests/faults/test_call_schedule.py
+++ b/tests/faults/test_call_schedule.py
@@ -13,12 +13,11 @@
 from cloverhold.net.discovery.calls import (
     HEAR_WITHIN_S,
     Abandon,
-    Answer,
     Begin,
     CallEnd,
     CallSchedule,
     CallTimes,
-    Verdict,
+    Heard,
 )
 from loopback import ASKED, PUSHED
 from simulated_discovery import Fate, Follower, Service
@@ -195,30 +194,9 @@
     return schedule, older.number, newer.number
 
 
-@pytest.mark.parametrize(
-    ("since", "first", "second", "verdict"),
-    [
-        (5, Answer(8, False, 1), Answer(7, False, 1), Verdict.STALE),  # a replica of the service that lags
-        (5, Answer(8, False, 1), Answer(8, False, 1), Verdict.TAKE),
-        (5, Answer(8, False, 1), Answer(9, False, 1), Verdict.TAKE),
-        (5, Answer(8, True, 2), Answer(7, True, 2), Verdict.STALE),
-        (5, Answer(8, True, 2), Answer(9, True, 2), Verdict.TAKE),
-        (5, Answer(3, True, 2), Answer(6, False, 1), Verdict.STALE),  # builds on a version that is held no more
-        (None, Answer(8, True, 2), Answer(7, True, 2), Verdict.STALE),
-    ],
-)
-def test_answer_of_a_call_that_was_overtaken_is_not_taken(
-    since: int | None, first: Answer, second: Answer, verdict: Verdict
-) -> None:
-    schedule, older, newer = two_calls(since)
-    assert schedule.judge(older, first) is Verdict.TAKE
-    assert schedule.answered(older, first, 10.0) == []
-    assert schedule.judge(newer, second) is verdict
-
-
 def test_older_calls_end_with_the_answer_of_a_later_one() -> None:
     schedule, older, newer = two_calls(5)
-    (ended,) = schedule.answered(newer, Answer(6, False, 1), 10.0)
+    (ended,) = schedule.answered(newer, Heard(version=6, entries=1), 10.0)
     assert isinstance(ended, Abandon) and (ended.call.number, ended.why) == (older, CallEnd.SUPERSEDED)
     assert not schedule.open_calls() and schedule.next_at == 10.0
 
--- a/tests/faults/test_drains_under_misreporting_discovery.py
+++ b/tests/faults/test_drains_under_misreporting_discovery.py
@@ -14,12 +14,18 @@
 # What an agent has counts at once; a polled answer that may say otherwise elsewhere, 6 s later at the latest.
 PUSHED, POLLED = pytest.param(PUSH_SETTINGS, 0.0, id="pushed"), pytest.param(ASK_SETTINGS, NOTIFIED_S, id="polled")
 
+VERSIONS_BEFORE = 20
+LONGEST_WATCH_S = 3.5  # one that was begun before is over
+
 
 def play(folder: Path, settings: dict[str, Any], how: Misreport, notified_s: float, state: str = "leaving") -> None:
     async def trouble(service: MisreportingService) -> None:
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(1.0)
+        for _ in range(VERSIONS_BEFORE):
+            service.change([line for _, line in service.targets.values()])
+            await asyncio.sleep(0.05)
         service.misreport(how)
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(LONGEST_WATCH_S)
 
     check(folder, settings, trouble, notified_s, state, MisreportingService)
 
@@ -59,7 +65,9 @@
     play(tmp_path, settings, how, 0.0)
 
 
-@pytest.mark.parametrize("settings", [PUSH_SETTINGS, ASK_SETTINGS], ids=["pushed", "polled"])
+@pytest.mark.parametrize(("settings", "notified_s"), [PUSHED, POLLED])
 @pytest.mark.parametrize("state", ["leaving", "left"])
-def test_drain_told_by_versions_that_begin_anew_is_heard(tmp_path: Path, settings: dict[str, Any], state: str) -> None:
-    play(tmp_path, settings, Misreport.VERSIONS_BEGIN_ANEW, 0.0, state)
+def test_drain_told_by_versions_that_begin_anew_is_heard(
+    tmp_path: Path, settings: dict[str, Any], notified_s: float, state: str
+) -> None:
+    play(tmp_path, settings, Misreport.VERSIONS_BEGIN_ANEW, notified_s, state)
--- /dev/null
+++ b/tests/faults/test_list_merge.py
@@ -0,0 +1,276 @@
+"""What is held of the list of servers, by every short order of answers that lag, are odd or count versions anew."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from itertools import pairwise, product
+
+import pytest
+
+from cloverhold import Lifecycle
+from cloverhold.net.discovery.merge import (
+    ADOPT_AFTER_S,
+    FORMER_DRAIN_S,
+    LEAST_TO_ADOPT,
+    MOST_GONE,
+    Asked,
+    HeldList,
+    Merged,
+    NotTaken,
+    Worth,
+)
+from cloverhold.net.discovery.server_list import ListAnswer, ServerLine, UnreadableLine
+
+READY, DRAINING, GONE = Lifecycle.READY, Lifecycle.DRAINING, Lifecycle.GONE
+NOBODY = UnreadableLine(None, None)
+# The state of each server at the versions of a discovery; None: it is not listed.
+HISTORY: dict[int, dict[str, Lifecycle]] = {
+    10: {"a": READY, "b": READY},
+    11: {"a": DRAINING, "b": READY},
+    12: {"b": READY, "c": READY},
+    13: {"a": READY, "b": DRAINING, "c": READY},
+}
+TOP = max(HISTORY)
+
+
+def line(uid: str, lifecycle: Lifecycle = READY, boot_ms: float = 0.0, port: int = 9) -> ServerLine:
+    return ServerLine(uid, lifecycle, ("127.0.0.1", port), boot_ms)
+
+
+def whole(version: int, states: dict[str, Lifecycle], *unreadable: UnreadableLine) -> ListAnswer:
+    return ListAnswer(version, True, tuple(line(uid, state) for uid, state in states.items()), unreadable)
+
+
+def changes(since: int, version: int) -> ListAnswer:
+    """Every server that has changed between two versions of the history, as it is at the later one."""
+    changed = dict[str, None]()
+    for before, after in pairwise(range(since, version + 1)):
+        uids = sorted(HISTORY[before].keys() | HISTORY[after].keys())
+        changed |= {uid: None for uid in uids if HISTORY[before].get(uid) is not HISTORY[after].get(uid)}
+    return ListAnswer(version, False, tuple(line(uid, HISTORY[version].get(uid, GONE)) for uid in changed))
+
+
+def doubled(answer: ListAnswer) -> ListAnswer:
+    """Each server's line behind one that says that it is ready."""
+    lines = [part for own in answer.lines for part in (replace(own, lifecycle=READY), own)]
+    return replace(answer, lines=tuple(lines))
+
+
+class Follower:
+    """A held list, what it handed on, and the newest versions that told each server to drain and to be ready."""
+
+    def __init__(self, first: ListAnswer) -> None:
+        self.held, self.now = HeldList(), 0.0
+        self.listed: dict[str, Lifecycle] = {}
+        self.drain_told: dict[str, int] = {}
+        self.ready_told: dict[str, int] = {}
+        self.take(first, None)
+
+    def take(self, answer: ListAnswer, since: int | None, step_s: float = 0.1) -> Merged:
+        """An answer to a call that was begun just now."""
+        self.now += step_s
+        merged = self.held.merge(answer, Asked(since, self.now), self.now)
+        self._note(answer)
+        if merged.whole and merged.lines:
+            self.listed.clear()
+        self.listed.update((line.uid, line.lifecycle) for line in merged.lines)
+        return merged
+
+    def _note(self, answer: ListAnswer) -> None:
+        told: dict[str, set[Lifecycle]] = {}
+        for own in answer.lines:
+            told.setdefault(own.uid, set()).add(own.lifecycle)
+        absent = {uid: {GONE} for uid in self.ready_told if answer.whole and not answer.unreadable and uid not in told}
+        for uid, states in (told | absent).items():
+            newest = self.ready_told if states == {READY} else self.drain_told
+            newest[uid] = max(newest.get(uid, 0), answer.version)
+
+    def ready(self) -> set[str]:
+        return {uid for uid, state in self.listed.items() if state is READY}
+
+    def check(self) -> None:
+        """No server is ready that was told to drain by no older version than the newest that had it ready."""
+        for uid in self.ready():
+            assert self.ready_told.get(uid, 0) > self.drain_told.get(uid, 0), uid
+
+
+def answers() -> list[tuple[ListAnswer, int | None]]:
+    """Answers of replicas that hold any version, to calls that name any version, some odd."""
+    found: list[tuple[ListAnswer, int | None]] = []
+    for version, states in HISTORY.items():
+        found += [(whole(version, states), None), (whole(version, states), TOP)]
+        found += [(changes(since, version), since) for since in HISTORY if since < version]
+        found.append((ListAnswer(version, False, ()), version))
+    found.append((ListAnswer(11, False, ()), TOP))
+    found.append((whole(12, HISTORY[12], NOBODY), None))
+    found.append((doubled(whole(11, HISTORY[11])), None))
+    found.append((doubled(changes(12, 13)), 12))
+    return found
+
+
+@pytest.mark.parametrize("step_s", [0.1, ADOPT_AFTER_S])
+def test_no_order_of_answers_makes_a_drained_server_ready_without_a_later_version(step_s: float) -> None:
+    for order in product(answers(), repeat=3):
+        follower = Follower(whole(10, HISTORY[10]))
+        for answer, since in order:
+            if since is None or since == follower.held.version:
+                follower.take(answer, since, step_s)
+                follower.check()
+        follower.take(whole(TOP, HISTORY[TOP]), None)
+        assert follower.listed == HISTORY[TOP] and follower.held.withheld() == 0
+
+
+@pytest.mark.parametrize("anew", [3, 9])
+def test_versions_that_count_from_anew_are_taken_and_take_no_drain_back(anew: int) -> None:
+    for order in product(answers(), repeat=2):
+        follower = Follower(whole(10, HISTORY[10]))
+        for answer, since in order:
+            if since is None or since == follower.held.version:
+                follower.take(answer, since)
+        for _ in range(40):
+            follower.take(whole(anew, {"a": READY, "d": READY}), None)
+            follower.check()
+        assert follower.held.version == anew and "d" in follower.ready()
+        follower.now += FORMER_DRAIN_S
+        follower.take(whole(anew + 1, {"a": READY, "d": READY}), None)
+        assert follower.ready() == {"a", "d"}
+
+
+@pytest.mark.parametrize(
+    ("since", "version", "is_whole", "begun_at", "worth"),
+    [
+        (5, 7, False, 0.0, Worth.OVERTAKEN),  # to a call that another one overtook
+        (5, 8, False, 0.0, Worth.TAKEN),
+        (5, 9, False, 0.0, Worth.TAKEN),
+        (9, 9, False, 0.0, Worth.OVERTAKEN),  # builds on a version that is not held
+        (8, 7, False, 2.0, Worth.LOWER_VERSION),
+        (None, 7, True, 0.0, Worth.OVERTAKEN),
+        (None, 7, True, 2.0, Worth.LOWER_VERSION),
+        (None, 8, True, 0.0, Worth.TAKEN),
+        (None, 7, False, 2.0, Worth.LOWER_VERSION),
+    ],
+)
+def test_worth_of_an_answer_to_a_call_that_began_before_or_behind_the_list_that_is_held(
+    since: int | None, version: int, is_whole: bool, begun_at: float, worth: Worth
+) -> None:
+    held = HeldList()
+    held.merge(whole(8, {"a": READY}), Asked(None, 0.5), 1.0)
+    answer = ListAnswer(version, is_whole, (line("a"),))
+    assert held.merge(answer, Asked(since, begun_at), 3.0).worth is worth
+
+
+def test_drain_of_a_lower_version_is_withheld_at_once_and_ends_with_an_answer_of_the_version_held() -> None:
+    follower = Follower(whole(10, {"a": READY, "b": READY, "c": READY}))
+    merged = follower.take(whole(3, {"a": READY, "b": DRAINING}), 10)
+    assert merged.not_taken == {NotTaken.LOWER_VERSION: 1} and follower.ready() == {"a"}
+    assert follower.held.version == 10 and follower.held.withheld() == 2
+    follower.take(ListAnswer(10, False, ()), 10)
+    assert follower.ready() == {"a", "b", "c"}
+    assert not follower.take(whole(3, {"a": READY, "b": DRAINING}), 10).lines  # a replica that lags, as was shown
+
+
+def test_lower_versions_are_taken_only_once_no_other_came_for_a_while() -> None:
+    follower = Follower(whole(10, HISTORY[10]))
+    lower, step_s = whole(3, {"a": READY}), ADOPT_AFTER_S / LEAST_TO_ADOPT
+    for _ in range(LEAST_TO_ADOPT + 1):
+        assert follower.take(lower, 10, step_s).worth is Worth.LOWER_VERSION
+    assert follower.take(lower, 10, step_s).worth is Worth.ADOPTED
+    assert follower.held.version == 3
+
+
+def test_first_list_of_discovery_is_handed_on_whatever_version_is_remembered() -> None:
+    held = HeldList()
+    held.remember(41, [line("a"), line("b")])
+    merged = held.merge(whole(2, {"a": READY}), Asked(None, 0.0), 1.0)
+    assert merged.whole and [own.uid for own in merged.lines] == ["a"] and held.version == 2
+
+
+def test_whole_list_is_handed_on_again_only_where_it_changes_something_or_the_last_was_not_taken_over() -> None:
+    follower = Follower(whole(10, HISTORY[10]))
+    assert follower.take(whole(10, HISTORY[10]), None).lines == []
+    follower.held.hand_on_again()
+    assert len(follower.take(whole(10, HISTORY[10]), None).lines) == 2
+    assert len(follower.take(whole(11, HISTORY[11]), None).lines) == 2
+
+
+def test_server_that_changes_left_out_is_found_by_the_whole_list_of_the_same_version() -> None:
+    follower = Follower(whole(10, HISTORY[10]))
+    follower.take(ListAnswer(11, False, ()), 10)
+    assert follower.ready() == {"a", "b"}
+    follower.take(whole(11, HISTORY[11]), None)
+    assert follower.ready() == {"b"}
+
+
+@pytest.mark.parametrize(
+    ("unreadable", "ready"),
+    [
+        (UnreadableLine("a", DRAINING), {"b"}),
+        (UnreadableLine("a", GONE), {"b"}),
+        (UnreadableLine("a", READY), {"a", "b"}),
+        (UnreadableLine("a", None), {"b"}),
+        (UnreadableLine("x", None), {"a", "b"}),
+        (NOBODY, {"a", "b"}),
+    ],
+)
+def test_line_that_cannot_be_read_is_taken_for_what_is_sure_in_it(unreadable: UnreadableLine, ready: set[str]) -> None:
+    follower = Follower(whole(10, HISTORY[10]))
+    merged = follower.take(ListAnswer(11, False, (line("b"),), (unreadable,)), 10)
+    assert follower.ready() == ready and merged.ask_whole and merged.not_taken[NotTaken.UNREADABLE] == 1
+    follower.take(whole(12, HISTORY[10]), None)
+    assert follower.ready() == {"a", "b"}
+
+
+def test_server_that_a_whole_list_with_an_unreadable_line_does_not_name_is_withheld_and_not_forgotten() -> None:
+    follower = Follower(whole(10, HISTORY[10]))
+    follower.take(whole(11, {"b": READY}, NOBODY), None)
+    assert follower.listed == {"a": DRAINING, "b": READY}
+    follower.take(whole(11, HISTORY[10]), None)
+    assert follower.ready() == {"a", "b"}
+
+
+@pytest.mark.parametrize(
+    ("lines", "ready"),
+    [
+        ([line("a"), line("a", DRAINING)], {"b"}),
+        ([line("a", DRAINING), line("a")], {"b"}),
+        ([line("a"), line("a", GONE)], {"b"}),
+        ([line("a"), line("a", boot_ms=5.0)], {"b"}),
+        ([line("a"), line("a", port=10)], {"a", "b"}),
+        ([line("a"), line("a")], {"a", "b"}),
+        ([line("n"), line("n", port=10)], {"a", "b"}),
+    ],
+)
+def test_server_that_is_named_twice_gets_nothing_new_where_its_lines_differ_in_what_matters(
+    lines: list[ServerLine], ready: set[str]
+) -> None:
+    follower = Follower(whole(10, HISTORY[10]))
+    merged = follower.take(ListAnswer(11, False, tuple(lines)), 10)
+    assert follower.ready() == ready and merged.ask_whole is (lines[0] != lines[1])
+    follower.take(whole(12, HISTORY[10]), None)
+    assert follower.ready() == {"a", "b"}
+
+
+def test_servers_that_are_gone_are_remembered_within_a_bound() -> None:
+    follower = Follower(whole(1, {"a": READY}))
+    for version in range(2, MOST_GONE + 100):
+        follower.take(whole(version, {f"s{version}": READY}), None)
+    remembered = follower.held._drained
+    assert len(remembered) <= MOST_GONE + 1 and f"s{MOST_GONE}" in remembered and "a" not in remembered
+
+
+def test_list_of_another_discovery_is_taken_whatever_its_version_but_for_drains() -> None:
+    follower = Follower(whole(10, HISTORY[10]))
+    follower.take(whole(11, HISTORY[11]), None)
+    follower.held.expect_other_versions()
+    follower.take(whole(2, {"a": READY, "d": READY}), None)
+    assert follower.held.version == 2 and follower.ready() == {"d"}
+    follower.take(whole(12, {"a": READY, "d": READY}), None)
+    assert follower.ready() == {"a", "d"}
+
+
+def test_server_that_lower_versions_left_in_doubt_is_ready_again_once_they_are_taken() -> None:
+    follower = Follower(whole(10, HISTORY[10]))
+    follower.take(whole(3, {"a": READY, "b": DRAINING}), 10)
+    for _ in range(LEAST_TO_ADOPT):
+        follower.take(whole(4, HISTORY[10]), 10, ADOPT_AFTER_S)
+    assert follower.held.version == 4 and follower.ready() == {"a", "b"}
--- a/tests/fleet/test_first_call.py
+++ b/tests/fleet/test_first_call.py
@@ -53,7 +53,7 @@
         discovery = Discovery(
             ("127.0.0.1", service.port), clock, lambda members: told.set(), lambda: None, lambda: PUSHED
         )
-        discovery.resume(41)
+        discovery.resume(Members(41, True, (), {}))
         discovery.watch()
         await told.wait()
         discovery.stop()
@@ -91,7 +91,7 @@
 
         await service.start()
         discovery = Discovery(("127.0.0.1", service.port), Clock(), told.append, fails, lambda: ASKED)
-        discovery.resume(0)
+        discovery.resume(Members(0, True, (), {}))
         discovery.watch()
         await until(lambda: told)
         discovery.stop()
--- a/tests/moments/test_watch.py
+++ b/tests/moments/test_watch.py
@@ -92,7 +92,7 @@
         discovery = Discovery(
             ("127.0.0.1", service.port), Clock(), told.append, lambda: failed.append(1), lambda: ASKED
         )
-        discovery.resume(41)
+        discovery.resume(Members(41, True, (), {}))
         discovery.watch()
         await until(lambda: told)
         holds = [asked.split("hold_ms=")[1] for asked, _, _ in service.requests[:3]]
