No connection to discovery is relied on for long; a streamed list is asked for whole

Cause: the one kept connection was used as long as it answered. Where it led to a replica or a relay that stands still, or where the watch was fed no more, each answer came in time and said nothing new, so nothing was overdue and nothing failed.

Why this works: whatever one connection or watch hides, another is asked within the grace (streamed) or within a watch of 3 s (polled). What it can't see: a discovery all of whose connections say nothing new; a large list's changes that no watch tells, for longer.

Whole lists stay within their bytes for 50, 200 and 3,200 servers (simulated time).

--- a/cloverhold/net/discovery/calls.py
+++ b/cloverhold/net/discovery/calls.py
@@ -5,6 +5,10 @@
 beside it, on a connection of its own. And no call is given up for being slow: it stays open until a later one is
 answered or there are too many.
 
+An answer in time may say nothing new for ever, where its connection leads to a replica that stands still. So no
+connection is used for long (`CallTimes.connection_s`), and where lists are streamed the whole list is asked for now and
+then, as rarely as `WHOLE_BYTES_PER_S` wants it.
+
 | what happens              | then                                                   | next call                |
 | ------------------------- | ------------------------------------------------------ | ------------------------ |
 | a call begins             | at most `most_open` are kept: `_evict` gives one up    | its wait and `patience`  |
@@ -35,6 +39,8 @@
 STALLED_AFTER_S = 6.0  # without a byte, behind its wait: the oldest call is given up first from here on
 LEAST_HOLD_S = 0.5
 LATENCY_DECAY = 0.7  # of what is remembered of slower answers, at each answer
+WHOLE_BYTES_PER_S = 8 * 1024  # of whole lists that are asked for only to find what changes left out
+LINE_BYTES = 160  # of a whole list, for each server
 SETTLE_FIRST_S, SETTLE_MOST_S = 0.1, 8.0  # until the whole list is asked for, as an answer was not taken whole
 PERMANENT_ERRORS = frozenset(range(400, 500)) - {408, 429}  # discovery may not know the version that was named
 
@@ -70,7 +76,9 @@
     backoff_first_s: float
     retry_most_s: float  # between the begins of two calls while none is answered
     most_open: int
+    connection_s: float = 1.0  # a connection older than this is used for no further call
     pace_most_s: float = 1.0  # between the begins of calls that are answered with lower versions
+    whole_every_s: float = math.inf  # least time between two whole lists that are asked for without need
 
     @classmethod
     def of(cls, settings: io.Settings, random: Random) -> CallTimes:
@@ -109,7 +117,9 @@
             backoff_first_s=part_s,
             retry_most_s=2 * part_s,
             most_open=5,
+            connection_s=part_s,
             pace_most_s=PACE_S,
+            whole_every_s=2 * part_s,
         )
 
 
@@ -119,6 +129,7 @@
 
     version: int | None  # of the list that is held now
     entries: int  # servers that the answer names
+    listed: int = 0  # servers that are listed now
     taken: bool = True  # False: another one had overtaken it, or its version is lower
     lower: bool = False  # its version is lower
     ask_whole: bool = False  # only a whole list can tell the rest
@@ -173,6 +184,7 @@
     _open: dict[int, OpenCall] = field(default_factory=dict)  # oldest first
     _numbers: int = 0
     _lower: int = 0  # answers of lower versions in a row
+    _whole_at: float = math.inf  # when the whole list is asked for, though a version is held
     _settle_at: float = math.inf  # when it is asked for, as an answer was not taken whole
     _settle_s: float = SETTLE_FIRST_S
 
@@ -227,6 +239,8 @@
 
     def _plan_whole(self, call: OpenCall, heard: Heard, now: float) -> None:
         """When the whole list is asked for next, though a version is held."""
+        if call.kind is CallKind.WHOLE or self._whole_at == math.inf:
+            self._whole_at = now + max(self.times().whole_every_s, heard.listed * LINE_BYTES / WHOLE_BYTES_PER_S)
         is_needed = heard.unsettled or heard.ask_whole
         if call.kind is CallKind.WHOLE and not is_needed:
             self._settle_at, self._settle_s = math.inf, SETTLE_FIRST_S
@@ -279,6 +293,8 @@
     def _next_kind(self, now: float) -> CallKind:
         if self.version is None or now >= self._settle_at:
             return CallKind.WHOLE
+        if now >= self._whole_at and not self._open and not self.failures:
+            return CallKind.WHOLE
         return CallKind.CHECK if self._open or self.failures else CallKind.WATCH
 
     def _interval_s(self, times: CallTimes, kind: CallKind) -> float:
--- a/cloverhold/net/discovery/connection.py
+++ b/cloverhold/net/discovery/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Callable
 
 from cloverhold.net.discovery.server_list import ListError
@@ -32,6 +33,7 @@
 
     def __init__(self, address: Address) -> None:
         self.address = address
+        self.begun_at_s = time.monotonic()
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
 
--- a/cloverhold/net/discovery/watcher.py
+++ b/cloverhold/net/discovery/watcher.py
@@ -165,10 +165,12 @@
             self._note_unanswered(call)
 
     def _connection(self) -> Connection:
-        """The kept connection, or one of the call's own."""
+        """The kept connection where it is young, or one of the call's own."""
         kept, self._idle = self._idle, None
         if kept is not None and kept.is_open():
-            return kept
+            if time.monotonic() - kept.begun_at_s < self.times().connection_s:
+                return kept
+            kept.close()
         return Connection(self.address)
 
     def _keep(self, connection: Connection | None) -> None:
@@ -223,6 +225,7 @@
         return Heard(
             version=self.held.version,
             entries=len(answer.lines),
+            listed=len(self.held),
             taken=merged.worth in (Worth.TAKEN, Worth.ADOPTED),
             lower=merged.worth is Worth.LOWER_VERSION,
             ask_whole=merged.ask_whole,
--- a/tests/faults/simulated_discovery.py
+++ b/tests/faults/simulated_discovery.py
@@ -54,6 +54,7 @@
         self.servers: dict[str, str] = {}
         self.heard: dict[int, float] = {}  # when each version was held first
         self.begun: list[float] = []
+        self.whole_calls = 0
         self.most_open = 0
         self.versions: list[int] = []
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -109,6 +110,7 @@
             match action:
                 case Begin(call):
                     self.begun.append(self.now)
+                    self.whole_calls += call.since is None
                     self._come(call)
                 case Abandon(call, _):
                     self._dead.add(call.number)
@@ -152,6 +154,7 @@
         heard = Heard(
             version=self.held.version,
             entries=len(lines),
+            listed=len(self.held),
             taken=taken,
             lower=merged.worth is Worth.LOWER_VERSION,
             ask_whole=merged.ask_whole,
--- a/tests/faults/test_call_schedule.py
+++ b/tests/faults/test_call_schedule.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 from dataclasses import replace
-from itertools import product
+from itertools import pairwise, product
 from random import Random
 
 import pytest
@@ -12,9 +12,15 @@
 from cloverhold import Settings
 from cloverhold.net.discovery.calls import (
     HEAR_WITHIN_S,
+    LINE_BYTES,
+    PACE_S,
+    SETTLE_FIRST_S,
+    SETTLE_MOST_S,
+    WHOLE_BYTES_PER_S,
     Abandon,
     Begin,
     CallEnd,
+    CallKind,
     CallSchedule,
     CallTimes,
     Heard,
@@ -231,3 +237,57 @@
     schedule, _, newer = two_calls(5)
     schedule.failed(newer, 10.0, status)
     assert (schedule.version == 5) is held
+
+
+def streamed_whole_calls(listed: int, seconds: float) -> tuple[list[float], int]:
+    """When the whole list is asked for by a streamed follower of so many servers, and how many calls it makes."""
+    times = CallTimes.of(STREAMED, Random(1))
+    schedule, now, begun, calls = CallSchedule(lambda: times, Random(1), version=5), 0.0, list[float](), 0
+    schedule.start(now)
+    while now < seconds:
+        for action in schedule.tick(now):
+            assert isinstance(action, Begin)
+            calls += 1
+            call = action.call
+            if call.kind is CallKind.WHOLE:
+                begun.append(now)
+            now += call.hold_s + 0.001
+            schedule.answered(call.number, Heard(version=5, entries=0, listed=listed), now)
+        now = max(now, schedule.next_at)
+    return begun, calls
+
+
+def test_streamed_whole_list_is_asked_for_within_the_grace_though_changes_never_come() -> None:
+    begun, calls = streamed_whole_calls(12, 60.0)
+    assert begun[0] <= GRACE_S and max(b - a for a, b in pairwise(begun)) <= GRACE_S
+    assert calls <= 60.0 / PACE_S + len(begun)
+
+
+@pytest.mark.parametrize("listed", [50, 200, 3200])
+def test_whole_lists_that_are_asked_for_without_need_stay_within_their_bytes(listed: int) -> None:
+    begun, _ = streamed_whole_calls(listed, 600.0)
+    assert begun and (len(begun) - 1) * listed * LINE_BYTES <= 600.0 * WHOLE_BYTES_PER_S
+
+
+def test_polled_service_is_not_asked_for_the_whole_list_without_need() -> None:
+    follower = quiet(POLLED, 0.01, 1, quiet_s=600.0)
+    assert follower.whole_calls == 1
+
+
+@pytest.mark.parametrize("settings", [POLLED, STREAMED])
+def test_answer_that_is_never_taken_whole_is_followed_by_whole_lists_at_growing_intervals(settings: Settings) -> None:
+    times = CallTimes.of(settings, Random(1))
+    schedule, now, begun = CallSchedule(lambda: times, Random(1), version=5), 0.0, list[float]()
+    schedule.start(now)
+    while now < 120.0:
+        for action in schedule.tick(now):
+            assert isinstance(action, Begin)
+            if action.call.kind is CallKind.WHOLE:
+                begun.append(now)
+            now += action.call.hold_s + 0.001
+            heard = Heard(version=5, entries=2, listed=10**6, ask_whole=True, unsettled=True)
+            schedule.answered(action.call.number, heard, now)
+        now = max(now, schedule.next_at)
+    gaps = [b - a for a, b in pairwise(begun)]
+    assert begun[0] <= times.hold_s + 2 * SETTLE_FIRST_S + times.hold_s
+    assert len(begun) <= 30 and max(gaps) <= SETTLE_MOST_S + 2 * times.hold_s + 1.0
