Quiet answers count as heard for servers' starts; gone servers are remembered in a bound

An answer that changes nothing is no longer handed on, so behind a quiet time a start was taken for one of long ago where the node's wall clock is ahead: a cold server would have been warm. And servers that are gone were forgotten only with a whole list, which a polled node may never get: what is remembered of them would have grown without bound.

Each answer that is read notes that discovery was heard; the bound is kept at each answer.

--- a/cloverhold/net/discovery/merge.py
+++ b/cloverhold/net/discovery/merge.py
@@ -171,7 +171,7 @@
         self._take_unreadable(answer, merged)
         if answer.whole:
             self._take_absences(answer)
-            self._forget_oldest_gone(now)
+        self._forget_oldest_gone(now)
         # A whole list that is said to be changes leaves out what changed else: the version stays, to be asked for.
         if answer.whole or asked.since is not None or self.version is None:
             self.version = answer.version
--- a/cloverhold/net/discovery/watcher.py
+++ b/cloverhold/net/discovery/watcher.py
@@ -219,7 +219,9 @@
         self._keep(connection if connection.is_open() and not heard.lower else None)
         self._note_answer(call)
         self._note_worth(call, answer, merged, held)
-        return self._hand_on(merged) if merged.lines else None
+        fault = self._hand_on(merged) if merged.lines else None
+        self.clock.starts.note_heard(self.clock.now())
+        return fault
 
     def _heard(self, answer: ListAnswer, merged: Merged) -> Heard:
         return Heard(
--- a/cloverhold/net/start_times.py
+++ b/cloverhold/net/start_times.py
@@ -52,9 +52,13 @@
         if full:
             self._starts = {uid: start for uid, start in self._starts.items() if boots.get(uid, 0.0) > 0}
         if live:
-            self._heard_at_ms = now_ms
+            self.note_heard(now_ms)
         return {uid: self._starts[uid].at_ms if boot > 0 else None for uid, boot in boots.items()}
 
+    def note_heard(self, now_ms: float) -> None:
+        """Discovery has answered now, with or without a start."""
+        self._heard_at_ms = now_ms
+
     def forget(self, uid: str) -> None:
         """It is listed no more."""
         self._starts.pop(uid, None)
--- a/tests/faults/test_list_merge.py
+++ b/tests/faults/test_list_merge.py
@@ -250,12 +250,14 @@
     assert follower.ready() == {"a", "b"}
 
 
-def test_servers_that_are_gone_are_remembered_within_a_bound() -> None:
+def test_servers_that_are_gone_are_remembered_within_a_bound_though_no_whole_list_comes() -> None:
     follower = Follower(whole(1, {"a": READY}))
-    for version in range(2, MOST_GONE + 100):
-        follower.take(whole(version, {f"s{version}": READY}), None)
+    follower.take(whole(2, {"b": READY}), None)
+    for version in range(3, MOST_GONE + 100):
+        come, go = line(f"s{version}"), line(f"s{version - 1}", GONE)
+        follower.take(ListAnswer(version, False, (come, go)), version - 1)
     remembered = follower.held._drained
-    assert len(remembered) <= MOST_GONE + 1 and f"s{MOST_GONE}" in remembered and "a" not in remembered
+    assert len(remembered) <= MOST_GONE + 2 and f"s{MOST_GONE}" in remembered and "a" not in remembered
 
 
 def test_list_of_another_discovery_is_taken_whatever_its_version_but_for_drains() -> None:
@@ -274,3 +276,12 @@
     for _ in range(LEAST_TO_ADOPT):
         follower.take(whole(4, HISTORY[10]), 10, ADOPT_AFTER_S)
     assert follower.held.version == 4 and follower.ready() == {"a", "b"}
+
+
+def test_whole_list_that_is_marked_as_changes_is_taken_where_none_is_held_and_removes_nobody_where_one_is() -> None:
+    marked = ListAnswer(10, False, (line("a"),))
+    follower = Follower(marked)
+    assert follower.ready() == {"a"} and follower.held.version == 10
+    follower = Follower(whole(10, HISTORY[10]))
+    follower.take(ListAnswer(12, False, (line("a", DRAINING),)), None)
+    assert follower.ready() == {"b"} and follower.held.version == 10
--- a/tests/faults/test_start_times.py
+++ b/tests/faults/test_start_times.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
+from discovery_service import DiscoveryService
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cloverhold.net.clock import Clock
+from cloverhold.net.discovery.server_list import Members
+from cloverhold.net.discovery.watcher import Discovery
 from cloverhold.net.start_times import TOLD_LATEST_MS, StartTimes
+from loopback import PUSHED, play, target, until
 
 UNIX, HOUR, COLD = 1.8e12, 3.6e6, 9000.0  # ms
 NOW = 1_000_000.0  # monotonic ms
@@ -99,3 +106,26 @@
     for number in range(100):
         known.resolve({f"s{number}": boot(NOW)}, NOW, full=True, live=True)
     assert len(known._starts) == 1
+
+
+def test_answers_without_news_count_as_heard_for_the_starts_of_servers() -> None:
+    """Else a start that is told behind a quiet time passes for one of long ago where the wall clock is ahead."""
+
+    async def test() -> None:
+        service, told, clock = DiscoveryService([target("s0", 9)]), list[Members](), Clock()
+        await service.start()
+        clock.starts.unix_offset_ms += 3_600_000.0
+        discovery = Discovery(("127.0.0.1", service.port), clock, told.append, lambda: None, lambda: PUSHED)
+        discovery.watch()
+        await until(lambda: told)
+        clock.starts.note_heard(clock.now() - 7_200_000.0)
+        calls = len(service.calls)
+        await until(lambda: len(service.calls) > calls + 1)
+        service.change([{**target("s1", 9), "boot_ms": time.time() * 1000}])
+        await until(lambda: len(told) > 1)
+        (entry,) = [entry for entry in told[-1].entries if entry.server == "s1"]
+        assert entry.started_at is not None and clock.now() - entry.started_at < 10_000.0
+        discovery.stop()
+        service.stop()
+
+    play(test)
