A supervisor that is told to end again and again is not ended by a thread of its own

What callers saw: a supervisor of several workers, told to end again and again, now and then ended with -15 and not 0. Seen once here, beside seven test workers, in test_signals_that_come_until_the_supervisor_is_gone_do_not_end_it.

Cause: signals are held by pthread_sigmask, which holds for one thread. asyncio's default watcher waits for each worker in a thread of its own, begun while signals are let through; one that is still there when the loop and its handlers have gone takes the signal, and the default ends the process. Evidence: with threads that stay for a second the process ends with -15 each time.

Children are watched by pidfd now, without threads (the default from Python 3.14 on).

--- a/cloverhold/supervise/shell.py
+++ b/cloverhold/supervise/shell.py
@@ -99,6 +99,7 @@
             self.loop.add_signal_handler(number, self._stop)
         self.loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.loop.add_signal_handler(signal.SIGUSR2, lambda: self.act(self.core.replace(now())))
+        _watch_children_without_threads(self.loop)
         signals.release()  # before any worker starts: it would inherit what is held
         if self.fellows is not None:
             await self.fellows.start(self.loop, self._tell)
@@ -194,6 +195,16 @@
             log.warning("a worker's channel: %s", error)
 
 
+def _watch_children_without_threads(loop: asyncio.AbstractEventLoop) -> None:
+    """Signals are held by each thread for itself: one that waits for a child would take them at the end. The default
+    from Python 3.14 on, where the watchers are gone.
+    """
+    if sys.version_info < (3, 14):
+        watcher = asyncio.PidfdChildWatcher()
+        watcher.attach_loop(loop)
+        asyncio.set_child_watcher(watcher)
+
+
 def supervise(
     workers: int, address: tuple[str, int], store: StoreService | None = None, fellows: Fellows | None = None
 ) -> int:
--- a/tests/test_supervise.py
+++ b/tests/test_supervise.py
@@ -9,11 +9,12 @@
 import socket
 import sys
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager, suppress
 from itertools import pairwise
 from pathlib import Path
 from random import Random
+from types import MappingProxyType
 
 import pytest
 from hypothesis import given
@@ -240,9 +241,11 @@
 
 @asynccontextmanager
 async def workers(
-    tmp_path: Path, count: int, catalog: Catalog | None = None
+    tmp_path: Path, count: int, catalog: Catalog | None = None, extra: Mapping[str, str] = MappingProxyType({})
 ) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
-    """A supervisor with so many workers before one server, ready to serve. The list is remembered, or a catalog's."""
+    """A supervisor with so many workers before one server, ready to serve. The list is remembered, or a catalog's;
+    extra: of its environment.
+    """
     server = Server(lambda target, body: OK)
     await server.start()
     port, down = free_ports(2)
@@ -258,7 +261,7 @@
         return await asked(port, f"first{time.monotonic()}") == 200
 
     try:
-        async with supervisor(count, environment(path), serves) as process:
+        async with supervisor(count, {**environment(path), **extra}, serves) as process:
             yield process, port
     finally:
         server.stop()
@@ -295,6 +298,34 @@
     on_workers(2, tmp_path, test)
 
 
+LINGERING_THREADS = """
+import time
+from asyncio import unix_events
+
+watch = unix_events.ThreadedChildWatcher._do_waitpid
+
+def linger(*args):
+    watch(*args)
+    time.sleep(1.0)
+
+unix_events.ThreadedChildWatcher._do_waitpid = linger
+"""
+
+
+def test_signals_at_the_end_of_a_supervisor_are_held_in_all_of_its_threads(tmp_path: Path) -> None:
+    async def test() -> None:
+        (tmp_path / "sitecustomize.py").write_text(LINGERING_THREADS)
+        async with workers(tmp_path, 2, extra={"PYTHONPATH": str(tmp_path)}) as (process, _):
+            async with asyncio.timeout(WAIT_S):
+                while process.returncode is None:
+                    with suppress(ProcessLookupError):
+                        process.send_signal(signal.SIGTERM)
+                    await asyncio.sleep(0.001)
+            assert process.returncode == 0
+
+    play(test)
+
+
 @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
 def test_a_worker_killed_or_stopped_is_replaced(tmp_path: Path, number: signal.Signals) -> None:
     async def test(process: asyncio.subprocess.Process, port: int) -> None:
