--- a/tests/faults/test_list_merge.py
+++ b/tests/faults/test_list_merge.py
@@ -285,3 +285,12 @@
     follower = Follower(whole(10, HISTORY[10]))
     follower.take(ListAnswer(12, False, (line("a", DRAINING),)), None)
     assert follower.ready() == {"b"} and follower.held.version == 10
+
+
+def test_server_is_not_ready_again_by_a_list_of_the_very_version_that_told_it_to_drain() -> None:
+    follower = Follower(whole(10, HISTORY[10]))
+    follower.take(ListAnswer(11, False, (line("a", DRAINING),)), 10)
+    merged = follower.take(whole(11, HISTORY[10]), None)
+    assert follower.ready() == {"b"} and merged.not_taken == {NotTaken.NOT_LATER: 1}
+    follower.take(whole(12, HISTORY[10]), None)
+    assert follower.ready() == {"a", "b"}
