--- a/review/standins.py
+++ b/review/standins.py
@@ -132,7 +132,9 @@
 
 
 async def read_many_chunks(reader: asyncio.StreamReader) -> bytes:
-    """The same for a body of very many chunks that is the last message for now: it is read in large parts."""
+    """The same for a body of very many chunks that is the last message for now: it is read in large parts, and parsed
+    a few at a time, so that nobody else here waits for it.
+    """
     raw = bytearray()
     while not raw.endswith(b"\r\n0\r\n\r\n") and raw != b"0\r\n\r\n":
         if not (data := await reader.read(1 << 18)):
@@ -142,6 +144,8 @@
     while size := int(raw[at : (end := raw.index(b"\r\n", at))], 16):
         body.append(bytes(raw[end + 2 : end + 2 + size]))
         at = end + 2 + size + 2
+        if len(body) % 2000 == 0:
+            await asyncio.sleep(0)
     return b"".join(body)
 
 
@@ -509,6 +513,57 @@
         self.reader = self.writer = None
 
 
+class Usual:
+    """The usual clients: each asks in turn, one request at a time, and waits a little between two."""
+
+    SLACK_S = 0.5 + 0.15  # an answer up to half a second late only earns nothing; the rest is the stand-ins' own
+
+    def __init__(self, record: Record, port: int, clients: int = 6, pause_s: float = 0.15) -> None:
+        self.record, self.port, self.clients, self.pause_s = record, port, clients, pause_s
+        self.got: list[tuple[float, Got]] = []  # with the time at which each was sent
+        self.lag_s = 0.0  # the longest time for which these stand-ins themselves were held up
+
+    async def ask(self, until: float) -> None:
+        """Ask until then, on the record's clock."""
+        lag = asyncio.create_task(self._watch_lag())
+        await asyncio.gather(*(self._client(number, until) for number in range(self.clients)))
+        lag.cancel()
+
+    async def _watch_lag(self) -> None:
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(0.02)
+            self.lag_s = max(self.lag_s, time.monotonic() - before - 0.02)
+
+    async def _client(self, number: int, until: float) -> None:
+        client, count = Client(self.record, self.port), 0
+        name = ("consulta", "alerta-umbral", "lote")[number % 3]
+        budget_ms = 1000 if name == "alerta-umbral" else 4000
+        while self.record.now() < until:
+            ident, sent_at = f"u{number}x{count}", self.record.now()
+            data = request(name, ident, budget_ms=budget_ms, key=ident if name == "lote" else "")
+            got = await client.ask(ident, data, budget_ms / 1000 + self.SLACK_S)
+            self.got.append((sent_at, got))
+            count += 1
+            await asyncio.sleep(self.pause_s)
+        client.close()
+
+    def lost(self) -> list[Got]:
+        """Requests that had no final answer half a second after their time."""
+        return [got for _, got in self.got if got.status == 0]
+
+    def tell(self) -> None:
+        """What they got, in a line."""
+        by_status: dict[int, int] = {}
+        for _, got in self.got:
+            by_status[got.status] = by_status.get(got.status, 0) + 1
+        longest = max((got.took_s for _, got in self.got), default=0.0)
+        self.record.say(
+            f"usual clients: {len(self.got)} requests, by status {by_status} (0: no answer), longest {longest:.2f} s; "
+            f"the stand-ins were held up for {self.lag_s:.2f} s at most"
+        )
+
+
 # -------------------------------------------------------------------------------------------------------------- stage
 
 
