Review case 3: one long body in small chunks holds the node up for seconds

Each chunk of a body is written on by itself, and nothing bounds the work of one turn of the event loop.

It takes the place of the third case of the review before.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""One client's X-Call-Cost ends the node's decisions for good: every later request fails and none is forwarded."""
+"""A client sends one long body in small pieces: the node does nothing else until it has passed it on."""
 
 from __future__ import annotations
 
@@ -7,52 +7,47 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-
-import standins as s
-
-CLIENTS, PAUSE_S = 6, 0.05
-BEFORE_S, SETTLES_S, WATCHED_S = 2.0, 2.0, 6.0
-GUESS = "9" * 400  # the header asks for a number of microseconds; this one is written in plain digits
-
-
-async def play(record: s.Record, folder: Path, trouble: bool) -> int:
-    """Two seconds of sound traffic, one request with an absurd guess, and eight seconds more."""
-    answers: list[tuple[float, s.Got]] = []
-    async with s.Stage(record, folder) as stage:
-        node, begun = stage.node, record.now()
-        end = begun + BEFORE_S + SETTLES_S + WATCHED_S
-
-        async def sound(number: int) -> None:
-            client, count = s.Client(record, node.port), 0
-            while record.now() < end:
-                count += 1
-                ident, name = f"c{number}-{count}", ("consulta", "alerta-umbral", "lote")[count % 3]
-                key = f"key-{ident}" if name == "lote" else ""
-                got = await client.ask(ident, s.request(name, ident, key=key, budget_ms=1000), 1.6)
-                answers.append((record.now(), got))
-                await asyncio.sleep(PAUSE_S)
-            client.close()
-
-        async def bad() -> None:
-            await asyncio.sleep(BEFORE_S)
-            fields = (f"X-Call-Cost: {GUESS}",) if trouble else ()
-            client = s.Client(record, node.port)
-            await client.ask("bad-1", s.request("consulta", "bad-1", *fields, budget_ms=1000), 1.6)
-            client.close()
-
-        await asyncio.gather(bad(), *(sound(number) for number in range(CLIENTS)))
-        health = await node.health()
-    early = [got for at, got in answers if at < begun + BEFORE_S]
-    late = [got for at, got in answers if at > end - WATCHED_S]
-    runs = [run for run in stage.runs() if run.at > end - WATCHED_S]
-    statuses = {status: sum(got.status == status for got in late) for status in {got.status for got in late}}
-    record.say(f"before: {sum(got.status == 200 for got in early)} of {len(early)} served")
-    record.say(f"the last {WATCHED_S:g} s: answers by status {statuses}, {len(runs)} requests reached a server")
-    record.say(f"at the end /_health says {health}")
-    if not early or any(got.status != 200 for got in early) or len(late) < 15:
-        return s.UNABLE
-    # As the standing page has it: all rejected, 15 or more, for 4 s on end, with no attempt in between.
-    return s.FAILED if not runs and not any(got.status == 200 for got in late) else s.HELD
-
-
-s.main(__file__, play)
+from standins import FAILED, HELD, HOST, UNABLE, Broken, Record, Stage, Usual, main, read_message
+
+BODY = 8 * 1024 * 1024
+PIECE, LARGE_PIECE = 16, 64 * 1024
+QUIET_S, LONG_S = 2.0, 24.0
+MOST_LAG_S = 0.4  # of the stand-ins: past that nothing is judged
+
+
+async def long_body(record: Record, port: int, piece: int) -> None:
+    """A client that sends one request with a long body, in pieces of this size, and waits for its answer."""
+    head = [
+        "POST /lote?sid=7f3a9c21 HTTP/1.1", "Host: api.internal", "X-Call-Id: long", "X-Call-Class: lote",
+        "X-Budget: 4000m", "Idempotency-Key: long", "Transfer-Encoding: chunked",
+    ]  # fmt: skip
+    data = "\r\n".join(head).encode() + b"\r\n\r\n"
+    data += b"%x\r\n%s\r\n" % (piece, b"m" * piece) * (BODY // piece) + b"0\r\n\r\n"
+    reader, writer = await asyncio.open_connection(HOST, port)
+    begun = record.now()
+    writer.write(data)
+    try:
+        async with asyncio.timeout(40.0):
+            record.say(f"the long one has {(await read_message(reader)).start} after {record.now() - begun:.2f} s")
+    except (Broken, TimeoutError) as error:
+        record.say(f"the long one has {error!r} after {record.now() - begun:.2f} s")
+    writer.transport.abort()
+
+
+async def play(record: Record, folder: Path, trouble: bool) -> int:
+    async with Stage(record, folder, work_s=0.05) as stage:
+        node = stage.node
+        usual = Usual(record, node.port)
+        asking = asyncio.create_task(usual.ask(record.now() + QUIET_S + LONG_S))
+        await asyncio.sleep(QUIET_S)
+        await long_body(record, node.port, PIECE if trouble else LARGE_PIECE)
+        await asking
+        usual.tell()
+        if usual.lag_s > MOST_LAG_S:
+            record.say("the stand-ins were too slow to judge")
+            return UNABLE
+        return FAILED if usual.lost() else HELD
+
+
+if __name__ == "__main__":
+    main(__file__, play)
