--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A client that has sent all is taken for one that has stopped, while the node does not read: its request is lost."""
+"""Bad clients send many requests at once: bodies that wait are outside the bound, and the node passes its memory."""
 
 from __future__ import annotations
 
@@ -7,58 +7,52 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-
-import standins as s
-
-CLIENTS, FIRST_ONES, WORK_S = 4, 6, 0.45
-PIECE, REST = 140 * 1024, 10 * 1024  # the two pieces of the long body
-
-
-async def play(record: s.Record, folder: Path, trouble: bool) -> int:
-    """Six short requests and one with a body of 150 KiB, written at once or one after the other."""
-    got = dict[str, int]()
-
-    async def serve(server: s.Server, message: s.Message, writer: asyncio.StreamWriter) -> None:
-        if message.start.startswith("GET"):
-            await asyncio.sleep(WORK_S)
-        await s.plain(server, message, writer)
-
-    async with s.Stage(record, folder, serves=serve) as stage:
-
-        async def client(number: int) -> None:
-            idents = [*(f"c{number}-{count}" for count in range(FIRST_ONES)), f"c{number}-long"]
-            asked = [s.request("consulta", ident, budget_ms=4000) for ident in idents[:-1]]
-            last = s.request("lote", idents[-1], key=f"key-{number}", budget_ms=4000, body=b"x" * (PIECE + REST))
-            reader, writer = await asyncio.open_connection(s.HOST, stage.node.port)
-
-            async def write_last() -> None:
-                writer.write(last[:-REST])
-                await asyncio.sleep(0.1)
-                writer.write(last[-REST:])
-                record.note(f"client {number} has written its last byte")
-
-            try:
-                if trouble:
-                    writer.write(b"".join(asked))
-                    await write_last()
-                for ident, data in zip(idents, [*asked, b""], strict=True):
-                    if not trouble:
-                        if data:
-                            writer.write(data)
-                        else:
-                            await write_last()
-                    async with asyncio.timeout(8.0):
-                        got[ident] = (await s.read_message(reader)).status()
-                    record.note(f"client has {got[ident]} for {ident}")
-            except (s.Broken, OSError, TimeoutError) as error:
-                record.note(f"client {number}: {error!r}")
-            writer.transport.abort()
-
-        await asyncio.gather(*(client(number) for number in range(CLIENTS)))
-    statuses = {status: sum(found == status for found in got.values()) for status in sorted(set(got.values()))}
-    total = CLIENTS * (FIRST_ONES + 1)
-    record.say(f"{len(got)} of {total} requests have an answer: {statuses}")
-    return s.FAILED if len(got) < total else s.HELD
-
-
-s.main(__file__, play)
+from standins import FAILED, HELD, HOST, UNABLE, Record, Stage, Usual, main, request
+
+BAD_CLIENTS, AT_ONCE = 100, 20
+BODY = b"m" * (64 * 1024)
+MEMORY_MB, SOCKETS = 96.0, 512
+QUIET_S, BAD_S, AFTER_S = 2.0, 8.0, 2.0
+
+
+async def many_at_once(record: Record, port: int, number: int) -> None:
+    """One bad client: it sends its requests at full speed, and reads what it is sent."""
+    names = [f"b{number}x{at}" for at in range(AT_ONCE)]
+    try:
+        reader, writer = await asyncio.open_connection(HOST, port)
+    except OSError:
+        return
+    writer.write(b"".join(request("lote", name, key=name, body=BODY) for name in names))
+    record.note(f"bad client {number} sends {AT_ONCE} requests")
+    try:
+        async with asyncio.timeout(BAD_S):
+            while await reader.read(1 << 16):
+                pass
+    except (OSError, TimeoutError):
+        pass
+    writer.transport.abort()
+
+
+async def play(record: Record, folder: Path, trouble: bool) -> int:
+    stage = Stage(record, folder, work_s=0.1)
+    stage.node.memory_mb, stage.node.sockets = MEMORY_MB, SOCKETS
+    async with stage:
+        node = stage.node
+        memory = asyncio.create_task(node.watch_memory())
+        usual = Usual(record, node.port)
+        asking = asyncio.create_task(usual.ask(record.now() + QUIET_S + BAD_S + AFTER_S))
+        await asyncio.sleep(QUIET_S)
+        record.say(f"before: {node.peak_mb:.0f} MB")
+        if trouble:
+            await asyncio.gather(*(many_at_once(record, node.port, number) for number in range(BAD_CLIENTS)))
+        await asking
+        memory.cancel()
+        usual.tell()
+        record.say(f"peak: {node.peak_mb:.0f} MB of {node.memory_mb:.0f}")
+        if node.over_memory:
+            return FAILED
+        return UNABLE if usual.lost() and not trouble else HELD
+
+
+if __name__ == "__main__":
+    main(__file__, play)
