--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A client sends one long body in small pieces: the node does nothing else until it has passed it on."""
+"""A client that offers HTTP/2 with its request has the request's body dropped: servers run work that nobody sent."""
 
 from __future__ import annotations
 
@@ -7,47 +7,44 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from standins import FAILED, HELD, HOST, UNABLE, Broken, Record, Stage, Usual, main, read_message
-
-BODY = 8 * 1024 * 1024
-PIECE, LARGE_PIECE = 16, 64 * 1024
-QUIET_S, LONG_S = 2.0, 24.0
-MOST_LAG_S = 0.4  # of the stand-ins: past that nothing is judged
-
-
-async def long_body(record: Record, port: int, piece: int) -> None:
-    """A client that sends one request with a long body, in pieces of this size, and waits for its answer."""
-    head = [
-        "POST /lote?sid=7f3a9c21 HTTP/1.1", "Host: api.internal", "X-Call-Id: long", "X-Call-Class: lote",
-        "X-Budget: 4000m", "Idempotency-Key: long", "Transfer-Encoding: chunked",
-    ]  # fmt: skip
-    data = "\r\n".join(head).encode() + b"\r\n\r\n"
-    data += b"%x\r\n%s\r\n" % (piece, b"m" * piece) * (BODY // piece) + b"0\r\n\r\n"
-    reader, writer = await asyncio.open_connection(HOST, port)
-    begun = record.now()
-    writer.write(data)
-    try:
-        async with asyncio.timeout(40.0):
-            record.say(f"the long one has {(await read_message(reader)).start} after {record.now() - begun:.2f} s")
-    except (Broken, TimeoutError) as error:
-        record.say(f"the long one has {error!r} after {record.now() - begun:.2f} s")
-    writer.transport.abort()
-
-
-async def play(record: Record, folder: Path, trouble: bool) -> int:
-    async with Stage(record, folder, work_s=0.05) as stage:
-        node = stage.node
-        usual = Usual(record, node.port)
-        asking = asyncio.create_task(usual.ask(record.now() + QUIET_S + LONG_S))
-        await asyncio.sleep(QUIET_S)
-        await long_body(record, node.port, PIECE if trouble else LARGE_PIECE)
-        await asking
-        usual.tell()
-        if usual.lag_s > MOST_LAG_S:
-            record.say("the stand-ins were too slow to judge")
-            return UNABLE
-        return FAILED if usual.lost() else HELD
+
+import standins as s
+
+COUNT = 40
+# What a client says with its first request whose library would rather speak HTTP/2 (RFC 7540, section 3.2).
+OFFER = ("Connection: Upgrade, HTTP2-Settings", "Upgrade: h2c", "HTTP2-Settings: AAMAAABkAAQAAP__")
+
+
+async def play(record: s.Record, folder: Path, trouble: bool) -> int:
+    """Requests with a body, each on a connection of its own; every server notes what body it was sent."""
+    ran: dict[str, list[bytes]] = {}
+
+    async def serve(server: s.Server, message: s.Message, writer: asyncio.StreamWriter) -> None:
+        ran.setdefault(message.fields["x-call-id"], []).append(message.body)
+        await s.plain(server, message, writer)
+
+    sent: dict[str, bytes] = {}
+    got: list[s.Got] = []
+    async with s.Stage(record, folder, serves=serve) as stage:
+        for number in range(COUNT):
+            name = ("lote", "alerta-umbral")[number % 2]
+            ident = f"c{number}"
+            sent[ident] = f"figures of {ident}".encode()
+            key = f"key-{ident}" if name == "lote" else ""
+            data = s.request(name, ident, *(OFFER if trouble else ()), key=key, budget_ms=1000, body=sent[ident])
+            client = s.Client(record, stage.node.port)
+            got.append(await client.ask(ident, data, 2.0))
+            client.close()
+    changed = [ident for ident, bodies in ran.items() if any(body != sent[ident] for body in bodies)]
+    told = [answer for answer in got if answer.status == 200 and answer.ident in changed]
+    record.say(f"{len(got)} requests, {sum(answer.status == 200 for answer in got)} answered 200")
+    record.say(f"{len(changed)} ran with a body that nobody sent, {len(told)} of these were answered 200")
+    for ident in changed[:3]:
+        record.note(f"{ident}: sent {sent[ident]!r}, servers got {ran[ident]!r}")
+    if not ran:
+        return s.UNABLE
+    return s.FAILED if changed else s.HELD
 
 
 if __name__ == "__main__":
-    main(__file__, play)
+    s.main(__file__, play)
