--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,9 +9,9 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from standins import FAILED, HELD, HOST, UNABLE, Record, Stage, Usual, main, request
 
-BAD_CLIENTS, AT_ONCE = 100, 20
+BAD_CLIENTS, AT_ONCE = 200, 20
 BODY = b"m" * (64 * 1024)
-MEMORY_MB, SOCKETS = 96.0, 512
+MEMORY_MB, SOCKETS = 192.0, 1024
 QUIET_S, BAD_S, AFTER_S = 2.0, 8.0, 2.0
 
 
