Review case 4: smaller chunks, so that it does not depend on a quick machine

With chunks of 16 bytes the node was held up for some seconds here; on a machine three times as quick that could stay under the bound.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,7 +10,7 @@
 from standins import FAILED, HELD, HOST, UNABLE, Broken, Record, Stage, Usual, main, read_message
 
 BODY = 8 * 1024 * 1024
-PIECE, LARGE_PIECE = 16, 64 * 1024
+PIECE, LARGE_PIECE = 8, 64 * 1024
 QUIET_S, LONG_S = 2.0, 24.0
 MOST_LAG_S = 0.4  # of the stand-ins: past that nothing is judged
 
