Fleet capacity: no figure below the sizes that were played, tenants follow the size

Change: below the smallest size that was played a line shows that size's value, says so, and holds only where that holds (else "not known"). What is not told of a size follows the servers, restarts the nodes.

--- a/cloverhold/fleet/command.py
+++ b/cloverhold/fleet/command.py
@@ -58,21 +58,23 @@
 @main.command()
 @click.option("--nodes", type=click.IntRange(2), default=6_600, show_default=True)
 @click.option("--servers", type=click.IntRange(1), default=79_000, show_default=True)
-@click.option("--services", type=click.IntRange(1), default=3_100, show_default=True)
-@click.option("--requests", type=click.FloatRange(0, min_open=True), default=650_000.0, show_default=True,
-              help="A second, of all nodes.")  # fmt: skip
-@click.option("--tenants", type=click.IntRange(1), default=190_000, show_default=True)
+@click.option("--services", type=click.IntRange(1), help="[default: 3,100 for 79,000 servers]")
+@click.option("--requests", type=click.FloatRange(0, min_open=True),
+              help="A second, of all nodes. [default: 650,000 for 79,000 servers]")  # fmt: skip
+@click.option("--tenants", type=click.IntRange(1), help="[default: 190,000 for 79,000 servers]")
 @click.option("--slopes", is_flag=True, help="The measured slopes instead: what the table is reckoned from.")
-def capacity(nodes: int, servers: int, services: int, requests: float, tenants: int, slopes: bool) -> None:
+def capacity(
+    nodes: int, servers: int, services: int | None, requests: float | None, tenants: int | None, slopes: bool
+) -> None:
     """What a fleet of this size asks of each role, beside its budget (docs/CAPACITY.md). Past the sizes that were
-    measured it is a line drawn on, and no more.
+    measured it is a line drawn on, and no more; below them it is the smallest that was measured.
 
-    Example: cloverhold fleet capacity --nodes 200 --servers 2400 --services 90 --tenants 5000 --requests 20000
+    Example: cloverhold fleet capacity --nodes 200 --servers 2400 --services 90
     """
     from cloverhold.fleet.capacity.page import measured, reckoned, sloped
-    from cloverhold.fleet.capacity.reckoning import Size
+    from cloverhold.fleet.capacity.reckoning import in_share
 
-    size = Size(nodes, servers, services, requests, tenants=tenants)
+    size = in_share(nodes, servers, services=services, requests_per_s=requests, tenants=tenants)
     found = measured()
     click.echo("\n".join(sloped(found.values()) if slopes else reckoned(size, found)))
 
