Who serves which service: a dealing with bounded loads, and hand-overs

Change: fleet/distribution/dealing.py deals services to nodes by number: jump hashing, loads bounded to a quarter around the mean, copies spread over zones, what was dealt before kept where the bounds allow it. handover.py passes a service on by a table of stages. benchmarks/dealing.py measures both beside rendezvous hashing and a dealing from scratch.

--- a/tests/layout.py
+++ b/tests/layout.py
@@ -30,6 +30,7 @@
     )),
     *(f"cloverhold/fleet/agreement/{name}.py" for name in ("interface", "log", "voter")),
     *(f"cloverhold/fleet/capacity/{name}.py" for name in ("reckoning", "slopes")),
+    *(f"cloverhold/fleet/distribution/{name}.py" for name in ("dealing", "handover")),
     "cloverhold/fleet/wire/datagrams.py",
     "cloverhold/roster.py",
     "cloverhold/settings.py",
