--- a/cloverhold/fleet/command.py
+++ b/cloverhold/fleet/command.py
@@ -79,6 +79,18 @@
     click.echo("\n".join(sloped(found.values()) if slopes else reckoned(size, found)))
 
 
+@main.command()
+@click.option("--json", "as_json", is_flag=True, help="As JSON Schema.")
+def resources(as_json: bool) -> None:
+    """The kinds of resources that configuration in scopes holds, with their fields (docs/resources.md).
+
+    Example: cloverhold fleet resources --json
+    """
+    from cloverhold.fleet.distribution.resources import page, schema
+
+    click.echo(json.dumps(schema(), indent=2) if as_json else "\n".join(page()))
+
+
 @main.command()
 @click.option("--at", type=_At(), required=True, help="A node's management address, host:port.")
 @click.option("--json", "as_json", is_flag=True, help="For programs.")
--- a/cloverhold/fleet/distribution/follower.py
+++ b/cloverhold/fleet/distribution/follower.py
@@ -155,6 +155,8 @@
         if len(one.entries) > MOST_ENTRIES:
             self._drop_word(one)
             return [Note("too large", name, ""), Up(Refused(name, told.upto, f"over {MOST_ENTRIES} entries"))]
+        if self.check is not None:
+            self.check.part(name, told.entries, told.part == 0)
         if told.part + 1 < told.parts:
             return [Up(Got(name, told.upto, told.part))]
         return self._collected(name, one, told, now)
--- a/cloverhold/fleet/distribution/interface.py
+++ b/cloverhold/fleet/distribution/interface.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Protocol
 
 from msgspec import Struct
 
@@ -206,5 +207,13 @@
     held: bool = False
 
 
-# Content as it is, and as it would be; None: take it.
-Check = Callable[[str, Mapping[str, bytes], Mapping[str, bytes]], Refusal | None]
+class Check(Protocol):
+    """What a follower asks whether content may take force."""
+
+    def part(self, scope: str, entries: Entries, first: bool) -> None:
+        """A part has come, the first one of a word or a later one: work that need not wait for the last."""
+        ...
+
+    def __call__(self, scope: str, before: Mapping[str, bytes], after: Mapping[str, bytes]) -> Refusal | None:
+        """Content as it is, and as it would be; None: take it."""
+        ...
--- a/tests/fleet/distribution/test_words.py
+++ b/tests/fleet/distribution/test_words.py
@@ -15,7 +15,7 @@
 from cloverhold.fleet.distribution import writer as writers
 from cloverhold.fleet.distribution.follower import Follower
 from cloverhold.fleet.distribution.interface import (
-    Action, Ask, Behind, Down, Downward, Drop, Entry, Forget, Got, Leave, Mark, Note, Outrun,
+    Action, Ask, Behind, Down, Downward, Drop, Entries, Entry, Forget, Got, Leave, Mark, Note, Outrun,
     Persist, Refusal, Refused, Switch, Taken, Told, Unknown, Up, Upward,
 )  # fmt: skip
 from cloverhold.fleet.distribution.scope import EMPTY, Scope, digest_of
@@ -162,12 +162,16 @@
     first = made(1, {"a": b"1"})
     second, third = following(first, 2, {"a": None}), following(first, 3, {"a": b"bad"})
 
-    def check(name: str, before: Mapping[str, bytes], after: Mapping[str, bytes]) -> Refusal | None:
-        if after.get("a") == b"bad":
-            return Refusal("a: is bad")
-        return Refusal("takes away 1 of 1", held=True) if not after else None
+    class Checks:
+        def part(self, scope: str, entries: Entries, first: bool) -> None:
+            pass
 
-    one = Follower({"s": first}, check)
+        def __call__(self, scope: str, before: Mapping[str, bytes], after: Mapping[str, bytes]) -> Refusal | None:
+            if after.get("a") == b"bad":
+                return Refusal("a: is bad")
+            return Refusal("takes away 1 of 1", held=True) if not after else None
+
+    one = Follower({"s": first}, Checks())
     assert one.hear(change(first, third), 0)[1] == Up(Refused("s", third.mark, "a: is bad"))
     one.confirm("s", third.mark)  # what is wrong is not confirmed
     assert kinds(one.hear(change(first, third), 0)) == ["refused", "Refused"]
--- a/tests/fleet/distribution/world.py
+++ b/tests/fleet/distribution/world.py
@@ -8,8 +8,8 @@
 
 from cloverhold.fleet.distribution.follower import Follower
 from cloverhold.fleet.distribution.interface import (
-    Accepted, Action, Ask, Declined, Down, Drop, Mark, Note, Outrun, Persist, Refusal, Refused, Session, Switch, Taken,
-    Told, Up,
+    Accepted, Action, Ask, Declined, Down, Drop, Entries, Mark, Note, Outrun, Persist, Refusal, Refused, Session,
+    Switch, Taken, Told, Up,
 )  # fmt: skip
 from cloverhold.fleet.distribution.scope import Scope
 from cloverhold.fleet.distribution.source import Source
@@ -21,8 +21,12 @@
 PART = 20  # bytes: two keys are two parts
 
 
-def refuses_bad(name: str, before: Mapping[str, bytes], after: Mapping[str, bytes]) -> Refusal | None:
-    return Refusal("bad: is there") if "bad" in after else None
+class RefusesBad:
+    def part(self, scope: str, entries: Entries, first: bool) -> None:
+        pass
+
+    def __call__(self, scope: str, before: Mapping[str, bytes], after: Mapping[str, bytes]) -> Refusal | None:
+        return Refusal("bad: is there") if "bad" in after else None
 
 
 class Disk:
@@ -196,7 +200,7 @@
             self.core[end] = core = Relay(held)
             core.source.part_bytes = PART
         else:
-            self.core[end] = Follower(held, refuses_bad)
+            self.core[end] = Follower(held, RefusesBad())
 
     def _source(self, end: str) -> Source:
         return self.core[end].source
