--- a/cloverhold/fleet/distribution/interface.py
+++ b/cloverhold/fleet/distribution/interface.py
@@ -107,10 +107,34 @@
     mark: Mark
 
 
+class Outrun(Struct, frozen=True, tag=True, array_like=True):
+    """A subscriber of this relay holds a mark that the relay does not know, at or over its own: the writer has to write
+    over it, if it does not know it either. As an action: pass it up.
+    """
+
+    scope: str
+    mark: Mark
+
+
 Upward = Ask | Leave | Got | Taken | Refused
 Downward = Told | Unknown | Behind
 
 
+# ------------------------------------------------------------------------------------------- of a connection itself
+
+
+class Hello(Struct, frozen=True, tag=True, array_like=True):
+    """The first word of both sides. wire: the newest form that is understood; the lower of both is spoken."""
+
+    fleet: str
+    name: str
+    wire: int
+
+
+class Beat(Struct, frozen=True, tag=True, array_like=True):
+    """Still here."""
+
+
 # ------------------------------------------------------------------------------------------------------------ actions
 
 
@@ -156,14 +180,6 @@
     changed: Mapping[str, bytes | None]
 
 
-@dataclass(frozen=True, slots=True)
-class Outrun:
-    """A subscriber holds a mark that this source does not know, at or over its own: its writer has to write over it."""
-
-    scope: str
-    mark: Mark
-
-
 @dataclass(frozen=True, slots=True)
 class Accepted:
     """A writer's answer to whoever asked for a change: it is durable, under this mark."""
--- a/cloverhold/fleet/distribution/source.py
+++ b/cloverhold/fleet/distribution/source.py
@@ -19,6 +19,7 @@
 UNKNOWN_MS = 5_000.0
 PATIENCE_MS = 10_000.0  # for one part: at 9 KB/s the largest takes 3.6 s
 MOST_SCOPES = 10_000  # that one subscriber follows: a relay follows all
+MOST_OPEN = 64  # words to one subscriber: with a part each 2 MiB at most wait for one that does not read
 
 
 class _Following:
@@ -35,6 +36,17 @@
         self.since = 0.0  # when something was sent last
 
 
+class _Session:
+    """One subscriber."""
+
+    __slots__ = ("following", "open", "waiting")
+
+    def __init__(self) -> None:
+        self.following: dict[str, _Following] = {}
+        self.open = 0  # words
+        self.waiting: dict[str, None] = {}  # scopes whose word is not opened, as so many are open; first come first
+
+
 def parted(entries: Entries, most: int) -> Iterator[Entries]:
     """Entries in parts of so many bytes, or of one entry that is larger."""
     part: list[Entry] = []
@@ -56,60 +68,77 @@
         """held: looks a scope up, as it is in force here; None where there is none."""
         self.part_bytes = part_bytes
         self.held = held
-        self._sessions: dict[Session, dict[str, _Following]] = {}
+        self._sessions: dict[Session, _Session] = {}
         self._followers: dict[str, set[Session]] = defaultdict(set)
 
     def joined(self, session: Session) -> None:
         """A subscriber has connected."""
-        self._sessions[session] = {}
+        self._sessions[session] = _Session()
 
     def left(self, session: Session) -> None:
         """Its connection has ended."""
-        for scope in self._sessions.pop(session, {}):
+        ended = self._sessions.pop(session, None)
+        for scope in ended.following if ended is not None else ():
             self._unfollow(scope, session)
 
     def hear(self, session: Session, message: Upward, now: float) -> list[Action]:
         """A subscriber said this. What does not belong to the word that is open is late, and passed over."""
-        following = self._sessions.get(session)
-        if following is None:
-            return []
-        if isinstance(message, Ask):
-            return self._asked(session, following, message, now)
-        one = following.get(message.scope)
+        one = self._sessions.get(session)
         if one is None:
             return []
+        if isinstance(message, Ask):
+            out = self._asked(session, one, message, now)
+        else:
+            following = one.following.get(message.scope)
+            if following is None:
+                return []
+            out = self._answered(session, one, following, message, now)
+        while one.waiting and one.open < MOST_OPEN:
+            name = next(iter(one.waiting))
+            del one.waiting[name]
+            out += self._tell(session, one, name, now)
+        return out
+
+    def _answered(
+        self, session: Session, one: _Session, following: _Following, message: Leave | Got | Taken | Refused, now: float
+    ) -> list[Action]:
         match message:
             case Leave(scope):
-                del following[scope]
+                self._close(one, following)
+                one.waiting.pop(scope, None)
+                del one.following[scope]
                 self._unfollow(scope, session)
-            case Got(scope, upto, part):
-                if one.open == upto and one.sent == part and one.rest:
-                    return [self._next(session, one, now)]
+            case Got(_, upto, part):
+                if following.open == upto and following.sent == part and following.rest:
+                    return [self._next(session, following, now)]
             case Taken(scope, mark):
-                if one.open == mark and not one.rest:
-                    one.open, one.held = None, mark
-                    return self._tell(session, scope, one, now)
+                if following.open == mark and not following.rest:
+                    self._close(one, following)
+                    following.held = mark
+                    return self._tell(session, one, scope, now)
             case Refused(scope, mark, why):
-                if one.open == mark:
-                    one.open, one.rest, one.refused = None, [], mark
-                    return [Note("refused", scope, why), *self._tell(session, scope, one, now)]
+                if following.open == mark:
+                    self._close(one, following)
+                    following.refused = mark
+                    return [Note("refused", scope, why), *self._tell(session, one, scope, now)]
         return []
 
     def changed(self, scope: str, now: float) -> list[Action]:
         """Something else is in force here than before."""
         out: list[Action] = []
         for session in sorted(self._followers.get(scope, ())):
-            one = self._sessions[session][scope]
-            if one.open is None:
-                out += self._tell(session, scope, one, now)
+            one = self._sessions[session]
+            if one.following[scope].open is None:
+                out += self._tell(session, one, scope, now)
         return out
 
     def turn(self, now: float) -> list[Action]:
         """Call every second or so: who lets a word lie is dropped. Its state goes with `left`."""
         return [
             Drop(session)
-            for session, following in sorted(self._sessions.items())
-            if any(one.open is not None and now - one.since > PATIENCE_MS for one in following.values())
+            for session, held in sorted(self._sessions.items())
+            if held.open
+            and any(one.open is not None and now - one.since > PATIENCE_MS for one in held.following.values())
         ]
 
     def _unfollow(self, scope: str, session: Session) -> None:
@@ -117,41 +146,49 @@
         if not self._followers[scope]:
             del self._followers[scope]
 
-    def _asked(self, session: Session, following: dict[str, _Following], ask: Ask, now: float) -> list[Action]:
-        one = following.get(ask.scope)
-        if one is None:
-            if len(following) >= MOST_SCOPES:
+    def _asked(self, session: Session, one: _Session, ask: Ask, now: float) -> list[Action]:
+        following = one.following.get(ask.scope)
+        if following is None:
+            if len(one.following) >= MOST_SCOPES:
                 return [Down(session, Unknown(ask.scope, UNKNOWN_MS)), Note("too many scopes", ask.scope, "")]
-            one = following[ask.scope] = _Following()
+            following = one.following[ask.scope] = _Following()
             self._followers[ask.scope].add(session)
-        one.held, one.open, one.rest, one.refused = (None if ask.whole else ask.mark), None, [], None
-        return self._tell(session, ask.scope, one, now)
+        self._close(one, following)
+        following.held, following.refused = (None if ask.whole else ask.mark), None
+        return self._tell(session, one, ask.scope, now)
 
-    def _tell(self, session: Session, name: str, one: _Following, now: float) -> list[Action]:
-        """Open the next word, if there is one to tell."""
-        scope = self.held(name)
+    def _tell(self, session: Session, one: _Session, name: str, now: float) -> list[Action]:
+        """Open the next word of a scope, if there is one to tell."""
+        scope, following = self.held(name), one.following[name]
         if scope is None:
             unknown: Action = Down(session, Unknown(name, UNKNOWN_MS))
-            return [unknown] if one.held is None else [unknown, Outrun(name, one.held)]
-        own, theirs = scope.mark, one.held
-        if own in (theirs, one.refused):
+            return [unknown] if following.held is None else [unknown, Outrun(name, following.held)]
+        own, theirs = scope.mark, following.held
+        if own in (theirs, following.refused):
+            return []
+        if theirs is not None and self._ahead(theirs, own):
+            return [Down(session, Behind(name, own)), Outrun(name, theirs)]
+        if one.open >= MOST_OPEN:
+            one.waiting[name] = None
             return []
-        base, entries = None, None
-        if theirs is not None:
-            if self._ahead(theirs, own):
-                return [Down(session, Behind(name, own)), Outrun(name, theirs)]
-            base, entries = theirs, scope.since(theirs)
+        base, entries = theirs, None if theirs is None else scope.since(theirs)
         if entries is None:
             base, entries = None, scope.whole()
         parts = list(parted(entries, self.part_bytes))
         words = [Told(name, base, own, scope.floor, at, len(parts), part) for at, part in enumerate(parts)]
-        one.open, one.rest = own, words
-        return [self._next(session, one, now)]
+        following.open, following.rest = own, words
+        one.open += 1
+        return [self._next(session, following, now)]
+
+    def _close(self, one: _Session, following: _Following) -> None:
+        """No word of this scope is open any more."""
+        one.open -= following.open is not None
+        following.open, following.rest = None, []
 
     def _ahead(self, theirs: Mark, own: Mark) -> bool:
         return theirs.version >= own.version
 
-    def _next(self, session: Session, one: _Following, now: float) -> Action:
-        word = one.rest.pop(0)
-        one.sent, one.since = word.part, now
+    def _next(self, session: Session, following: _Following, now: float) -> Action:
+        word = following.rest.pop(0)
+        following.sent, following.since = word.part, now
         return Down(session, word)
--- a/tests/fleet/distribution/planted.py
+++ b/tests/fleet/distribution/planted.py
@@ -41,22 +41,24 @@
     return stored(self, name, upto, True, now)
 
 
-def tells_again(self: Source, session: Session, name: str, one: Any, now: float) -> list[Action]:
-    one.refused = None
-    return told(self, session, name, one, now)
+def tells_again(self: Source, session: Session, one: Any, name: str, now: float) -> list[Action]:
+    one.following[name].refused = None
+    return told(self, session, one, name, now)
 
 
 def tells_from_the_last(self: Source, session: Session, message: Upward, now: float) -> list[Action]:
     out = heard(self, session, message, now)
-    for one in self._sessions.get(session, {}).values():
+    for one in self._sessions[session].following.values() if session in self._sessions else ():
         one.held = one.open or one.held
     return out
 
 
 def takes_any_for_the_last(self: Source, session: Session, message: Upward, now: float) -> list[Action]:
-    if isinstance(message, Taken) and (one := self._sessions.get(session, {}).get(message.scope)) and one.open:
-        one.rest = []
-        message = Taken(message.scope, one.open)
+    if isinstance(message, Taken) and session in self._sessions:
+        one = self._sessions[session].following.get(message.scope)
+        if one is not None and one.open:
+            one.rest = []
+            message = Taken(message.scope, one.open)
     return heard(self, session, message, now)
 
 
@@ -74,9 +76,9 @@
     """A word for each change, whatever is open."""
     out: list[Action] = []
     for session in sorted(self._followers.get(scope, ())):
-        one = self._sessions[session][scope]
-        one.open = None
-        out += told(self, session, scope, one, now)
+        one = self._sessions[session]
+        self._close(one, one.following[scope])
+        out += told(self, session, one, scope, now)
     return out
 
 
--- a/tests/fleet/distribution/test_words.py
+++ b/tests/fleet/distribution/test_words.py
@@ -315,6 +315,28 @@
     assert kinds(source.hear(1, Ask("s9", None), 0)) == ["Unknown"]
 
 
+def test_so_many_words_are_open_to_one_subscriber_and_all_scopes_have_their_turn(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(sources, "MOST_OPEN", 4)
+    held = {f"s{n}": made(1, {"a": b"%d" % n}) for n in range(20)}
+    source = Source(held.get)
+    source.joined(1)
+    opened = [a for n in range(20) for a in source.hear(1, Ask(f"s{n}", None), 0)]
+    taken: list[str] = []
+    source.hear(1, Leave("s19"), 0)
+    while opened:
+        assert len(opened) <= 4
+        action = opened.pop(0)
+        assert isinstance(action, Down) and isinstance(action.message, Told)
+        taken.append(action.message.scope)
+        if taken[-1] == "s3":
+            held["s0"] = following(held["s0"], 2, {"a": b"more"})  # behind those that wait
+            opened += source.changed("s0", 0)
+        opened += source.hear(1, Taken(action.message.scope, action.message.upto), 0)
+    assert sorted(taken) == sorted([*(f"s{n}" for n in range(19)), "s0"]) and len(taken) == 20
+
+
 def test_parts_hold_all_entries_in_order() -> None:
     entries = tuple(Entry(f"{n}", n, b"x" * (n % 7 * 100)) for n in range(60))
     parts = list(parted(entries, 500))
