--- a/cloverhold/fleet/distribution/follower.py
+++ b/cloverhold/fleet/distribution/follower.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from enum import Enum
 
 from cloverhold.fleet.distribution.interface import (
@@ -69,13 +69,26 @@
         """These from now on, and no others."""
         wanted, out = set(names), list[Action]()
         for name in sorted(self._followed.keys() - wanted):
-            del self._followed[name]
-            out += [Up(Leave(name)), Forget(name)]
+            out += self.drop(name)
         for name in sorted(wanted - self._followed.keys()):
-            self._followed[name] = one = _Followed(None)
-            out.append(self._ask(name, one))
+            out += self.add(name)
         return out
 
+    def names(self) -> Collection[str]:
+        """What is followed."""
+        return self._followed.keys()
+
+    def add(self, name: str) -> list[Action]:
+        """Follow one more."""
+        if name in self._followed:
+            return []
+        self._followed[name] = one = _Followed(None)
+        return [self._ask(name, one)]
+
+    def drop(self, name: str) -> list[Action]:
+        """Follow one no more."""
+        return [Up(Leave(name)), Forget(name)] if self._followed.pop(name, None) is not None else []
+
     def joined(self) -> list[Action]:
         """Connected to a source, the same one or another: what is half collected is not its."""
         out: list[Action] = []
@@ -126,7 +139,7 @@
 
     def turn(self, now: float) -> list[Action]:
         """Call every second or so: what failed, or was not known, is asked for again."""
-        due = [(n, one) for n, one in sorted(self._followed.items()) if one.again is not None and now >= one.again]
+        due = [(n, one) for n, one in self._followed.items() if one.again is not None and now >= one.again]
         return [self._ask(name, one) for name, one in due if one.stage is Stage.RESTING]
 
     def _ask(self, name: str, one: _Followed, whole: bool = False) -> Action:
--- a/cloverhold/fleet/distribution/frames.py
+++ b/cloverhold/fleet/distribution/frames.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from cloverhold.fleet.distribution.interface import (
-    Ask, Beat, Behind, Got, Hello, Leave, Outrun, Refused, Taken, Told, Unknown,
+    Answer, Ask, Beat, Behind, Change, Got, Hello, Leave, Outrun, Refused, Runs, Taken, Told, Unknown, Who,
 )  # fmt: skip
 
 HEAD = struct.Struct(">II")
@@ -26,8 +26,8 @@
 WIRE = 1
 T = TypeVar("T")
 
-FromSubscriber = Hello | Beat | Ask | Leave | Got | Taken | Refused | Outrun
-FromSource = Hello | Beat | Told | Unknown | Behind
+FromSubscriber = Hello | Beat | Ask | Leave | Got | Taken | Refused | Outrun | Change | Who
+FromSource = Hello | Beat | Told | Unknown | Behind | Answer | Runs
 
 _encoder = msgspec.msgpack.Encoder()
 
--- a/cloverhold/fleet/distribution/interface.py
+++ b/cloverhold/fleet/distribution/interface.py
@@ -135,6 +135,45 @@
     """Still here."""
 
 
+# --------------------------------------------------------------------------------------------------- for operators
+
+
+class Change(Struct, frozen=True, tag=True, array_like=True):
+    """To a writer: set these keys, delete those that are None, as one change."""
+
+    scope: str
+    values: dict[str, bytes | None]
+
+
+class Answer(Struct, frozen=True, tag=True, array_like=True):
+    """To a change. mark None: it was not made, and why."""
+
+    scope: str
+    mark: Mark | None
+    why: str
+
+
+class Who(Struct, frozen=True, tag=True, array_like=True):
+    """Who runs what?"""
+
+
+class Row(Struct, frozen=True, array_like=True):
+    """One scope at one process, as the process that is asked knows it."""
+
+    name: str
+    scope: str
+    held: Mark | None
+    refused: Mark | None
+    why: str
+
+
+class Runs(Struct, frozen=True, tag=True, array_like=True):
+    """Some rows of the answer; the first ones are those of the process itself."""
+
+    rows: tuple[Row, ...]
+    last: bool
+
+
 # ------------------------------------------------------------------------------------------------------------ actions
 
 
@@ -182,10 +221,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
-    """A writer's answer to whoever asked for a change: it is durable, under this mark."""
+    """A writer's answer to whoever asked for a change: it is durable, under this mark. ticket: of the asker's."""
 
     scope: str
     mark: Mark
+    ticket: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,6 +234,7 @@
 
     scope: str
     why: str
+    ticket: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/cloverhold/fleet/distribution/resources.py
+++ b/cloverhold/fleet/distribution/resources.py
@@ -20,6 +20,7 @@
 MOST_BYTES = 16 * 1024  # of one value
 HELD_FROM = 4  # ready servers: of fewer any number may go
 BUCKETS = 4096  # of tenants
+CONFIRMED = "confirmed/removal"
 
 
 class _Resource(Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
@@ -83,10 +84,18 @@
     servers: Annotated[tuple[Name, ...], Meta(min_length=1, max_length=1000)]
 
 
+class Confirmed(_Resource, frozen=True):
+    """Whoever changes this says that the version may take away as many servers as it does."""
+
+    by: Text
+    number: Annotated[int, Meta(ge=0, lt=1 << 53)] = 0
+
+
 KINDS: dict[str, type[_Resource]] = {
     "server": Server, "route": Route, "class": Class, "service": Service, "tenant": Tenant, "cell": Cell,
+    "confirmed": Confirmed,
 }  # fmt: skip
-HOLDS = {"fleet": ("class", "service"), "service": ("server", "route", "cell"), "tenants": ("tenant",)}
+HOLDS = {"fleet": ("class", "service"), "service": ("server", "route", "cell", "confirmed"), "tenants": ("tenant",)}
 _DECODERS: dict[str, Callable[[bytes], Any]] = {
     kind: msgspec.msgpack.Decoder(type_).decode for kind, type_ in KINDS.items()
 }
@@ -102,6 +111,24 @@
     return _encode(resource)
 
 
+def written(key: str, fields: Mapping[str, Any]) -> bytes:
+    """A resource from its fields by name. Raises Wrong."""
+    kind = key.partition("/")[0]
+    type_ = KINDS.get(kind)
+    if type_ is None:
+        raise Wrong(f"{key[:80]!r}: kinds are {', '.join(KINDS)}")
+    names = type_.__struct_fields__
+    for name in fields:
+        if name not in names:
+            raise Wrong(f"{key[:80]}: {name[:80]}: no such field")
+    try:
+        value = _encode(type_(**{n: tuple(v) if isinstance(v, list) else v for n, v in fields.items()}))
+        _DECODERS[kind](value)
+    except (msgspec.DecodeError, ValueError, TypeError, OverflowError) as error:
+        raise Wrong(f"{key[:80]}: {_named(type_, str(error))}") from None
+    return value
+
+
 def kind_of(scope: str) -> str:
     """`fleet`, `service` or `tenants`. Raises Wrong for the name of no scope."""
     kind, slash, name = scope.partition("/")
@@ -199,6 +226,8 @@
             return Refusal(str(wrong))
         was = ready(old)
         gone = len(was - ready(new))
+        if before.get(CONFIRMED) != after.get(CONFIRMED):
+            gone = 0  # an operator has said so
         if len(was) >= HELD_FROM and gone > self.held_part * len(was):
             return Refusal(f"takes away {gone} of {len(was)} ready servers", held=True)
         self._read[scope] = after, new
--- a/cloverhold/fleet/distribution/source.py
+++ b/cloverhold/fleet/distribution/source.py
@@ -19,13 +19,14 @@
 UNKNOWN_MS = 5_000.0
 PATIENCE_MS = 10_000.0  # for one part: at 9 KB/s the largest takes 3.6 s
 MOST_SCOPES = 10_000  # that one subscriber follows: a relay follows all
+MOST_NAME = 300  # characters of a scope's
 MOST_OPEN = 64  # words to one subscriber: with a part each 2 MiB at most wait for one that does not read
 
 
 class _Following:
     """One subscriber's following of one scope."""
 
-    __slots__ = ("held", "open", "refused", "rest", "sent", "since")
+    __slots__ = ("held", "open", "refused", "rest", "sent", "since", "why")
 
     def __init__(self) -> None:
         self.held: Mark | None = None  # what it said last that it has
@@ -33,6 +34,7 @@
         self.rest: list[Told] = []  # its parts that are to come
         self.sent = 0  # the part that was sent last
         self.refused: Mark | None = None
+        self.why = ""
         self.since = 0.0  # when something was sent last
 
 
@@ -119,7 +121,7 @@
             case Refused(scope, mark, why):
                 if following.open == mark:
                     self._close(one, following)
-                    following.refused = mark
+                    following.refused, following.why = mark, why
                     return [Note("refused", scope, why), *self._tell(session, one, scope, now)]
         return []
 
@@ -141,6 +143,16 @@
             and any(one.open is not None and now - one.since > PATIENCE_MS for one in held.following.values())
         ]
 
+    def followed(self, scope: str) -> bool:
+        """Whether any subscriber follows it."""
+        return scope in self._followers
+
+    def report(self) -> Iterator[tuple[Session, str, Mark | None, Mark | None, str]]:
+        """Of each subscriber and scope: the mark that it holds as far as known, one that it refused, and why."""
+        for session, one in sorted(self._sessions.items()):
+            for scope, following in sorted(one.following.items()):
+                yield session, scope, following.held, following.refused, following.why
+
     def _unfollow(self, scope: str, session: Session) -> None:
         self._followers[scope].discard(session)
         if not self._followers[scope]:
@@ -149,8 +161,9 @@
     def _asked(self, session: Session, one: _Session, ask: Ask, now: float) -> list[Action]:
         following = one.following.get(ask.scope)
         if following is None:
-            if len(one.following) >= MOST_SCOPES:
-                return [Down(session, Unknown(ask.scope, UNKNOWN_MS)), Note("too many scopes", ask.scope, "")]
+            if len(one.following) >= MOST_SCOPES or len(ask.scope) > MOST_NAME:
+                name = ask.scope[:MOST_NAME]
+                return [Down(session, Unknown(name, UNKNOWN_MS)), Note("too many or too long", name, "")]
             following = one.following[ask.scope] = _Following()
             self._followers[ask.scope].add(session)
         self._close(one, following)
