--- a/cloverhold/fleet/command.py
+++ b/cloverhold/fleet/command.py
@@ -139,7 +139,7 @@
 @main.command()
 @click.option("--at", type=_At(), required=True, help="The writer's address, host:port.")
 @click.option("--fleet", required=True, help="The name that all its processes share.")
-@click.option("--scope", required=True, help="fleet, service/NAME or tenants/BUCKET.")
+@click.option("--scope", required=True, help="fleet, services, service/NAME or tenants/BUCKET.")
 @click.argument("path", metavar="FILE", type=click.File("rb"))
 def change(at: tuple[str, int], fleet: str, scope: str, path: Any) -> None:
     """Make one change of a scope: FILE is a JSON object of keys, each with its fields, or null to delete it.
--- a/cloverhold/fleet/distribution/resources.py
+++ b/cloverhold/fleet/distribution/resources.py
@@ -95,7 +95,13 @@
     "server": Server, "route": Route, "class": Class, "service": Service, "tenant": Tenant, "cell": Cell,
     "confirmed": Confirmed,
 }  # fmt: skip
-HOLDS = {"fleet": ("class", "service"), "service": ("server", "route", "cell", "confirmed"), "tenants": ("tenant",)}
+HOLDS = {
+    "fleet": ("class",),
+    "services": ("service",),
+    "service": ("server", "route", "cell", "confirmed"),
+    "tenants": ("tenant",),
+}
+ALONE = ("fleet", "services")  # scopes of which there is one
 _DECODERS: dict[str, Callable[[bytes], Any]] = {
     kind: msgspec.msgpack.Decoder(type_).decode for kind, type_ in KINDS.items()
 }
@@ -130,9 +136,9 @@
 
 
 def kind_of(scope: str) -> str:
-    """`fleet`, `service` or `tenants`. Raises Wrong for the name of no scope."""
+    """`fleet`, `services`, `service` or `tenants`. Raises Wrong for the name of no scope."""
     kind, slash, name = scope.partition("/")
-    if kind not in HOLDS or bool(name) != (kind != "fleet") or (slash and not name):
+    if kind not in HOLDS or bool(name) != (kind not in ALONE) or (slash and not name):
         raise Wrong(f"{scope[:80]!r}: no scope has such a name")
     if kind == "tenants" and not (name.isascii() and name.isdigit() and int(name) < BUCKETS):
         raise Wrong(f"{scope[:80]!r}: tenants lie in buckets 0 to {BUCKETS - 1}")
--- a/cloverhold/fleet/distribution/shell.py
+++ b/cloverhold/fleet/distribution/shell.py
@@ -30,7 +30,7 @@
 T = TypeVar("T")
 TURN_S = 1.0
 SILENT_S = 3.0  # without a word from the other side
-CONNECT_S = 2.0
+CONNECT_S = 1.0
 FIRST_S, MOST_S = 0.5, 5.0  # between two tries to connect, drawn
 MOST_SESSIONS = 2_000
 MOST_UNSENT = 4 * 1024 * 1024  # bytes to one subscriber
@@ -176,13 +176,13 @@
         """Stay with a source as long as it speaks; then the next, spread out over time."""
         order = list(sources)
         self.chance.shuffle(order)
-        tries = 0
+        rounds = 0
         while True:
             for address in order:
                 if await self._followed(address):
-                    tries = 0
-                await asyncio.sleep(self.chance.uniform(0, min(MOST_S, FIRST_S * 2 ** min(tries, 10))))
-                tries += 1
+                    rounds = 0
+                await asyncio.sleep(self.chance.uniform(0, min(MOST_S, FIRST_S * 2 ** min(rounds, 10))))
+            rounds += 1  # all have been tried: four that are gone must not cost one that is there its 15 s
 
     async def _followed(self, address: Address) -> bool:
         """One connection to its end; whether anything was heard on it."""
--- a/tests/fleet/distribution/test_resources.py
+++ b/tests/fleet/distribution/test_resources.py
@@ -20,7 +20,7 @@
 
 PAGE = Path(__file__).parents[3] / "docs/resources.md"
 SCOPES = {
-    "server": "service/a", "route": "service/a", "cell": "service/a", "class": "fleet", "service": "fleet",
+    "server": "service/a", "route": "service/a", "cell": "service/a", "class": "fleet", "service": "services",
     "tenant": "tenants/7", "confirmed": "service/a",
 }  # fmt: skip
 WHOLE = {
@@ -104,7 +104,9 @@
     ):
         with pytest.raises(Wrong):
             kind_of(scope)
-    assert [kind_of(scope) for scope in ("fleet", "service/a/b", "tenants/0")] == ["fleet", "service", "tenants"]
+    assert [kind_of(scope) for scope in ("fleet", "services", "service/a/b", "tenants/0")] == [
+        "fleet", "services", "service", "tenants",
+    ]  # fmt: skip
     for key in ("server", "server/", "tenant/x", "", "server/a\nb", "server/" + "x" * 2000, "server/é"):
         with pytest.raises(Wrong):
             read("service/a", {key: write(Server("a:1"))})
@@ -216,5 +218,5 @@
 
 
 def test_small_kinds() -> None:
-    assert read("fleet", {"service/a": write(Service())})["service/a"] == Service(1.0, 10)
+    assert read("services", {"service/a": write(Service())})["service/a"] == Service(1.0, 10)
     assert read("tenants/1", {"tenant/a b": write(Tenant(1.0))})["tenant/a b"] == Tenant(1.0)
