--- a/cloverhold/fleet/command.py
+++ b/cloverhold/fleet/command.py
@@ -87,8 +87,8 @@
     Example: cloverhold fleet distribute relay-1.toml
     """
     from cloverhold.config.reading import ConfigFaults, read_tables
-    from cloverhold.fleet.distribution.roles import DistributionTable
     from cloverhold.fleet.distribution.roles import main as run
+    from cloverhold.fleet.distribution.table import DistributionTable
 
     try:
         table = read_tables(path, {"distribution": DistributionTable}).get("distribution")
--- a/cloverhold/fleet/distribution/roles.py
+++ b/cloverhold/fleet/distribution/roles.py
@@ -10,18 +10,15 @@
 import sys
 import time
 from random import Random
-from typing import Annotated, Literal
-
-import msgspec
-from msgspec import Meta
 
 from cloverhold.fleet.distribution.client import Unanswered, adopt
 from cloverhold.fleet.distribution.durable import Durable
 from cloverhold.fleet.distribution.follower import Follower
 from cloverhold.fleet.distribution.interface import Switch
-from cloverhold.fleet.distribution.resources import Checker, kind_of
+from cloverhold.fleet.distribution.resources import Checker
 from cloverhold.fleet.distribution.scope import Scope
 from cloverhold.fleet.distribution.shell import Shell
+from cloverhold.fleet.distribution.table import DistributionTable
 from cloverhold.fleet.distribution.writer import Relay, Writer
 from cloverhold.net.discovery.server_list import parse_address
 from cloverhold.store.log import Log
@@ -30,36 +27,6 @@
 log = logging.getLogger(__name__)
 AGAIN_S = 0.2  # between two rounds over a writer's relays
 
-Name = Annotated[str, Meta(min_length=1, max_length=64)]
-
-
-class DistributionTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """The operator's `[distribution]`. sources: a relay's writer, a node's relays; of a writer, the relays that it asks
-    what they hold when it starts. store: a folder of this process's own.
-    """
-
-    fleet: Name
-    name: Name
-    role: Literal["writer", "relay", "node"]
-    store: Annotated[str, Meta(min_length=1)]
-    listen: str = ""
-    sources: tuple[str, ...] = ()
-    scopes: tuple[str, ...] = ()
-    held_part: Annotated[float, Meta(gt=0, le=1)] = 0.3
-
-    def __post_init__(self) -> None:
-        """Raises ValueError, naming the key."""
-        if (self.role == "node") == bool(self.listen):
-            raise ValueError(f"listen: a {self.role} {'has none' if self.listen else 'needs one'}")
-        if self.role != "writer" and not self.sources:
-            raise ValueError(f"sources: a {self.role} needs one")
-        if (self.role == "node") != bool(self.scopes):
-            raise ValueError(f"scopes: a {self.role} {'has none' if self.scopes else 'needs one'}")
-        for address in (*self.sources, *([self.listen] if self.listen else [])):
-            parse_address(address)
-        for scope in self.scopes:
-            kind_of(scope)
-
 
 async def recovered(table: DistributionTable, durable: Durable) -> dict[str, Scope]:
     """What a writer holds, with what most of its relays hold that is newer: its own disk may have been set back."""
@@ -119,7 +86,7 @@
         _say(event="ready", role=table.role)
         await ended.wait()
         _say(event="ended", told=shell.told_bytes, heard=shell.heard_bytes, counts=dict(shell.counts))
-        await shell.close()
+        shell.close()
     finally:
         disk.close()
 
--- a/cloverhold/fleet/distribution/shell.py
+++ b/cloverhold/fleet/distribution/shell.py
@@ -34,6 +34,7 @@
 FIRST_S, MOST_S = 0.5, 5.0  # between two tries to connect, drawn
 MOST_SESSIONS = 2_000
 MOST_UNSENT = 4 * 1024 * 1024  # bytes to one subscriber
+CLOSE_S = 0.5  # for the disk
 ROWS = 200  # of one answer to `Who`
 CHUNK = 64 * 1024
 
@@ -51,10 +52,11 @@
         """Write this, then say on the loop whether it lasts."""
         self._queue.put((what, done))
 
-    def close(self) -> None:
-        """Write what waits, and end; a disk that hangs does not hold that up."""
+    def close(self) -> bool:
+        """Write what waits, and end; whether that is done: a disk that hangs does not hold it up."""
         self._queue.put(None)
-        self._thread.join(0.5)
+        self._thread.join(CLOSE_S)
+        return not self._thread.is_alive()
 
     def _write(self) -> None:
         while (item := self._queue.get()) is not None:
@@ -105,8 +107,8 @@
             self._tasks.append(asyncio.ensure_future(self._follow(sources)))
         self._tasks.append(asyncio.ensure_future(self._turn()))
 
-    async def close(self) -> None:
-        """End all of it."""
+    def close(self) -> bool:
+        """End all of it; whether the disk is used no more."""
         if self._server is not None:
             self._server.close()
         for task in self._tasks:
@@ -115,7 +117,7 @@
             writer.transport.abort()
         if self._up is not None:
             self._up.transport.abort()
-        self.disk.close()
+        return self.disk.close()
 
     # ---------------------------------------------------------------- what the core asks for
 
