--- a/tests/fleet/distribution/processes.py
+++ b/tests/fleet/distribution/processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import shutil
 import signal
 import socket
@@ -21,7 +22,7 @@
 from cloverhold.fleet.distribution.resources import Server, write
 from tests.fleet.distribution.ways import Way, Ways
 
-FLEET = "test"
+FLEET = f"test-{os.getpid()}"  # tests that run beside one another do not hear each other
 
 
 def server(number: int, state: str = "active") -> bytes:
@@ -147,12 +148,20 @@
         self.all = [*self.relays, self.writer, *self.nodes]
 
     def __enter__(self) -> Fleet:
-        for one in self.all:
-            one.start()
-        until(lambda: all(one.events("ready") for one in self.all), 20, "all are ready")
+        try:
+            for one in self.all:
+                one.start()
+            until(lambda: all(one.events("ready") for one in self.all), 20, "all are ready")
+        except BaseException:
+            self.close()  # a process that is left goes on, and its ports are given to others
+            raise
         return self
 
     def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End all of it."""
         for one in reversed(self.all):
             one.end(signal.SIGKILL)
         self.ways.close()
