--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -55,7 +55,6 @@
 LINGER_S = 0.5  # after SIGTERM new connections still come for this long
 AT_START = (  # of the configuration
     "listen", "mgmt", "sockets", "memory_mb", "seed", "store", "listen_fd", "membership", "peer_listen",
-    "distribution",
 )  # fmt: skip
 GC_THRESHOLD = 5000, 20, 20  # by default collections took a twentieth of a busy node's CPU
 # SIGKILL comes 0.7 s after the longest deadline, of 3 s at most.
@@ -89,7 +88,6 @@
         self.listener.successor = lambda: self.succession is not None and self.succession.share.successor
         self.membership = parts.membership_of(config, self._members_changed) if worker is None else None
         self.heard = self._heard(worker, config.membership) if worker is not None else None
-        self.lists = parts.lists_of(config, self.host.lists.take, alone=worker is None and config.listen_fd is None)
         self.management = self._management() if config.mgmt is not None else None
 
     def _succession(self) -> Succession:
@@ -131,16 +129,12 @@
             b"/_ready": (b"GET", lambda: self.life.ready() and self.host.ready()),
             b"/_lameduck/on": (b"POST", lambda: self._lame_duck(on=True)),
             b"/_lameduck/off": (b"POST", lambda: self._lame_duck(on=False)),
-            b"/_metrics": (b"GET", lambda: json.dumps(self._gauges()).encode()),
+            b"/_metrics": (b"GET", lambda: json.dumps(self.telemetry.report() | self.discovery.gauges()).encode()),
         }
         if (membership := self.membership) is not None:
             calls[b"/_members"] = (b"GET", lambda: json.dumps(membership.report()).encode())
         return ManagementFront(calls, self.telemetry)
 
-    def _gauges(self) -> dict[str, Any]:
-        gauges = self.telemetry.report() | self.discovery.gauges()
-        return gauges | self.lists.gauges() if self.lists is not None else gauges
-
     def _heard(self, worker: Attached, table: MembershipTable | None) -> Heard | None:
         """The view of a worker, which its supervisor tells."""
         if table is None:
@@ -187,12 +181,8 @@
             self.http3.drain(on=on)
         return True
 
-    def _beside(self, members: Members) -> Members:
-        """Discovery's list less what the operators' configuration takes out of it."""
-        return self.lists.beside.discovery(members) if self.lists is not None else members
-
     def _members(self, members: Members) -> None:
-        self.host.lists.take(self._beside(members))
+        self.host.lists.take(members)
         self._tell_life(Event.LISTED)
         if self.succession is not None:
             self.succession.told(members_value(members, self.clock))
@@ -210,7 +200,7 @@
             if known is None:
                 known = read_known({"known": self.store.known()}, self.clock)
         if known is not None:
-            self.host.lists.take(self._beside(known), remembered=True)
+            self.host.lists.take(known, remembered=True)
             # Beside a process that serves, one is ready once its list is of now, or discovery does not answer.
             wait = REMEMBERED_S if self.succession is not None and self.succession.share.parts > 1 else 0.0
             asyncio.get_running_loop().call_later(wait, self._tell_life, Event.LISTED)
@@ -227,8 +217,6 @@
             self.succession.start()
         if self.membership is not None:
             await self.membership.start()
-        if self.lists is not None:
-            await self.lists.start()
         if self.http3 is not None:
             await self.http3.start()
             if self.http3.table.announce:
@@ -349,8 +337,6 @@
             self.succession.close()
         if self.membership is not None:
             self.membership.close()
-        if self.lists is not None:
-            self.lists.close()
         self.discovery.stop()
         self.pool.close()
         if self.store is not None:
--- a/cloverhold/cli.py
+++ b/cloverhold/cli.py
@@ -14,7 +14,6 @@
        cloverhold cells plan|move|undo|status ...
        cloverhold store check|dump|compact|adopt|salvage DIR
        cloverhold fleet members --at HOST:PORT
-       cloverhold fleet distribute|change|config|resources ...
        cloverhold --version
 
 `--help` behind each tells more. CLOVERHOLD_CONFIG names the operator's file,
--- a/cloverhold/fleet/capacity/page.py
+++ b/cloverhold/fleet/capacity/page.py
@@ -42,8 +42,7 @@
     value = shown(row.value) + (unit if row.value is not None else "")
     if row.played is not None:
         value += f" at {row.played:,.0f}"
-        past = " below it" if row.below else " past it"
-        verdict += " already" if row.verdict in ("over", "holds") else past
+        verdict += " already" if row.verdict == "over" else " past it"
     return (
         row.role, row.moment, row.figure, value,
         shown(row.budget) + (unit if row.budget is not None else ""), row.carried_by, row.slope or "-", verdict,
--- a/cloverhold/fleet/capacity/reckoning.py
+++ b/cloverhold/fleet/capacity/reckoning.py
@@ -44,28 +44,10 @@
                 raise ValueError(f"{name}: must be above 0")
 
 
-def in_share(nodes: int, servers: int, **told: float | None) -> Size:
-    """A size of which only some is told: what is not follows the servers, restarts the nodes, as in the operators' own.
-
-    Raises ValueError as Size does.
-    """
-    whole = Size()
-    share = servers / whole.servers
-    drawn: dict[str, float] = {
-        "requests_per_s": whole.requests_per_s * share,
-        "changes_per_day": whole.changes_per_day * share,
-        "restarts_per_day": whole.restarts_per_day * nodes / whole.nodes,
-    }
-    drawn |= {name: max(1, round(getattr(whole, name) * share)) for name in ("services", "routes", "tenants")}
-    drawn |= {name: value for name, value in told.items() if value is not None}
-    return Size(nodes, servers, **drawn)  # type: ignore[arg-type]
-
-
 @dataclass(frozen=True, slots=True)
 class Row:
     """One line. value and budget: in `unit`, None where there is none; slope: where the value comes from. played: the
-    largest size that was played, where the one asked for lies too far past it, or the smallest, where it lies below:
-    the value is then that size's, and no curve is drawn on to where nothing was played.
+    largest size that was played, where the one asked for lies too far past it: the value is then that size's.
     """
 
     role: str
@@ -78,7 +60,6 @@
     slope: str
     verdict: Verdict
     played: float | None = None
-    below: bool = False  # the size asked for lies below `played`
 
     def factor(self) -> float | None:
         """How often the budget goes into it."""
@@ -158,29 +139,22 @@
 
 def rows(size: Size, slopes: Mapping[str, Slope]) -> Iterator[Row]:
     """The table. A line whose slope is not there is not known; nor is one far past what was played, but where it was
-    over at the largest size already, nor one below it, but where the smallest size held already: no figure of these
-    lines grows as a fleet shrinks.
+    over at the largest size already.
     """
     for line in LINES:
         slope = slopes.get(line.slope)
         value = played = None
-        below = False
         if line.value is not None and (slope is not None or not line.slope):
             at: Callable[[float], float] = slope.whole().at if slope is not None else lambda n: n
             if slope is not None and getattr(size, slope.of) > REACH * slope.sizes[-1]:
                 played, at = slope.sizes[-1], lambda n, last=slope.values[-1]: last  # type: ignore[misc]
-            elif slope is not None and getattr(size, slope.of) < slope.sizes[0]:
-                played, below, at = slope.sizes[0], True, lambda n, first=slope.values[0]: first  # type: ignore[misc]
             value = line.value(at, size)
         budget = line.budget(size) if line.budget is not None else None
         verdict: Verdict = "not built" if not line.built else "not known"
         if line.built and value is not None and budget is not None:
-            over = value > budget
-            if played is None or over != below:
-                verdict = "over" if over else "holds"
+            verdict = "over" if value > budget else "holds" if played is None else "not known"
         yield Row(
             line.role, line.moment, line.figure, value, budget, line.unit, line.carried_by, line.slope, verdict, played,
-            below,
         )  # fmt: skip
 
 
--- a/cloverhold/fleet/command.py
+++ b/cloverhold/fleet/command.py
@@ -58,130 +58,25 @@
 @main.command()
 @click.option("--nodes", type=click.IntRange(2), default=6_600, show_default=True)
 @click.option("--servers", type=click.IntRange(1), default=79_000, show_default=True)
-@click.option("--services", type=click.IntRange(1), help="[default: 3,100 for 79,000 servers]")
-@click.option("--requests", type=click.FloatRange(0, min_open=True),
-              help="A second, of all nodes. [default: 650,000 for 79,000 servers]")  # fmt: skip
-@click.option("--tenants", type=click.IntRange(1), help="[default: 190,000 for 79,000 servers]")
+@click.option("--services", type=click.IntRange(1), default=3_100, show_default=True)
+@click.option("--requests", type=click.FloatRange(0, min_open=True), default=650_000.0, show_default=True,
+              help="A second, of all nodes.")  # fmt: skip
+@click.option("--tenants", type=click.IntRange(1), default=190_000, show_default=True)
 @click.option("--slopes", is_flag=True, help="The measured slopes instead: what the table is reckoned from.")
-def capacity(
-    nodes: int, servers: int, services: int | None, requests: float | None, tenants: int | None, slopes: bool
-) -> None:
+def capacity(nodes: int, servers: int, services: int, requests: float, tenants: int, slopes: bool) -> None:
     """What a fleet of this size asks of each role, beside its budget (docs/CAPACITY.md). Past the sizes that were
-    measured it is a line drawn on, and no more; below them it is the smallest that was measured.
+    measured it is a line drawn on, and no more.
 
-    Example: cloverhold fleet capacity --nodes 200 --servers 2400 --services 90
+    Example: cloverhold fleet capacity --nodes 200 --servers 2400 --services 90 --tenants 5000 --requests 20000
     """
     from cloverhold.fleet.capacity.page import measured, reckoned, sloped
-    from cloverhold.fleet.capacity.reckoning import in_share
+    from cloverhold.fleet.capacity.reckoning import Size
 
-    size = in_share(nodes, servers, services=services, requests_per_s=requests, tenants=tenants)
+    size = Size(nodes, servers, services, requests, tenants=tenants)
     found = measured()
     click.echo("\n".join(sloped(found.values()) if slopes else reckoned(size, found)))
 
 
-@main.command()
-@click.argument("path", metavar="FILE", type=click.Path(dir_okay=False))
-def distribute(path: str) -> None:
-    """Run a writer, a relay or a node of configuration in scopes, as FILE's [distribution] says.
-
-    Example: cloverhold fleet distribute relay-1.toml
-    """
-    from cloverhold.config.reading import ConfigFaults, read_tables
-    from cloverhold.fleet.distribution.roles import main as run
-    from cloverhold.fleet.distribution.table import DistributionTable
-
-    try:
-        table = read_tables(path, {"distribution": DistributionTable}).get("distribution")
-    except ConfigFaults as faults:
-        for line in faults.lines:
-            click.echo(line, err=True)
-        raise SystemExit(2) from None
-    if not isinstance(table, DistributionTable):
-        click.echo(f"{path}: [distribution] is missing", err=True)
-        raise SystemExit(2)
-    raise SystemExit(run(table))
-
-
-@main.command()
-@click.option("--at", type=_At(), required=True, help="A writer's or a relay's address, host:port.")
-@click.option("--fleet", required=True, help="The name that all its processes share.")
-@click.option("--json", "as_json", is_flag=True, help="For programs.")
-def config(at: tuple[str, int], fleet: str, as_json: bool) -> None:
-    """Who runs which version of which scope, and who refused what and why, as a relay or a writer knows it.
-
-    Example: cloverhold fleet config --at 10.0.0.4:9100 --fleet lima
-    """
-    import asyncio
-
-    from cloverhold.fleet.distribution.client import Unanswered, who
-
-    try:
-        _, rows = asyncio.run(who(at, fleet))
-    except Unanswered as error:
-        raise click.ClickException(f"{at[0]}:{at[1]}: {error}") from None
-    told = [
-        {"name": r.name, "scope": r.scope, "holds": r.held.version if r.held else None,
-         "refused": r.refused.version if r.refused else None, "why": r.why if r.refused else ""}
-        for r in rows
-    ]  # fmt: skip
-    if as_json:
-        click.echo(json.dumps(told))
-        return
-    lines = [("name", "scope", "holds", "refused", "why")]
-    for row in told:
-        holds, refused = (".".join(map(str, v)) if v else "-" for v in (row["holds"], row["refused"]))
-        lines.append((str(row["name"]), str(row["scope"]), holds, refused, str(row["why"])))
-    widths = [max(len(line[at]) for line in lines) for at in range(len(lines[0]))]
-    for line in lines:
-        click.echo("  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip())
-
-
-@main.command()
-@click.option("--at", type=_At(), required=True, help="The writer's address, host:port.")
-@click.option("--fleet", required=True, help="The name that all its processes share.")
-@click.option("--scope", required=True, help="fleet, services, service/NAME or tenants/BUCKET.")
-@click.argument("path", metavar="FILE", type=click.File("rb"))
-def change(at: tuple[str, int], fleet: str, scope: str, path: Any) -> None:
-    """Make one change of a scope: FILE is a JSON object of keys, each with its fields, or null to delete it.
-
-    Example: echo '{"server/s1": {"address": "10.0.0.9:80"}, "server/s2": null}' | cloverhold fleet change
-    --at 10.0.0.4:9100 --fleet lima --scope service/a -
-    """
-    import asyncio
-
-    from cloverhold.fleet.distribution import client
-    from cloverhold.fleet.distribution.resources import Wrong, kind_of, written
-
-    try:
-        told = json.load(path)
-        if not isinstance(told, dict) or not all(v is None or isinstance(v, dict) for v in told.values()):
-            raise Wrong("an object of keys is needed, each with an object of fields or null")
-        kind_of(scope)
-        values = {key: None if fields is None else written(key, fields) for key, fields in told.items()}
-    except ValueError as error:  # Wrong, and what is no JSON
-        click.echo(f"{path.name}: {error}", err=True)
-        raise SystemExit(2) from None
-    try:
-        answer = asyncio.run(client.change(at, fleet, scope, values))
-    except client.Unanswered as error:
-        raise click.ClickException(f"{at[0]}:{at[1]}: {error}: not known whether it was made") from None
-    if answer.mark is None:
-        raise click.ClickException(answer.why)
-    click.echo(f"{scope}: {answer.mark.epoch}.{answer.mark.number}")
-
-
-@main.command()
-@click.option("--json", "as_json", is_flag=True, help="As JSON Schema.")
-def resources(as_json: bool) -> None:
-    """The kinds of resources that configuration in scopes holds, with their fields (docs/resources.md).
-
-    Example: cloverhold fleet resources --json
-    """
-    from cloverhold.fleet.distribution.resources import page, schema
-
-    click.echo(json.dumps(schema(), indent=2) if as_json else "\n".join(page()))
-
-
 @main.command()
 @click.option("--at", type=_At(), required=True, help="A node's management address, host:port.")
 @click.option("--json", "as_json", is_flag=True, help="For programs.")
--- a/cloverhold/parts.py
+++ b/cloverhold/parts.py
@@ -15,9 +15,7 @@
 if TYPE_CHECKING:
     from cloverhold.cells.shell import Router
     from cloverhold.cells.table import CellsTable
-    from cloverhold.fleet.distribution.lists import Lists
     from cloverhold.fleet.membership.shell import Membership
-    from cloverhold.net.discovery.server_list import Members
     from cloverhold.net.fronts.http3 import Http3Front
     from cloverhold.store.remote import RemoteStore
     from cloverhold.store.service import StoreService
@@ -115,23 +113,6 @@
     return Membership(config.membership, me, listen, config.peers, life, major << 8 | minor, changed)
 
 
-def lists_of(config: Config, take: Callable[[Members], None], *, alone: bool) -> Lists | None:
-    """What configuration in scopes says of the list, where the operator asks for it. alone: one process is the node."""
-    if config.distribution is None:
-        return None
-    if not alone:
-        raise ConfigError("distribution: its store is one process's: no workers, and no socket that the platform holds")
-    try:
-        from cloverhold.fleet.distribution.lists import Lists
-        from cloverhold.store.codec import StoreError
-    except ModuleNotFoundError as error:
-        raise ConfigError(f"distribution: needs {error.name}: pip install 'cloverhold[store]'") from None
-    try:
-        return Lists(config.distribution, take)
-    except (StoreError, OSError) as error:
-        raise ConfigError(f"distribution: {config.distribution.store}: {error}") from None
-
-
 def fellows_of(config: Config, clock: Clock) -> Fellows | None:
     """The same for a node of several workers: its supervisor is the member."""
     membership = membership_of(config, lambda: None)
--- a/cloverhold/platform.py
+++ b/cloverhold/platform.py
@@ -18,7 +18,6 @@
 
 if TYPE_CHECKING:
     from cloverhold.cells.table import CellsTable
-    from cloverhold.fleet.distribution.table import DistributionTable
     from cloverhold.fleet.membership.table import MembershipTable
     from cloverhold.h3.table import Http3Table
     from cloverhold.store.table import StoreTable
@@ -55,7 +54,6 @@
     membership: MembershipTable | None = None
     peer_listen: Address | None = None  # with membership
     peers: tuple[Address, ...] = ()  # by number, this node's own among them
-    distribution: DistributionTable | None = None
     raw: dict[str, Any] = field(default_factory=dict)  # the file, less the remembered list
 
 
@@ -67,7 +65,6 @@
     store: StoreTable | None = None
     http3: Http3Table | None = None
     membership: MembershipTable | None = None
-    distribution: DistributionTable | None = None
 
 
 def _address(raw: dict[str, Any], key: str, variable: str, *, file_wins: bool = False) -> Address:
@@ -118,8 +115,7 @@
     peer_listen, peers = _peers(raw) if said.membership is not None else (None, ())
     return Config(
         listen, discovery, settings, idle, dial, sockets, seed, known, said.cells, said.store, said.http3,
-        mgmt, _listen_fd(), memory, said.membership if peers else None, peer_listen, peers,
-        _followed(said.distribution), whole,
+        mgmt, _listen_fd(), memory, said.membership if peers else None, peer_listen, peers, whole,
     )  # fmt: skip
 
 
@@ -142,13 +138,6 @@
     return _address(raw, "peer_listen", "PROXY_PEER_LISTEN"), peers
 
 
-def _followed(table: DistributionTable | None) -> DistributionTable | None:
-    """The table of a node that serves; ConfigError for another's."""
-    if table is not None and (table.role != "node" or len(table.services()) != 1):
-        raise ConfigError("distribution: role must be node, and scopes must name one service")
-    return table
-
-
 def _positive(limits: dict[str, Any], key: str, default: float, where: str = "settings: Limits.") -> float:
     value = limits.get(key, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value < math.inf:
@@ -171,7 +160,6 @@
     try:
         from cloverhold.cells.table import CellsTable
         from cloverhold.config.reading import ConfigFaults, read_tables
-        from cloverhold.fleet.distribution.table import DistributionTable
         from cloverhold.fleet.membership.table import MembershipTable
         from cloverhold.h3.table import Http3Table
         from cloverhold.store.table import StoreTable
@@ -180,7 +168,6 @@
     try:
         tables = read_tables(path, {
             "cells": CellsTable, "store": StoreTable, "http3": Http3Table, "membership": MembershipTable,
-            "distribution": DistributionTable,
         })  # fmt: skip
     except ConfigFaults as error:
         raise ConfigError(str(error)) from None
--- a/tests/cells/test_table.py
+++ b/tests/cells/test_table.py
@@ -18,7 +18,6 @@
 from cloverhold.cells.moves import Place
 from cloverhold.cells.rebalance import loads_of, rebalance
 from cloverhold.cells.table import CellsTable
-from cloverhold.fleet.distribution.table import DistributionTable
 from cloverhold.h3.table import Http3Table
 from cloverhold.store.table import StoreTable
 from cloverhold.config.reading import MOST_BYTES, ConfigFaults, parse, read_tables, read_text
@@ -84,11 +83,10 @@
 def test_the_file_that_is_shipped_turns_nothing_on_and_its_examples_hold(tmp_path: Path) -> None:
     text = (Path(__file__).parents[2] / "deploy" / "node.toml").read_text()
     path, tables = tmp_path / "node.toml", {**TABLES, "store": StoreTable, "http3": Http3Table}
-    tables["distribution"] = DistributionTable
     path.write_text(text)
     assert read_tables(str(path), tables) == {}
     path.write_text("\n".join(line[2:] for line in text.splitlines() if re.match(r"# (\[|\w+ = )", line)))
-    assert set(read_tables(str(path), tables)) == {"cells", "store", "http3", "distribution"}
+    assert set(read_tables(str(path), tables)) == {"cells", "store", "http3"}
 
 
 VALUES = st.recursive(
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -30,10 +30,6 @@
     )),
     *(f"cloverhold/fleet/agreement/{name}.py" for name in ("interface", "log", "voter")),
     *(f"cloverhold/fleet/capacity/{name}.py" for name in ("reckoning", "slopes")),
-    *(f"cloverhold/fleet/distribution/{name}.py" for name in (
-        "beside", "dealing", "durable", "follower", "frames", "handover", "interface", "resources", "scope", "source",
-        "writer",
-    )),
     "cloverhold/fleet/wire/datagrams.py",
     "cloverhold/roster.py",
     "cloverhold/settings.py",
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -17,7 +17,6 @@
 from cloverhold import ClassSettings, Group, ListMode, Repeat, Settings
 from cloverhold.__main__ import Node
 from cloverhold.cells.table import CellsTable
-from cloverhold.fleet.distribution.table import DistributionTable
 from cloverhold.platform import Config
 from cloverhold.h3.table import Http3Table
 from cloverhold.store.table import StoreTable
@@ -276,7 +275,6 @@
     known: int | None = None,
     mgmt: bool = False,
     memory_mb: float = 192.0,
-    distribution: DistributionTable | None = None,
     **changes: Any,
 ) -> AsyncIterator[Running]:
     """A node before these servers, ready to serve; known: the version of the list that it remembers of them."""
@@ -299,7 +297,6 @@
         http3=http3,
         mgmt=("127.0.0.1", 0) if mgmt else None,
         memory_mb=memory_mb,
-        distribution=distribution,
     )
     node, stop = Node(config, Clock()), asyncio.Event()
     task = asyncio.create_task(node.run(stop))
--- a/tests/scale/test_slopes.py
+++ b/tests/scale/test_slopes.py
@@ -9,7 +9,7 @@
 from click.testing import CliRunner
 
 from cloverhold.fleet.capacity.page import measured, reckoned
-from cloverhold.fleet.capacity.reckoning import LINES, LIST_LIMIT, MOST_PEERS, Size, alone, in_share, rows
+from cloverhold.fleet.capacity.reckoning import LINES, LIST_LIMIT, MOST_PEERS, Size, alone, rows
 from cloverhold.fleet.capacity.slopes import Slope, Term, fitted
 from cloverhold.fleet.command import main
 from cloverhold.net.discovery import connection
@@ -92,35 +92,6 @@
         assert (found.verdict, found.played) == (verdict, played)
 
 
-def test_below_what_was_played_a_figure_is_the_smallest_that_was_and_holds_only_where_that_did() -> None:
-    falling = tuple(6400.0 * n - 32_000 for n in SIZES)  # a fit that is below 0 at 4
-    for values, verdict in ((falling, "over"), (tuple(value / 8 for value in falling), "holds")):
-        one = slope("linear", values)
-        assert one.whole().at(4.0) < 0
-        found = {row.figure: row for row in rows(Size(nodes=4), {"rest_bytes": one})}["membership, bytes a second"]
-        known = "holds" if verdict == "holds" else "not known"
-        assert (found.verdict, found.played, found.below, found.value) == (known, SIZES[0], True, values[0])
-    found = {row.figure: row for row in rows(Size(nodes=10), {"rest_bytes": slope("flat", (5.0,) * 5)})}
-    assert found["membership, bytes a second"].played is None
-
-
-def test_no_figure_of_a_small_fleet_is_below_nothing() -> None:
-    for nodes, servers in ((2, 1), (200, 2400), (700, 8000), (6600, 79_000)):
-        for row in rows(in_share(nodes, servers), measured()):
-            assert row.value is None or row.value > 0, row
-
-
-def test_what_is_not_told_of_a_size_follows_what_is() -> None:
-    assert in_share(6600, 79_000) == Size()
-    small = in_share(200, 2400)
-    assert (small.services, small.tenants, small.routes) == (94, 5772, 1185)
-    assert small.restarts_per_day == pytest.approx(8100 / 33)
-    assert small.servers / small.services == pytest.approx(Size().servers / Size().services, rel=0.01)
-    assert in_share(200, 2400, tenants=7, services=None).tenants == 7
-    told = CliRunner().invoke(main, ["capacity", "--nodes", "200", "--servers", "2400"]).output
-    assert "-0.35" not in told and "6.33 MB" not in told
-
-
 def test_bounds_are_those_of_the_code_and_each_slope_that_a_line_names_was_measured() -> None:
     assert (LIST_LIMIT, MOST_PEERS) == (connection.LIST_LIMIT, platform.MOST_PEERS)
     held = measured()
