Log lines have times, and the end of a server's connection its reason

Change: each line has its UTC time to the millisecond; server_connection_ended is counted by its reason, and logged where an answer was awaited, with the socket's error, what had come and whether reading was paused.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -71,7 +71,9 @@
         self.telemetry = Telemetry()
         self.config, self.clock, self.worker = config, clock, worker
         self.budget = Budget(budget_of(config.memory_mb))
-        self.pool = Pool(loop, config.dial_ms / 1000, config.idle_ms / 1000, shares.servers, self.budget)
+        self.pool = Pool(
+            loop, config.dial_ms / 1000, config.idle_ms / 1000, shares.servers, self.budget, self.telemetry
+        )
         self.part = str(worker.number) if worker is not None else ""  # of the operator's files
         self.store = parts.store_of(config, clock, worker)
         self.router = parts.router_of(config, clock, self.store, self.part)
@@ -375,12 +377,19 @@
     signals.hold()  # their handlers go with the loop, before the process
 
 
+def log_to_stderr() -> None:
+    """Write the log to standard error, each line with its time: UTC, to the millisecond, by the wall clock."""
+    logging.Formatter.converter = time.gmtime
+    line = "%(levelname)s %(asctime)s.%(msecs)03dZ %(message)s"
+    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format=line, datefmt="%Y-%m-%dT%H:%M:%S")
+
+
 def main(workers: int = 1) -> int:
     """Run a node, of several workers where more than one is asked for; 0 after SIGTERM, 2 on a configuration that it
     cannot run on.
     """
     signals.hold()  # of the command line, which did not begin here
-    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(message)s")
+    log_to_stderr()
     try:
         if workers > 1:
             from cloverhold.supervise.shell import supervise
--- a/cloverhold/net/telemetry.py
+++ b/cloverhold/net/telemetry.py
@@ -25,6 +25,7 @@
 
     CONNECTION_CLOSED = "connection_closed"  # by the node, of a client
     CONNECTION_LOST = "connection_lost"  # by the client, with a request that was not answered
+    SERVER_CONNECTION_ENDED = "server_connection_ended"  # by why; logged where a request was open on it
     READING_HELD = "reading_held"  # of a client, by why
     ACCEPT_FAILED = "accept_failed"
     REQUEST_TAKEN = "request_taken"  # by its class
@@ -60,6 +61,20 @@
     CLIENT_GONE = "client_gone"
 
 
+class ServerEnd(Enum):
+    """Why a connection to a server has ended."""
+
+    CLOSED = "closed_by_server"
+    FAILED = "failed"  # reset, or another error of the socket
+    NOT_UP = "never_came_up"
+    REFUSED = "refused"
+    BAD_ANSWER = "bad_answer"
+    SILENT = "answer_stopped"
+    LAST_ANSWER = "last_answer"  # its answer was whole, and its last
+    GIVEN_UP = "given_up"  # by the node, with a request open on it
+    IDLE = "idle"  # ended by the node while nothing was open on it
+
+
 @dataclass(slots=True)
 class _Window:
     """The log lines of one name within one second."""
--- a/cloverhold/net/upstreams/calls.py
+++ b/cloverhold/net/upstreams/calls.py
@@ -39,6 +39,10 @@
     upload: Upload | None = None  # in place of `body`, where that still comes, or is long
     left: Left | None = None  # asked in the step that writes the head, and told in it; None: nothing is told
 
+    def call_id(self) -> bytes:
+        """The client's name for the request; empty for what the node itself asks."""
+        return next((value for name, value in self.fields if name.lower() == b"x-call-id"), b"")
+
 
 def status_of(response: Response) -> Status:
     """What an answer says of the attempt."""
--- a/cloverhold/net/upstreams/http1.py
+++ b/cloverhold/net/upstreams/http1.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import select
 import socket
 
@@ -14,6 +15,7 @@
 from cloverhold.decision.interface import Status
 from cloverhold.net.http1 import BadMessage, ResponseParser
 from cloverhold.net.messages import Response
+from cloverhold.net.telemetry import Happening, ServerEnd, Telemetry
 from cloverhold.net.upstreams.calls import Done, Outgoing, Receiver, Upstream, Wanted, always, status_of
 from cloverhold.net.upstreams.http1_call import Call
 from cloverhold.net.upstreams.idle_limit import IdleLimit
@@ -46,6 +48,7 @@
         self.parts = 0  # reads that brought some of an answer's body, while it is held
         self.begins: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
+        self.received = 0  # bytes of the answer that comes
         self.found: float | None = None  # how long it was idle before this request; None once that has told
         self.closed = False
         self.holding = Holding(pool.budget)
@@ -62,11 +65,11 @@
             self.socket.connect(self.upstream.address)
         except BlockingIOError:
             pass
-        except OSError:
-            self.pool.loop.call_soon(self.end, Status.CONNECT_FAILED)
+        except OSError as error:
+            self.pool.loop.call_soon(self.end, Status.CONNECT_FAILED, ServerEnd.REFUSED, error.errno)
             return
         self.poll.register(self.socket, select.POLLIN)
-        self.dial_timer = self.pool.loop.call_later(timeout_s, self.end, Status.CONNECT_FAILED)
+        self.dial_timer = self.pool.loop.call_later(timeout_s, self.end, Status.CONNECT_FAILED, ServerEnd.NOT_UP)
         self.pool.loop.add_writer(self.socket.fileno(), self._connected)
 
     def _connected(self) -> None:
@@ -74,8 +77,8 @@
         if self.dial_timer is not None:
             self.dial_timer.cancel()
             self.dial_timer = None
-        if self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            self.end(Status.CONNECT_FAILED)
+        if code := self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.end(Status.CONNECT_FAILED, ServerEnd.REFUSED, code)
             return
         if self.call is None or not self.call.wanted():
             return
@@ -94,6 +97,7 @@
         """Send a request on a connection that was idle, once it has rested."""
         self.call, call.connection = call, self
         self.parser = ResponseParser(passes=call.receiver is not None)
+        self.received = 0
         self.found = now - self.idle_since
         if self.found < REST_S:
             self.blocked = True  # the parts of a body that come meanwhile stay behind its head
@@ -105,7 +109,7 @@
         """What came meanwhile belongs to nobody; else its request leaves, if it is still wanted."""
         self.rests = None
         if not self.fresh():
-            self.end(Status.CONNECT_FAILED)
+            self.end(Status.CONNECT_FAILED, ServerEnd.CLOSED)
         elif self.call is not None and self.call.wanted():
             self._write()
 
@@ -116,11 +120,11 @@
                 count = self.socket.send(call.unwritten())
             except BlockingIOError:
                 count = 0
-            except OSError:
+            except OSError as error:
                 # Before the last byte was written, and a server begins a request only at its last byte. Told
                 # later, not from within the caller's own step.
                 self.blocked = True
-                self.pool.loop.call_soon(self._broken, call)
+                self.pool.loop.call_soon(self._broken, call, ServerEnd.FAILED, error.errno)
                 return
             if not call.wrote(count):
                 self.blocked = True
@@ -145,38 +149,42 @@
             self.pool.idle_limit.told(self.found, died=died)
             self.found = None
 
-    def _broken(self, call: Call) -> None:
+    def _broken(self, call: Call, why: ServerEnd, code: int | None = None) -> None:
         if self.call is call:
             self._told(died=True)
-            self.end(Status.RESET if call.sent() else Status.CONNECT_FAILED)
+            self.end(Status.RESET if call.sent() else Status.CONNECT_FAILED, why, code)
 
     def _readable(self) -> None:
-        clean = True
+        failure: int | None = None
         try:
             data = self.socket.recv(READ_BYTES)
         except BlockingIOError:
             return
-        except OSError:
-            data, clean = b"", False
+        except OSError as error:
+            data, failure = b"", error.errno or errno.EIO
         call = self.call
         if call is None:
-            self.close()  # idle: the server closed it, or says what nobody asked for
+            self.close(ServerEnd.CLOSED)  # idle: the server closed it, or says what nobody asked for
             return
         if self.rests is not None:
-            self.end(Status.CONNECT_FAILED)  # the same, and its request has not left
+            self.end(Status.CONNECT_FAILED, ServerEnd.CLOSED)  # the same, and its request has not left
+            return
+        if failure is not None:
+            self._broken(call, ServerEnd.FAILED, failure)
             return
         if not data:
-            response = self.parser.finish() if clean else None
+            response = self.parser.finish()
             if response is None:
-                self._broken(call)
+                self._broken(call, ServerEnd.CLOSED)
             else:
                 self._answered(call, response)
             return
         self._told(died=False)
+        self.received += len(data)
         try:
             response = self.parser.feed(data)
         except BadMessage:
-            self.end(Status.RESET)
+            self.end(Status.RESET, ServerEnd.BAD_ANSWER)
             return
         if response is not None:
             self._answered(call, response)
@@ -243,7 +251,7 @@
         if not response.keep_alive or not call.sent():
             status = status_of(response)
             # No server has begun a request before its last byte: this was made for another one. Which, nobody can say.
-            self.end(Status.RESET if status is Status.OK and not call.sent() else status)
+            self.end(Status.RESET if status is Status.OK and not call.sent() else status, ServerEnd.LAST_ANSWER)
             return
         self._begins_no_more()
         self.resume()
@@ -255,23 +263,29 @@
         self.pool.put_back(self)
         call.done(call, status_of(response))
 
-    def end(self, status: Status) -> None:
-        """Close, and tell how the exchange ended."""
-        call, self.call = self.call, None
-        self.close()
+    def end(self, status: Status, why: ServerEnd, code: int | None = None) -> None:
+        """Close, and tell how the exchange ended. code: the error of the socket, where there was one."""
+        call = self.call
+        self.close(why, code)
         if call is not None:
             call.over()
             call.done(call, status)
 
+    def give_up(self) -> None:
+        """Close with no word to whoever asked: late bytes must reach nobody else."""
+        self.close(ServerEnd.GIVEN_UP)
+
     def _begins_no_more(self) -> None:
         if self.begins is not None:
             self.begins.cancel()
             self.begins = None
 
-    def close(self) -> None:
+    def close(self, why: ServerEnd = ServerEnd.IDLE, code: int | None = None) -> None:
         if self.closed:
             return
         self.closed = True
+        self._note_end(why, code)
+        self.call = None
         for timer in (self.dial_timer, self.rests):
             if timer is not None:
                 timer.cancel()
@@ -283,13 +297,33 @@
         self.holding.set(0)
         self.pool.forget(self)
 
+    def _note_end(self, why: ServerEnd, code: int | None) -> None:
+        """Count why the connection ends; a line where an answer was awaited on it and has not come."""
+        telemetry, call = self.pool.telemetry, self.call
+        if call is None or why is ServerEnd.LAST_ANSWER:
+            telemetry.count(Happening.SERVER_CONNECTION_ENDED, why.value)
+            return
+        telemetry.event(
+            Happening.SERVER_CONNECTION_ENDED,
+            why.value,
+            id=call.outgoing.call_id(),
+            server=":".join(map(str, self.upstream.address)),
+            error=errno.errorcode.get(code or 0, "none"),
+            sent=call.sent(),
+            answer_begun=call.begun,
+            answer_bytes=self.received,
+            paused=self.paused,
+        )
+
 
 class Pool:
     """All connections to servers: reused most recently used first, bounded in number and in idle time."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, dial_timeout_s: float, idle_s: float, most: int, budget: Budget
-    ) -> None:
+        self, loop: asyncio.AbstractEventLoop, dial_timeout_s: float, idle_s: float, most: int, budget: Budget,
+        telemetry: Telemetry | None = None,
+    ) -> None:  # fmt: skip
+        self.telemetry = telemetry if telemetry is not None else Telemetry()
         self.loop, self.dial_timeout_s, self.most, self.budget = loop, dial_timeout_s, most, budget
         self.idle_limit = IdleLimit(IDLE_PART * idle_s)
         self.all: set[Connection] = set()
@@ -357,7 +391,7 @@
         """It wants nothing new: idle connections close, and what is still dialled there, or rests, never begins."""
         self.close_idle(upstream)
         for connection in [c for c in self.all if c.upstream is upstream and c.unsent()]:
-            connection.end(Status.CONNECT_FAILED)
+            connection.end(Status.CONNECT_FAILED, ServerEnd.GIVEN_UP)
 
     def retire(self, upstream: Upstream) -> None:
         """Its process has ended, or has moved: an answer that is still awaited is its connection's last."""
@@ -386,7 +420,7 @@
             if connection.idle_since < limit:
                 connection.close()
         for connection in [c for c in self.all if c.silent(self.loop.time())]:
-            connection.end(Status.RESET)
+            connection.end(Status.RESET, ServerEnd.SILENT)
         self._sweeper = self.loop.call_later(self._sweep_every(), self._sweep)
 
     def close(self) -> None:
--- a/tests/faults/test_telemetry.py
+++ b/tests/faults/test_telemetry.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
+import re
 from pathlib import Path
 
 import pytest
 
 from cloverhold.net.telemetry import LINES_PER_S, VALUE_LIMIT, Happening, Telemetry
-from loopback import OK, Server, play, read_answer, request
+from loopback import OK, Scripted, Server, play, read_answer, request, until
 from node_process import node_process
-import asyncio
 
 
 def test_every_event_is_counted_and_lines_are_bounded(caplog: pytest.LogCaptureFixture) -> None:
@@ -52,3 +53,27 @@
             writer.close()
 
     play(test)
+
+
+def test_log_line_has_its_time_and_the_end_of_a_servers_connection_its_reason(tmp_path: Path) -> None:
+    """The logs of report 4021a4 could not tell when, or why, a server's connection had ended."""
+
+    async def script(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")
+        await writer.drain()
+        writer.transport.abort()
+
+    async def test() -> None:
+        async with node_process(tmp_path, Scripted(script)) as node:
+            reader, writer = await asyncio.open_connection("127.0.0.1", node.port)
+            writer.write(request("alerta", number="7f"))
+            assert (await read_answer(reader)).status == 502
+            await until(lambda: any("server_connection_ended: reason=" in line for line in node.log))
+            line = next(line for line in node.log if "server_connection_ended" in line)
+            assert re.match(r"INFO 20\d\d-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z ", line)
+            assert "id=b'7f'" in line and "sent=True" in line
+            told = await node.metrics()
+            assert sum(count for name, count in told.items() if name.startswith("server_connection_ended.")) >= 1
+            writer.close()
+
+    play(test)
