One place watches bare sockets: an error behind bytes is told on every loop

Cause: libuv stops watching a socket for good once the kernel reports an error on it (EPOLLERR), behind one last call. The node reads 16 KiB a call, so what else had come before the reset, and the reset itself, was never read. asyncio's own loop, which the tests run on, goes on calling. The same held where reading was resumed, or an error came while a request was written, and at a worker's channel to its supervisor.

Why this works: SocketWatcher alone asks the loop for bare sockets. Behind each call it asks the socket itself whether it has failed, and calls its owner again in the next turn until that has read the end. Bytes that came first are passed on first; one read a turn, as before.

--- a/cloverhold/net/upstreams/http1.py
+++ b/cloverhold/net/upstreams/http1.py
@@ -8,13 +8,13 @@
 
 import asyncio
 import errno
-import select
 import socket
 
 from cloverhold.bodies.budget import Budget, Holding
 from cloverhold.decision.interface import Status
 from cloverhold.net.http1 import BadMessage, ResponseParser
 from cloverhold.net.messages import Response
+from cloverhold.net.socket_watcher import SocketWatcher
 from cloverhold.net.telemetry import Happening, ServerEnd, Telemetry
 from cloverhold.net.upstreams.calls import Done, Outgoing, Receiver, Upstream, Wanted, always, status_of
 from cloverhold.net.upstreams.http1_call import Call
@@ -54,7 +54,7 @@
         self.holding = Holding(pool.budget)
         call.connection = self
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self.poll = select.poll()
+        self.watcher = SocketWatcher(pool.loop, self.socket, self._readable)
         self.dial_timer: asyncio.TimerHandle | None = None
         self.rests: asyncio.TimerHandle | None = None  # until its next request may leave
 
@@ -68,12 +68,10 @@
         except OSError as error:
             self.pool.loop.call_soon(self.end, Status.CONNECT_FAILED, ServerEnd.REFUSED, error.errno)
             return
-        self.poll.register(self.socket, select.POLLIN)
         self.dial_timer = self.pool.loop.call_later(timeout_s, self.end, Status.CONNECT_FAILED, ServerEnd.NOT_UP)
-        self.pool.loop.add_writer(self.socket.fileno(), self._connected)
+        self.watcher.call_when_writable(self._connected)
 
     def _connected(self) -> None:
-        self.pool.loop.remove_writer(self.socket.fileno())
         if self.dial_timer is not None:
             self.dial_timer.cancel()
             self.dial_timer = None
@@ -82,7 +80,7 @@
             return
         if self.call is None or not self.call.wanted():
             return
-        self.pool.loop.add_reader(self.socket.fileno(), self._readable)
+        self.watcher.resume_reading()
         self._write()
 
     def unsent(self) -> bool:
@@ -91,7 +89,7 @@
 
     def fresh(self) -> bool:
         """Whether an idle connection still stands: one whose end waits to be read would reset the request."""
-        return not self.closed and not self.poll.poll(0)
+        return not self.closed and not self.watcher.is_readable()
 
     def begin(self, call: Call, now: float) -> None:
         """Send a request on a connection that was idle, once it has rested."""
@@ -128,7 +126,7 @@
                 return
             if not call.wrote(count):
                 self.blocked = True
-                self.pool.loop.add_writer(self.socket.fileno(), self._writable)
+                self.watcher.call_when_writable(self._writable)
                 return
             if not call.next_part():
                 return
@@ -140,7 +138,6 @@
             self._write()
 
     def _writable(self) -> None:
-        self.pool.loop.remove_writer(self.socket.fileno())
         if self.call is None or self.call.wanted():
             self._write()
 
@@ -235,12 +232,12 @@
     def pause(self) -> None:
         if not self.paused and not self.closed:
             self.paused = True
-            self.pool.loop.remove_reader(self.socket.fileno())
+            self.watcher.pause_reading()
 
     def resume(self) -> None:
         if self.paused and not self.closed:
             self.paused, self.moved = False, self.pool.loop.time()
-            self.pool.loop.add_reader(self.socket.fileno(), self._readable)
+            self.watcher.resume_reading()
 
     def _answered(self, call: Call, response: Response) -> None:
         if call.begun:
@@ -290,8 +287,7 @@
             if timer is not None:
                 timer.cancel()
         self._begins_no_more()
-        self.pool.loop.remove_reader(self.socket.fileno())
-        self.pool.loop.remove_writer(self.socket.fileno())
+        self.watcher.close()
         self.socket.close()
         self.parser.release()
         self.holding.set(0)
--- a/cloverhold/supervise/worker.py
+++ b/cloverhold/supervise/worker.py
@@ -10,6 +10,8 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
+from cloverhold.net.socket_watcher import SocketWatcher
+
 if TYPE_CHECKING:
     from cloverhold.platform import Config
 
@@ -56,7 +58,8 @@
     def begin(self, stop: asyncio.Event) -> None:
         """It serves: tell so, and live until the supervisor goes."""
         self.loop, self.stop = asyncio.get_running_loop(), stop
-        self.loop.add_reader(self.channel, self._readable)
+        self.watcher = SocketWatcher(self.loop, self.channel, self._readable)
+        self.watcher.resume_reading()
         self._say({"ready": True})
         self._beat()
 
@@ -84,7 +87,7 @@
         except OSError:
             data = b""
         if not data:
-            self.loop.remove_reader(self.channel)
+            self.watcher.close()
             self.stop.set()
             return
         *lines, self.unread = (self.unread + data)[-LINE_MOST:].split(b"\n")
--- a/tests/faults/test_ends_of_connections.py
+++ b/tests/faults/test_ends_of_connections.py
@@ -4,10 +4,14 @@
 
 import asyncio
 import socket
+import struct
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
+import uvloop
 
+from cloverhold.net.socket_watcher import SocketWatcher
 from loopback import Scripted, play, request, until
 from node_process import node_process
 from reset_play import NO_LINGER, CuttingServer, Cut, End, Framing, ask_and_wait
@@ -15,6 +19,7 @@
 TOLD_WITHIN_S = 1.0  # at once, on a machine that may be busy
 LEFT_WAITING_S = 6.0  # the report's clients gave up after this long
 SEEDS = range(8)
+LOOPS = [pytest.param(asyncio.new_event_loop, id="asyncio"), pytest.param(uvloop.new_event_loop, id="uvloop")]
 
 
 @pytest.mark.parametrize("memory_mb", [32, 192])
@@ -82,3 +87,50 @@
             await until(lambda: any("request_ended" in line for line in node.log))
 
     play(test)
+
+
+@pytest.mark.parametrize("new_loop", LOOPS)
+@pytest.mark.parametrize("unread_bytes", [0, 1, 16 * 1024, 100_000])
+@pytest.mark.parametrize("reset", [True, False])
+@pytest.mark.parametrize("is_paused_first", [True, False])
+def test_socket_with_an_end_behind_its_bytes_is_told_of_on_every_loop(
+    new_loop: Callable[[], asyncio.AbstractEventLoop], unread_bytes: int, reset: bool, is_paused_first: bool
+) -> None:
+    """uvloop calls a reader once for a socket with an error behind its bytes, and never again."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            ours = socket.create_connection(listening.getsockname())
+            theirs, _ = listening.accept()
+        ours.setblocking(False)
+        received, ended = 0, asyncio.Event()
+
+        def readable() -> None:
+            nonlocal received
+            try:
+                data = ours.recv(16 * 1024)
+            except BlockingIOError:
+                return
+            except OSError:
+                data = b""
+            received += len(data)
+            if not data:
+                watcher.close()
+                ended.set()
+
+        watcher = SocketWatcher(loop, ours, readable)
+        if not is_paused_first:
+            watcher.resume_reading()
+        theirs.sendall(b"z" * unread_bytes)
+        if reset:
+            theirs.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        theirs.close()
+        await asyncio.sleep(0.02)
+        watcher.resume_reading()
+        await asyncio.wait_for(ended.wait(), TOLD_WITHIN_S)
+        assert received == unread_bytes
+        ours.close()
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(test())
