--- a/tests/faults/test_memory_of_peers.py
+++ b/tests/faults/test_memory_of_peers.py
@@ -9,7 +9,9 @@
 
 import pytest
 
-from cloverhold.net.messages import FIELDS_LIMIT
+from hostile_clients import (
+    answer_at_length, half_a_body, many_short_fields, slow_body, slow_reader, very_many_fields,
+)  # fmt: skip
 from loopback import OK, Scripted, Server, body_of, play, request, until
 from memory_play import MemoryPlay, by_many, memory_play, resident_mb, send_and_read
 
@@ -92,65 +94,15 @@
     play(test)
 
 
-async def many_short_fields(watched: MemoryPlay, number: int) -> bytes:
-    """A head as large as may be; every other client does not end it."""
-    fields = b"".join(b"X-%d: %s\r\n" % (at, b"v" * 220) for at in range(FIELDS_LIMIT - 10))
-    whole = request(number=f"f{number}").removesuffix(b"\r\n") + fields + b"\r\n"
-    return await send_and_read(watched, whole if number % 2 else whole[:-2], 3.0)
-
-
-async def very_many_fields(watched: MemoryPlay, number: int) -> bytes:
-    """A head of 64 KiB in lines of 5 bytes; every other client does not end it."""
-    whole = request(number=f"f{number}").removesuffix(b"\r\n") + b"a:b\r\n" * 12_000 + b"\r\n"
-    return await send_and_read(watched, whole if number % 2 else whole[:-2], 3.0)
-
-
-async def half_a_body(watched: MemoryPlay, number: int) -> bytes:
-    """Half of a body of 1 MB, and no more."""
-    head = request("lote", number=f"h{number}").replace(b"Content-Length: 0", b"Content-Length: 1000000")
-    return await send_and_read(watched, head + b"x" * 500_000, 3.0)
-
-
-async def slow_body(watched: MemoryPlay, number: int) -> bytes:
-    """A body of 2 MB at 200 KB/s."""
-    _, writer = await watched.connect()
-    writer.write(request("lote", number=f"s{number}").replace(b"Content-Length: 0", b"Content-Length: 2000000"))
-    for _ in range(60):
-        if writer.transport.is_closing():
-            break
-        writer.write(b"x" * 10_000)
-        await asyncio.sleep(0.05)
-    writer.transport.abort()
-    return b""
-
-
-async def slow_reader(watched: MemoryPlay, number: int) -> bytes:
-    """Sixteen requests at once, whose answers are read by nobody."""
-    reader, writer = await watched.connect()
-    reader._transport.pause_reading()  # type: ignore[attr-defined]
-    writer.write(b"".join(request(number=f"r{number}x{at}") for at in range(16)))
-    await asyncio.sleep(3.0)
-    writer.transport.abort()
-    return b""
-
-
 @pytest.mark.parametrize(("memory_mb", "sockets"), LIMITS_DOWN_TO_32)
 @pytest.mark.parametrize("client", [many_short_fields, very_many_fields, half_a_body, slow_body, slow_reader])
 def test_hundreds_of_slow_or_large_clients_stay_within_the_memory(
     tmp_path: Path, client: Callable[[MemoryPlay, int], Awaitable[bytes]], memory_mb: float, sockets: int
 ) -> None:
     """Objects behind bytes, bodies kept for a repeat and answers that nobody reads were counted late, or not at all."""
-    answers = {b"length": 60_000, b"chunks": 2_000_000}
-
-    async def script(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await body_of(head, reader)
-        is_usual = b"X-Call-Id: u" in head
-        size = 2 if is_usual else answers[b"chunks" if b"x1\r\n" in head else b"length"]
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (size, b"y" * size))
-        await writer.drain()
 
     async def test() -> None:
-        servers = [Scripted(script) for _ in range(6)]
+        servers = [Scripted(answer_at_length) for _ in range(6)]
         async with memory_play(tmp_path, *servers, memory_mb=memory_mb, sockets=sockets) as watched:
             await by_many(300 if sockets > 256 else 90, lambda number: client(watched, number))
             await until(lambda: len(watched.statuses) >= 10)
