Clients past the number that is served are refused with 503, not closed

Cause: past the bound, with nobody else to go, a new connection was closed in the turn that took it (new.close()), whatever lay on it; and a new one that had not written yet, or a request that was half here, was closed without a word for the sake of others.

Whoever gives way is told 503 unless it rests or has long said nothing; a request that has not come on for a second gives way where nobody else can go.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -84,7 +84,7 @@
         self.discovery = Discovery(
             config.discovery, clock, self._members, self.host.lists.failed, lambda: self.host.settings, self.telemetry
         )
-        self.listener = Listener(self.host, self.life, self.budget, shares.clients, shares.resting, self.telemetry)
+        self.listener = Listener(self.host, self.life, self.budget, shares, self.telemetry)
         self.http3 = parts.http3_of(config, self.host)
         self.succession = self._succession() if config.listen_fd is not None else None
         self.listener.successor = lambda: self.succession is not None and self.succession.share.successor
@@ -97,7 +97,7 @@
 
         folder = Path(tempfile.gettempdir()) / "cloverhold"
         return Succession(
-            folder, self.config.sockets, lambda: OWN + len(self.listener.connections) + len(self.pool.all),
+            folder, self.config.sockets, lambda: OWN + self.listener.held_connections() + len(self.pool.all),
             self.life.ready, self.host.sent_ids,
         )  # fmt: skip
 
@@ -106,7 +106,7 @@
         from cloverhold.succession.core import bodies_of
 
         shares = descriptors(share.descriptors, management=self.config.mgmt is not None)
-        self.listener.resize(shares.clients, shares.resting)
+        self.listener.resize(shares)
         self.pool.resize(shares.servers)
         self.budget.resize(bodies_of(budget_of(self.config.memory_mb), share.parts))
         settings = self._own_settings(self.config.settings)
--- a/cloverhold/limits.py
+++ b/cloverhold/limits.py
@@ -10,6 +10,7 @@
 OWN = 34  # standard streams, the loop's own, listening handles, discovery, what is accepted and closed in one turn
 MANAGEMENT = 20  # the listening socket of management, its callers, and those that give way
 LEAST = 8
+REFUSED_PART = 1 / 16  # of the clients' connections: what comes past the others is told 503 on them
 
 
 @dataclass(frozen=True)
@@ -17,6 +18,7 @@
     """The most connections of each kind."""
 
     clients: int
+    refused: int  # of clients that are answered 503 and closed
     resting: int
     servers: int
 
@@ -26,4 +28,5 @@
     left = max(0, sockets - OWN - (MANAGEMENT if management else 0)) / (CLIENT_PART + SERVER_PART)
     base = min(float(sockets), left)
     clients, servers = (max(LEAST, int(part * base)) for part in (CLIENT_PART, SERVER_PART))
-    return Descriptors(clients, max(LEAST, int(RESTING_PART * sockets)), servers)
+    refused = max(1, int(REFUSED_PART * clients))
+    return Descriptors(clients - refused, refused, max(LEAST, int(RESTING_PART * sockets)), servers)
--- a/cloverhold/net/exchange.py
+++ b/cloverhold/net/exchange.py
@@ -150,6 +150,9 @@
         """The last byte of a request that was taken before has come to this machine: its time begins."""
 
     def client_gone(self, exchange: Exchange) -> None: ...
+    def come_back(self) -> tuple[Field, ...]:
+        """When a client that is refused for lack of room may come back, where that may be told."""
+
     def ready(self) -> bool: ...
 
 
--- a/cloverhold/net/fronts/acceptor.py
+++ b/cloverhold/net/fronts/acceptor.py
@@ -8,6 +8,7 @@
 | --------------------------------------------------------- | ---------------------------------------------- |
 | a connection                                              | it is handed over                              |
 | EAGAIN                                                    | wait for the next one                          |
+| no room for one more                                      | leave it in the queue; ask again after `RETRY_S` |
 | an error of the connection that was to come (`ITS_OWN`)   | ask for the next one                           |
 | EMFILE, ENFILE, ENOBUFS, ENOMEM, anything else            | let an idle one go; ask again after `RETRY_S`  |
 """
@@ -28,7 +29,7 @@
 # connections that are not accepted.
 ACCEPTS_PER_TURN = 8
 RETRY_S = 0.02
-LAST_RETRIES = 10  # at the end, for what waits in the queue while descriptors have run out
+LAST_RETRIES = 25  # at the end, for what waits in the queue while there is no room or no descriptor for it
 ITS_OWN = frozenset(
     getattr(errno, name)
     for name in (
@@ -48,9 +49,13 @@
         factory: Callable[[], asyncio.BaseProtocol],
         exhausted: Callable[[], object],
         telemetry: Telemetry,
+        has_room: Callable[[int], bool] = lambda accepted: True,
     ) -> None:
-        """exhausted: called when no descriptor is to be had; it may give one back."""
+        """exhausted: called when no descriptor is to be had; it may give one back. has_room: whether one connection
+        more can be held, beside so many that are accepted and not handed over yet; the others wait in the queue.
+        """
         self.listening, self.factory, self.exhausted, self.telemetry = listening, factory, exhausted, telemetry
+        self.has_room = has_room
         self._loop = asyncio.get_running_loop()
         self._retry: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -70,6 +75,9 @@
 
     def _accept_one(self) -> bool:
         """Take one connection; whether to ask for another at once."""
+        if not self.has_room(len(self._tasks)):
+            self._wait()
+            return False
         try:
             peer, _ = self.listening.accept()
         except BlockingIOError:
@@ -87,6 +95,10 @@
     def _pause(self) -> None:
         """No descriptor is to be had."""
         self.exhausted()
+        self._wait()
+
+    def _wait(self) -> None:
+        """Ask again in a moment."""
         self._loop.remove_reader(self.listening)
         self._retry = self._loop.call_later(RETRY_S, self.start)
 
--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -34,6 +34,10 @@
     Wait.BUFFER: BadRequest(503, "no room for a request"),
     Wait.SERVER_READ: BadRequest(504, "no server takes the body"),
 }
+FIRST_REQUEST_TIMEOUT_S = 0.5  # a new connection that says nothing for longer is closed without a word
+NO_ROOM = BadRequest(503, "no room for a request that does not come")
+STALL_S = 1.0  # past that a request that does not come on may give way to others
+GIVES_WAY = "gives_way"
 STARVED_PART = 0.7  # of a client's time, which may run already: so long it may wait for room to be read
 FIRST_REQUEST_S = 0.1  # a new connection's request is on its way for so long
 
@@ -169,18 +173,16 @@
             return True
         return self in self.listener.new and self.reader.begun is not None and now - self.reader.begun < FIRST_REQUEST_S
 
-    def close_if_idle(self, *, gives_up_partial: bool = False) -> bool:
+    def close_if_idle(self) -> bool:
         """Close while nothing is owed, unless something lies unread: that is served first; whether it closed. Guards
         against requests that cross the end of their connection: closed over, they would be reset unread.
-
-        gives_up_partial: whether a request that is half here may be closed over.
         """
         transport = self.transport
         if transport is None or self.closing is not None:
             return False
         denial = may_close(
             answer_owed=not self.idle(),
-            request_incomplete=self.unfinished() and not gives_up_partial,
+            request_incomplete=self.unfinished(),
             bytes_unread=is_readable(transport.get_extra_info("socket")),
         )
         if denial is not None:
@@ -287,6 +289,31 @@
             )  # what is open may have run: no refusal
             self._end_request(ERRORS.get(Wait.BUFFER if lacked_room else wait))
 
+    def is_stalled(self, now: float) -> bool:
+        """Whether its request stopped coming some time ago, though it is read on."""
+        return self.reading.paused_since is None and now - self.reading.progress_at > STALL_S
+
+    def give_way(self, now: float) -> bool:
+        """Close for the sake of another, where no whole request can be here; whether it closes. What is half here, or
+        may be on its way, is refused: it has not run.
+        """
+        transport = self.transport
+        if transport is None or self.closing is not None or self.reader.begun is None:
+            return self.close_if_idle()
+        if is_readable(transport.get_extra_info("socket")):
+            self.listener.telemetry.count(Happening.ACT_DENIED, Denial.BYTES_UNREAD.value)
+            return False
+        self._count_close(GIVES_WAY)
+        if self.open is not None:
+            self._end_request(NO_ROOM)
+        elif self.unfinished() or now - self.reader.begun < FIRST_REQUEST_TIMEOUT_S:
+            self._drop_queue()
+            transport.write(answer_head(503, self.listener.taker.come_back(), NO_BODY, b"", close=True))
+            self.close()
+        else:
+            self.close()
+        return True
+
     def _end_request(self, error: BadRequest | None) -> None:
         """End a connection whose request does not become whole, or can't be read, whatever is open before it: that one
         fails with it.
--- a/cloverhold/net/fronts/listener.py
+++ b/cloverhold/net/fronts/listener.py
@@ -12,10 +12,12 @@
 
 from cloverhold.bodies.budget import Budget
 from cloverhold.lifecycle import Life
+from cloverhold.limits import Descriptors
 from cloverhold.net.exchange import Taker
 from cloverhold.net.fronts.acceptor import Acceptor
 from cloverhold.net.fronts.http1 import ClientConnection
-from cloverhold.net.telemetry import Telemetry
+from cloverhold.net.fronts.refusal import RefusedConnection
+from cloverhold.net.telemetry import Happening, Telemetry
 
 log = logging.getLogger(__name__)
 
@@ -35,11 +37,11 @@
 class Listener:
     """The listening socket and the connections that came in by it."""
 
-    def __init__(
-        self, taker: Taker, life: Life, budget: Budget, most: int, most_idle: int, telemetry: Telemetry
-    ) -> None:
+    def __init__(self, taker: Taker, life: Life, budget: Budget, shares: Descriptors, telemetry: Telemetry) -> None:
         self.telemetry = telemetry
-        self.taker, self.life, self.budget, self.most, self.most_idle = taker, life, budget, most, most_idle
+        self.taker, self.life, self.budget = taker, life, budget
+        self.most, self.most_idle, self.most_refused = shares.clients, shares.resting, shares.refused
+        self.refused: dict[RefusedConnection, None] = {}  # past that number, the oldest first
         self.connections: set[ClientConnection] = set()
         # Those that have said nothing, whose first request is half here, and that are between requests; the longest so
         # first.
@@ -65,7 +67,11 @@
             listening.setblocking(False)  # also of each duplicate: they share that
             self._shared = inherited is not None
             self._acceptor = Acceptor(
-                listening.dup(), lambda: ClientConnection(self), self._descriptors_exhausted, self.telemetry
+                listening.dup(),
+                self._protocol_of_next,
+                self._descriptors_exhausted,
+                self.telemetry,
+                self._has_room,
             )
         self._acceptor.start()
         self._sweeper = loop.call_later(SWEEP_S, self._sweep)
@@ -80,6 +86,30 @@
             return not self.life.duck and self.successor()
         return self.taker.ready() and self.life.healthy()
 
+    def held_connections(self) -> int:
+        """Connections of clients, served or refused."""
+        return len(self.connections) + len(self.refused)
+
+    def _has_room(self, accepted: int) -> bool:
+        """Whether one more connection can be held, if only to refuse it. accepted: on their way to be held."""
+        held = self.held_connections() + accepted
+        if held < self.most + EXTRA_CONNECTIONS + self.most_refused:
+            return True
+        oldest = next(iter(self.refused), None)
+        return (oldest is not None and oldest.close_if_answered()) or self._evict_one()
+
+    def _forget_refused(self, connection: RefusedConnection) -> None:
+        self.refused.pop(connection, None)
+
+    def _protocol_of_next(self) -> asyncio.BaseProtocol:
+        """What serves the connection that has come; past the bound, what refuses it."""
+        if len(self.connections) < self.most + EXTRA_CONNECTIONS or self._evict_one():
+            return ClientConnection(self)
+        self.telemetry.event(Happening.CONNECTION_REFUSED, "connections", held=len(self.connections))
+        refused = RefusedConnection(self.receive_buffer, self.healthy, self.taker.come_back(), self._forget_refused)
+        self.refused[refused] = None
+        return refused
+
     def connection_made(self, connection: ClientConnection) -> None:
         """Keep connections to their number, so that descriptors never run out and accepting goes on."""
         self.connections.add(connection)
@@ -87,34 +117,32 @@
         connection.place = self.came * GOLDEN_RATIO_CONJUGATE % 1
         self.new[connection] = None
         if len(self.connections) > self.most:
-            self._evict_one(connection)
+            self._evict_one(spared=connection)
 
-    def _evict_one(self, new: ClientConnection | None) -> None:
-        """End one connection, the oldest that has said nothing or rests, but none on which a request lies unread.
+    def _evict_one(self, spared: ClientConnection | None = None) -> bool:
+        """End one connection; whether one was ended. None on which a request lies unread, or may be on its way.
 
-        Guards against hundreds that connect and say nothing: they go before any that has ever asked. As long as they
-        are few, they are clients whose first request is about to come, and one that rests goes first. A request that is
-        half here is given up only where nobody else can go: some take seconds to write one.
+        First the oldest that has said nothing, or rests. Guards against hundreds that connect and say nothing: they go
+        before any that has ever asked. As long as they are few, they are clients whose first request is about to come,
+        and one that rests goes first. Then one that has had its last answer. A request that is half here is given up
+        only where nobody else can go: some take seconds to write one.
         """
+        now = time.monotonic()
         few = len(self.new) <= NEW_SHARE * self.most
         first, then = (self.idle, self.new) if few else (self.new, self.idle)
-        for connection in (
-            *islice(first, EVICTION_CANDIDATES),
-            *islice(then, EVICTION_CANDIDATES),
-            *islice(self.partial, EVICTION_CANDIDATES),
-        ):
-            if connection is not new and connection.close_if_idle(gives_up_partial=True):
-                return
-        if new is not None and len(self.connections) > self.most + EXTRA_CONNECTIONS:
-            if self.lingering:
-                next(iter(self.lingering)).linger_no_more()
-            else:  # all are owed something
-                new.close()
+        for connection in (*islice(first, EVICTION_CANDIDATES), *islice(then, EVICTION_CANDIDATES)):
+            if connection is not spared and connection.give_way(now):
+                return True
+        if self.lingering:
+            next(iter(self.lingering)).linger_no_more()
+            return True
+        arriving = (connection for connection in self.arriving if connection.is_stalled(now))
+        candidates = (*islice(self.partial, EVICTION_CANDIDATES), *islice(arriving, 1))
+        return any(connection.give_way(now) for connection in candidates)
 
     def _descriptors_exhausted(self) -> None:
         """Let one go that waits for nothing, so that the next can be accepted."""
-        if self.connections:
-            self._evict_one(None)
+        self._evict_one()
 
     def received_first_bytes(self, connection: ClientConnection) -> None:
         """The first bytes of its first request have come."""
@@ -143,10 +171,10 @@
         if len(self.idle) > self.most_idle:
             next(iter(self.idle)).close_if_idle()
 
-    def resize(self, most: int, most_idle: int) -> None:
+    def resize(self, shares: Descriptors) -> None:
         """Other bounds; the longest at rest go first where these are lower."""
-        self.most, self.most_idle = most, most_idle
-        over = max(len(self.idle) - most_idle, len(self.connections) - most)
+        self.most, self.most_idle, self.most_refused = shares.clients, shares.resting, shares.refused
+        over = max(len(self.idle) - self.most_idle, len(self.connections) - self.most)
         for connection in list(self.idle)[: max(0, over)]:
             connection.close_if_idle()
 
@@ -161,11 +189,14 @@
         now = time.monotonic()
         for connection in list(self.connections):
             connection.sweep(now)
+        for _ in range(len(self.connections) - self.most):
+            if not self._evict_one():
+                break
 
     def busy(self) -> bool:
         """Whether a client is owed anything."""
         now = time.monotonic()
-        return any(connection.has_pending_work(now) for connection in self.connections)
+        return bool(self.refused) or any(connection.has_pending_work(now) for connection in self.connections)
 
     async def stop_accepting(self) -> None:
         """No new connection. What the kernel has accepted already is taken first, unless another process takes it."""
@@ -186,3 +217,5 @@
             self._acceptor.close()
         for connection in list(self.connections):
             connection.close()
+        for refused in list(self.refused):
+            refused.close()
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -48,6 +48,7 @@
     Denial.NOT_RECORDABLE: (503, Ending.NOT_RECORDED, math.inf),
 }
 NEVER_RAN = frozenset({io.Status.FULL, io.Status.CONNECT_FAILED, io.Status.MOOT})
+NO_ROOM_WAIT_MS = 500.0
 DEADLINE_TIMER_DELAY_MS = 5.0  # behind the module's own word, which knows whether a refusal would be true
 
 
@@ -248,6 +249,10 @@
             attempt.sent_at = now
         self.dispatch(io.Whole(exchange.ref, max(0.0, left)), now)
 
+    def come_back(self) -> tuple[Field, ...]:
+        """When a client that is refused for lack of room may come back."""
+        return self._come_back(NO_ROOM_WAIT_MS)
+
     def _come_back(self, wait_ms: float) -> tuple[Field, ...]:
         """When to come back, where the settings let a node say so; infinite: as late as they allow."""
         return retry_after(min(wait_ms, self.settings.max_retry_after_ms) if self.settings.retry_after else 0.0)
--- a/cloverhold/net/telemetry.py
+++ b/cloverhold/net/telemetry.py
@@ -26,6 +26,7 @@
     CONNECTION_CLOSED = "connection_closed"  # by the node, of a client
     CONNECTION_LOST = "connection_lost"  # by the client, with a request that was not answered
     SERVER_CONNECTION_ENDED = "server_connection_ended"  # by why; logged where a request was open on it
+    CONNECTION_REFUSED = "connection_refused"  # answered 503, as no more are served
     READING_HELD = "reading_held"  # of a client, by why
     ACCEPT_FAILED = "accept_failed"
     REQUEST_TAKEN = "request_taken"  # by its class
