What is taken follows the memory as well as the descriptors

Cause: 28 of 32 MB stand at the start, and the clients that were taken, the connections to servers, what each may hold beside the budget (16 KB) and what is read at once (16 KB) followed the descriptors, or nothing. A field was counted at 200 bytes and costs some 300; one read of 4 KB held 16 requests at 3 KB each; a request that was refused kept its fields while it lingered; closed connections waited for a collection.

Evidence: resident memory sampled each 10 ms, by kind of client: +1 MB for 300 idle ones, +11 MB for fields, +17 MB for slow readers.

Why this works: clients and connections to servers are bounded by the memory that the budget leaves (8 KiB each); the allowance and the reads follow the budget, 4 to 16 KiB; while it is spent a request past the allowance is shed: read, not held, and refused with 503 in its turn. What a client leaves unread is counted as it piles up. Nothing waits for the collector. tempfile is loaded only where it is used.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -14,7 +14,6 @@
 import os
 import signal
 import sys
-import tempfile
 import time
 from dataclasses import replace
 from pathlib import Path
@@ -23,9 +22,9 @@
 import uvloop
 
 from cloverhold import parts
-from cloverhold.bodies.budget import Budget, budget_of
+from cloverhold.bodies.budget import Budget, budget_of, clients_within
 from cloverhold.lifecycle import Event, Life
-from cloverhold.limits import OWN, descriptors
+from cloverhold.limits import OWN, Descriptors, descriptors
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery.server_list import Members, members_value
 from cloverhold.net.discovery.watcher import Discovery
@@ -66,11 +65,11 @@
 
     def __init__(self, config: Config, clock: Clock, worker: Attached | None = None) -> None:
         loop = asyncio.get_running_loop()
-        shares = descriptors(config.sockets, management=config.mgmt is not None)
+        shares = self._shares(config.sockets, config)
         self.life = Life()
         self.telemetry = Telemetry()
         self.config, self.clock, self.worker = config, clock, worker
-        self.budget = Budget(budget_of(config.memory_mb))
+        self.budget = Budget(budget_of(config.memory_mb), shares.clients)
         self.pool = Pool(
             loop, config.dial_ms / 1000, config.idle_ms / 1000, shares.servers, self.budget, self.telemetry
         )
@@ -92,7 +91,15 @@
         self.heard = self._heard(worker, config.membership) if worker is not None else None
         self.management = self._management() if config.mgmt is not None else None
 
+    @staticmethod
+    def _shares(sockets: int, config: Config) -> Descriptors:
+        """How many connections of each kind fit: so many descriptors, and the memory that they take."""
+        most_clients = clients_within(config.memory_mb)
+        return descriptors(sockets, management=config.mgmt is not None, most_clients=most_clients)
+
     def _succession(self) -> Succession:
+        import tempfile  # and much with it, which other nodes need not hold
+
         from cloverhold.succession.shell import Succession
 
         folder = Path(tempfile.gettempdir()) / "cloverhold"
@@ -105,7 +112,7 @@
         """Another process of this node has come or gone, or holds more or less."""
         from cloverhold.succession.core import bodies_of
 
-        shares = descriptors(share.descriptors, management=self.config.mgmt is not None)
+        shares = self._shares(share.descriptors, self.config)
         self.listener.resize(shares)
         self.pool.resize(shares.servers)
         self.budget.resize(bodies_of(budget_of(self.config.memory_mb), share.parts))
--- a/cloverhold/bodies/budget.py
+++ b/cloverhold/bodies/budget.py
@@ -14,16 +14,26 @@
 PROCESS_MB = 30.0  # the interpreter, the modules and the tables of a small fleet
 HEADROOM_PART = 0.5  # of what is left beside these; the other half is for connections, and what the allocator keeps
 LEAST_BYTES = 1024 * 1024
+LEAST_CLIENTS = 64
 LONG_BODIES_PART = 0.6
 LEAST_COUNTED_BYTES = 4 * 1024  # of one connection
-FIELD_COST_BYTES = 200  # of one field of a head, beside its bytes: a tuple, two objects, a place in a list and a table
+# Of one field of a head, beside its bytes: a tuple, three objects, a place in a list and in a table that grows.
+FIELD_COST_BYTES = 320
+# Of one client's connection: its objects, a request that is open on it, and the connection to a server for that.
+CONNECTION_COST_BYTES = 8 * 1024
+# What any connection may hold, and what is read of it at once: a usual head costs some 3 KB.
+LEAST_ALLOWANCE_BYTES, MOST_ALLOWANCE_BYTES = 4 * 1024, 16 * 1024
+ALLOWANCES_PART = 0.5  # of the budget, of all clients together
 
 
 class Budget:
     """Bytes held, and those that wait for room, the longest waiting first."""
 
-    def __init__(self, total: int) -> None:
+    def __init__(self, total: int, peers: int = 1) -> None:
+        """peers: clients that may be connected at once."""
         self.total, self.used = total, 0
+        # Held for any connection though the budget is spent, and read of it at once.
+        self.allowance = min(MOST_ALLOWANCE_BYTES, max(LEAST_ALLOWANCE_BYTES, int(ALLOWANCES_PART * total / peers)))
         self._waiting: deque[Callable[[], None]] = deque()
         self._long_waiting: deque[Callable[[], None]] = deque()
 
@@ -86,3 +96,9 @@
     """The bytes of a process that may use so much memory."""
     most_mb = min(PART * memory_mb, HEADROOM_PART * (memory_mb - PROCESS_MB))
     return max(LEAST_BYTES, int(most_mb * 1024 * 1024))
+
+
+def clients_within(memory_mb: float) -> int:
+    """The most clients whose connections fit beside the budget."""
+    left_mb = max(0.0, memory_mb - PROCESS_MB) - budget_of(memory_mb) / 1024 / 1024
+    return max(LEAST_CLIENTS, int(left_mb * 1024 * 1024 / CONNECTION_COST_BYTES))
--- a/cloverhold/limits.py
+++ b/cloverhold/limits.py
@@ -23,10 +23,16 @@
     servers: int
 
 
-def descriptors(sockets: int, *, management: bool) -> Descriptors:
-    """Part `sockets` descriptors. Guards against limits so low that a tenth is less than the process itself needs."""
+def descriptors(sockets: int, *, management: bool, most_clients: int | None = None) -> Descriptors:
+    """Part `sockets` descriptors. Guards against limits so low that a tenth is less than the process itself needs.
+
+    most_clients: a bound of another kind, beside the descriptors.
+    """
     left = max(0, sockets - OWN - (MANAGEMENT if management else 0)) / (CLIENT_PART + SERVER_PART)
     base = min(float(sockets), left)
     clients, servers = (max(LEAST, int(part * base)) for part in (CLIENT_PART, SERVER_PART))
+    if most_clients is not None:
+        clients, servers = min(clients, most_clients), min(servers, most_clients)
     refused = max(1, int(REFUSED_PART * clients))
-    return Descriptors(clients - refused, refused, max(LEAST, int(RESTING_PART * sockets)), servers)
+    resting = min(clients, max(LEAST, int(RESTING_PART * sockets)))
+    return Descriptors(clients - refused, refused, resting, servers)
--- a/cloverhold/net/exchange.py
+++ b/cloverhold/net/exchange.py
@@ -28,6 +28,7 @@
     field_count: int = 0
     body: bytes = b""
     upload: Upload | None = None  # in place of `body`, where that is long
+    shed: bool = False  # whether nothing was held of it, for lack of memory: it is refused in its turn
     whole: bool = True  # whether its last byte has come
     http10: bool = False
     keep_alive: bool = True
--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -13,7 +13,7 @@
 from cloverhold.bodies.budget import Holding
 from cloverhold.net.exchange import BadRequest, Exchange, Incoming, read_budget, read_request
 from cloverhold.net.fronts.answer_head import NO_BODY, answer_head, length_line
-from cloverhold.net.fronts.read_flow import ALLOWANCE_BYTES, ReadFlow
+from cloverhold.net.fronts.read_flow import ReadFlow
 from cloverhold.net.fronts.receive_queue import is_readable
 from cloverhold.net.fronts.request_reader import RequestReader
 from cloverhold.net.fronts.waits import BUFFER_TIMEOUT_S, Wait, Waiting
@@ -26,10 +26,8 @@
 
 MOST_PIPELINED = 16
 MOST_UNSENT = 64 * 1024  # bytes that a client leaves unread: past that it is sent no more until it reads
-LEAST_UNSENT = 8 * 1024
 UNSENT_PART = 0.25  # of the budget, of all clients together
 HOLD = 128 * 1024  # a body is sent on before it is whole once it is larger
-STREAMED_WHEN_SPENT = 8 * 1024  # where memory has run out such a body is sent on before it is whole
 ERRORS = {
     Wait.BUFFER: BadRequest(503, "no room for a request"),
     Wait.SERVER_READ: BadRequest(504, "no server takes the body"),
@@ -48,7 +46,7 @@
     def __init__(self, listener: Listener) -> None:
         self.listener = listener
         self.transport: asyncio.Transport | None = None
-        self.reader = RequestReader(listener.budget, self._room, self._completed)
+        self.reader = RequestReader(listener.budget, self._room, self._completed, self._may_hold)
         self.queue: deque[Incoming] = deque()
         self.open: Exchange | None = None
         self.holding = Holding(listener.budget)
@@ -68,7 +66,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = self.reading.transport = cast(asyncio.Transport, transport)
         share = int(UNSENT_PART * self.listener.budget.total / self.listener.most)
-        self.transport.set_write_buffer_limits(high=min(MOST_UNSENT, max(LEAST_UNSENT, share)))
+        self.transport.set_write_buffer_limits(high=min(MOST_UNSENT, max(self.listener.budget.allowance, share)))
         self.end.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
         self.listener.connection_made(self)
 
@@ -104,12 +102,20 @@
             held += self.transport.get_write_buffer_size()
         self.holding.set(held)
 
+    def _may_hold(self, count: int) -> bool:
+        """Whether so much may be held of the request that comes, beside those that wait before it."""
+        if not self.listener.budget.spent():
+            return True
+        return count + sum(request.held_bytes() for request in self.queue) <= self.listener.budget.allowance
+
     def pause_writing(self) -> None:
         """A client that sends and does not read must not fill the memory: it is served no further meanwhile."""
         self.stuffed = True
+        self._state_holding()
 
     def resume_writing(self) -> None:
         self.stuffed = False
+        self._state_holding()
         if self.open is not None:
             self.open.resume()
         else:
@@ -386,7 +392,7 @@
             self.reader.expects = False
             self.reading.progress_at = time.monotonic()
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        lacks_memory = self.listener.budget.spent() and self.reader.body_bytes() >= STREAMED_WHEN_SPENT
+        lacks_memory = self.listener.budget.spent() and self.reader.body_bytes() >= self.listener.budget.allowance // 2
         if self.reader.incoming.upload is None and lacks_memory:
             self.reader.stream_body()
         upload = self.reader.incoming.upload
@@ -414,6 +420,9 @@
             status = 200 if self.listener.healthy() else 503
             self._write(status, b"", (), close=not request.keep_alive, bare=request.method == b"HEAD")
             return
+        if request.shed:
+            self._write(503, b"", self.listener.taker.come_back(), close=not request.keep_alive)
+            return
         if path[:1] != b"/":
             request.target = origin_form(request.target)
         try:
@@ -504,7 +513,7 @@
         self._written(close=close)
 
     def _written(self, *, close: bool) -> None:
-        if self.holding.count > ALLOWANCE_BYTES:
+        if self.holding.count > self.listener.budget.allowance:
             self._state_holding()
         if close:
             self._drop_queue()
--- a/cloverhold/net/fronts/listener.py
+++ b/cloverhold/net/fronts/listener.py
@@ -22,7 +22,6 @@
 log = logging.getLogger(__name__)
 
 SWEEP_S = 0.2
-READ_BYTES = 16 * 1024  # of a connection at once: what is held and done for them is bounded behind each read
 # Of a client, held by the kernel. With less, segments of 64 KB close its window while nearly nothing lies unread, and a
 # client that is held up looks like one that stops (`receive_queue.has_room`). Any Linux grants this much.
 RECEIVE_QUEUE_BYTES = 208 * 1024
@@ -51,7 +50,7 @@
         self.lingering: dict[ClientConnection, None] = {}  # whose last answer is written, while a request still comes
         self.arriving: set[ClientConnection] = set()  # whose request was begun and still comes
         self.came = 0
-        self.receive_buffer = memoryview(bytearray(READ_BYTES))
+        self.receive_buffer = memoryview(bytearray(budget.allowance))
         self.successor: Callable[[], bool] = lambda: False  # whether another process of the node serves here
         self.announce = b""  # a line of every answer: that clients may come another way too (RFC 7838)
         self._acceptor: Acceptor | None = None
--- a/cloverhold/net/fronts/read_flow.py
+++ b/cloverhold/net/fronts/read_flow.py
@@ -13,11 +13,14 @@
 from cloverhold.net.fronts.request_reader import RequestReader
 from cloverhold.net.telemetry import Happening, Telemetry
 
-ALLOWANCE_BYTES = 16 * 1024  # held for any connection, also while requests before it wait, or the budget is spent
 END_OF_HEAD = b"\r\n\r\n"
 LAST_CHUNK = b"\r\n0\r\n\r\n"  # with the end of the one before
 
 
+def _nothing() -> None:
+    """Nobody waits for room."""
+
+
 class HoldReason(Enum):
     """Why nothing more is read, as it is counted."""
 
@@ -71,7 +74,7 @@
         if self.transport is None:
             return
         upload = self._arriving_upload()
-        over = upload is None and self.holding.count > ALLOWANCE_BYTES
+        over = upload is None and self.holding.count > self.budget.allowance
         starved = upload.is_starved() if upload is not None else self.budget.spent()
         self.lacks_place = upload is not None and not busy and not upload.wants()
         holds = not upload.wants() if upload is not None else over and (busy or starved)
@@ -158,7 +161,8 @@
         return unread == self._unread and last_bytes(sock, unread, len(LAST_CHUNK)) == LAST_CHUNK
 
     def release(self) -> None:
-        """The connection has gone."""
+        """The connection has gone, and is let go of: no collection is waited for."""
         self.transport = None
         self._starve_no_more()
+        self.ready = _nothing
         self.holding.set(0)
--- a/cloverhold/net/fronts/request_reader.py
+++ b/cloverhold/net/fronts/request_reader.py
@@ -13,20 +13,44 @@
 from cloverhold.net.messages import FIELDS_LIMIT, HEAD_LIMIT, HOP_BY_HOP, LENGTH_LIMIT
 
 SMALL = 16 * 1024  # a body up to this size is no matter of the budget
+FRAMING = (b"content-length", b"transfer-encoding", b"expect", b"x-budget")  # told of a request that is refused
+SHORT_TARGET_BYTES = 16  # of a request that is refused: a health check is known by it
 BETWEEN_LIMIT = 2 * HEAD_LIMIT  # of what frames a body, or comes behind it, between two pieces
 
 
+def _nothing() -> None:
+    """Told to nobody."""
+
+
+def _nobody(request: Incoming) -> None:
+    """Nobody waits for a request any more."""
+
+
+def _never(count: int) -> bool:
+    """Nothing more is held."""
+    return False
+
+
 class RequestReader:
     """Reads the requests of one connection; the one that comes stands in `incoming`."""
 
-    def __init__(self, budget: Budget, room: Callable[[], None], completed: Callable[[Incoming], None]) -> None:
-        """room: told where a body that was held up may be read on; completed: told of each request that is whole."""
-        self._budget, self._room, self._completed = budget, room, completed
+    def __init__(
+        self,
+        budget: Budget,
+        room: Callable[[], None],
+        completed: Callable[[Incoming], None],
+        may_hold: Callable[[int], bool],
+    ) -> None:
+        """room: told where a body that was held up may be read on; completed: told of each request that is whole;
+        may_hold: whether a request of which so much is held may go on to be held.
+        """
+        self._budget, self._room, self._completed, self._may_hold = budget, room, completed, may_hold
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._declining = False  # whether the head that is parsed is our own, behind an offer of another protocol
         self.broken: BadRequest | None = None  # answered behind what came before it; then the end
         self.incoming = Incoming()
         self.body = bytearray()
+        self.shed_bytes = 0  # dropped of the request that comes
         self.between = 0  # bytes since the message began, or since the last piece of its body
         self.in_head = True
         self.in_message = False  # whether a request has begun to come, and is not whole
@@ -44,8 +68,10 @@
         self._hand_on_body()
         if self.broken is None and self.between > (HEAD_LIMIT if self.in_head else BETWEEN_LIMIT):
             self.broken = BadRequest(431 if self.in_head else 413, "request too large")
-        if self.broken is not None and self.begun is None:
-            self.begun = time.monotonic()
+        if self.broken is not None:
+            self._shed()
+            if self.begun is None:
+                self.begun = time.monotonic()
 
     def _parse(self, data: memoryview) -> None:
         """Parse it all. A request that offers another protocol is served as if it did not (RFC 9110, section 7.8): its
@@ -87,8 +113,11 @@
         return self.incoming.held_bytes() + len(self.body)
 
     def release(self) -> None:
-        """Let go of the parser, which holds this object in turn, and of what came: no collection is waited for."""
+        """Let go of the parser and the owner, which hold this object in turn, and of what came: no collection is waited
+        for.
+        """
         self._parser = None
+        self._room, self._completed, self._may_hold = _nothing, _nobody, _never
         self.incoming, self.body = Incoming(), bytearray()
 
     def fail(self, status: int, why: str) -> None:
@@ -111,6 +140,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.in_head:
             return  # of our own head, or a trailer: what the head did not say must not come in behind the body
+        if self.incoming.shed and name.lower() not in FRAMING:
+            self._count_shed(len(name) + len(value))
+            return
         lower, value = name.lower(), value.strip(b" \t")  # what stands round a value is not of it (RFC 9110, 5.5)
         if lower in ONCE and lower in self.incoming.fields:
             self.fail(400, f"{lower.decode('latin-1')} is given twice")
@@ -121,6 +153,22 @@
             self.fail(431, "head too large")
         if lower not in HOP_BY_HOP and lower != b"x-budget":  # that one is told anew
             self.incoming.passed.append((name, value))
+        if not self._may_hold(self.incoming.held_bytes()):
+            self._shed()
+
+    def _count_shed(self, count: int) -> None:
+        """So much more of a request that is refused was dropped; a long one is refused before it is whole."""
+        self.shed_bytes += count
+        if self.shed_bytes > HEAD_LIMIT:
+            self.fail(503, "no room for a request")
+
+    def _shed(self) -> None:
+        """Hold nothing of this request but what frames it: there is no memory, and it will be refused."""
+        incoming = self.incoming
+        incoming.shed = True
+        incoming.fields = {name: value for name, value in incoming.fields.items() if name in FRAMING}
+        incoming.passed, incoming.head_bytes, incoming.field_count = [], 0, 0
+        self.shed_bytes = 0
 
     def on_headers_complete(self) -> None:
         if self._declining:
@@ -142,6 +190,9 @@
 
     def on_body(self, data: bytes) -> None:
         self.between, self.expects = 0, False
+        if self.incoming.shed:
+            self._count_shed(len(data))
+            return
         self.body += data
 
     def _hand_on_body(self) -> None:
@@ -172,5 +223,8 @@
         self._hand_on_body()
         if incoming.upload is None:
             incoming.body, self.body = bytes(self.body), bytearray()
+        if incoming.shed:
+            incoming.fields = {}
+            incoming.target = incoming.target if len(incoming.target) <= SHORT_TARGET_BYTES else b""
         self._completed(incoming)
         self.incoming = Incoming()  # an idle connection does not hold its last request
--- a/cloverhold/net/socket_watcher.py
+++ b/cloverhold/net/socket_watcher.py
@@ -16,6 +16,10 @@
 FAILED = select.POLLERR | select.POLLHUP
 
 
+def _nothing() -> None:
+    """Told to nobody."""
+
+
 class SocketWatcher:
     """Calls `readable` while bytes, an end or an error lie on a socket: once a turn, and on any loop.
 
@@ -56,9 +60,10 @@
         self._loop.add_writer(self._socket, self._writable, writable)
 
     def close(self) -> None:
-        """Watch it no more."""
+        """Watch it no more. The owner is let go of: no collection is waited for."""
         self.pause_reading()
         self._stop_writing()
+        self._on_readable = _nothing
 
     def _writable(self, writable: Callable[[], None]) -> None:
         self._stop_writing()
--- a/cloverhold/net/upstreams/http1.py
+++ b/cloverhold/net/upstreams/http1.py
@@ -21,7 +21,6 @@
 from cloverhold.net.upstreams.idle_limit import IdleLimit
 
 IDLE_PART = 0.8  # part of the servers' idle time after which a connection is no longer used
-READ_BYTES = 16 * 1024  # of a connection at once: what is held and done for them is bounded behind each read
 # An answer without a length is passed on so long after the first byte of its body: a short one is whole by then, and
 # could be tried again until then.
 BEGIN_S = 0.05
@@ -154,7 +153,7 @@
     def _readable(self) -> None:
         failure: int | None = None
         try:
-            data = self.socket.recv(READ_BYTES)
+            data = self.socket.recv(self.pool.budget.allowance)
         except BlockingIOError:
             return
         except OSError as error:
--- a/tests/faults/test_held_bodies.py
+++ b/tests/faults/test_held_bodies.py
@@ -122,9 +122,9 @@
             await until(lambda: server.requests)
             budget = node.node.budget
             budget.take(budget.total)
-            writer.write(request("alerta", number="2").replace(b"Length: 0", b"Length: 50000") + b"x" * 14_000)
+            writer.write(request("alerta", number="2").replace(b"Length: 0", b"Length: 50000") + b"x" * 12_000)
             (connection,) = node.node.listener.connections
-            await until(lambda: connection.reader.body_bytes() == 14_000)
+            await until(lambda: connection.reader.body_bytes() == 12_000)
             writer.write(b"x" * 10_000)
             await until(lambda: connection.reader.incoming.upload is not None)
             assert (await read_answer(reader)).status == 408
--- a/tests/faults/test_loop_fairness.py
+++ b/tests/faults/test_loop_fairness.py
@@ -9,7 +9,7 @@
 
 from cloverhold.bodies.upload import Upload
 from cloverhold.net.fronts.http1 import ClientConnection
-from cloverhold.net.fronts.listener import READ_BYTES
+from cloverhold.bodies.budget import MOST_ALLOWANCE_BYTES
 from cloverhold.net.upstreams.http1 import Connection
 from loopback import OK, Scripted, Server, body_of, play, read_answer, request, running
 
@@ -73,7 +73,7 @@
             writer.write(raw)
             assert (await read_answer(reader)).status == 200 and bodies == [BODY]
             writer.close()
-        assert max(reads) <= READ_BYTES and turns.most() == 1
+        assert max(reads) <= MOST_ALLOWANCE_BYTES and turns.most() == 1
         assert 0 < writes["add"] <= len(reads)
 
     play(test)
--- a/tests/faults/test_memory_of_peers.py
+++ b/tests/faults/test_memory_of_peers.py
@@ -9,13 +9,16 @@
 
 import pytest
 
+from cloverhold.bodies.budget import CONNECTION_COST_BYTES, PROCESS_MB, budget_of, clients_within
+from cloverhold.limits import OWN, descriptors
 from hostile_clients import (
     answer_at_length, half_a_body, many_short_fields, slow_body, slow_reader, very_many_fields,
 )  # fmt: skip
-from loopback import OK, Scripted, Server, body_of, play, request, until
+from loopback import OK, Scripted, Server, body_of, play, read_answer, request, running, until
 from memory_play import MemoryPlay, by_many, memory_play, resident_mb, send_and_read
 
 SERVED_SHARE = 0.5  # of what usual clients ask: the operators' gate
+MB = 1024 * 1024
 LEAST_ENTRY_BYTES = 32  # what any table costs for a name that it keeps
 LIMITS = [pytest.param(192, 1024, id="192MB"), pytest.param(48, 256, id="48MB")]
 
@@ -134,3 +137,31 @@
             writer.close()
 
     play(test)
+
+
+def test_request_that_is_shed_for_lack_of_memory_is_refused_in_its_turn_and_the_connection_serves_on() -> None:
+    async def test() -> None:
+        async with running(Server(), sockets=256) as node:
+            budget = node.node.budget
+            reader, writer = await node.connect()
+            writer.write(request(number="first"))
+            assert (await read_answer(reader)).status == 200
+            budget.take(budget.total)
+            fields = "".join(f"X-{at}: {'v' * 100}\r\n" for at in range(150))
+            writer.write(request("alerta", number="shed", body=b"b" * 500, extra=fields))
+            assert (await read_answer(reader)).status == 503
+            budget.give(budget.total)
+            writer.write(request("alerta", number="last", body=b"b" * 500, extra=fields))
+            assert (await read_answer(reader)).status == 200
+            writer.close()
+
+    play(test)
+
+
+def test_clients_and_servers_connections_fit_beside_the_budget_at_every_limit() -> None:
+    for memory_mb in (32, 48, 96, 192):
+        for sockets in (256, 512, 1024):
+            shares = descriptors(sockets, management=True, most_clients=clients_within(memory_mb))
+            assert shares.clients + shares.refused + shares.servers + OWN <= sockets
+            held_mb = (shares.clients + shares.refused) * CONNECTION_COST_BYTES / MB + budget_of(memory_mb) / MB
+            assert PROCESS_MB + held_mb <= memory_mb
