An answer with a length that still comes slowly is not cut off

Cause: an answer that is passed on since its time is over was broken off after 3 s of silence, as its length might not fit; every other one after 20 s. No server's pause tells which of the two it is.

Why this works: one bound for all answers, SILENT_S.

--- a/cloverhold/net/upstreams/http1.py
+++ b/cloverhold/net/upstreams/http1.py
@@ -28,8 +28,6 @@
 # send a second answer some milliseconds late; on a connection in use again it would be taken for the next request's.
 REST_S = 0.01
 SILENT_S = 20.0  # a long answer of which nothing comes for this long is broken off
-# The same for one that is passed on since its client's time is over: it may have a length that does not fit.
-OVERDUE_SILENT_S = 3.0
 WRITING_BYTES = 1024  # of a body, or more than one part of it: its server is writing, and not stuck
 
 
@@ -43,7 +41,6 @@
         self.blocked = True  # whether what is to be written waits for the socket
         self.paused = False
         self.moved = 0.0  # when bytes last came, of an answer that is passed on
-        self.silent_s = SILENT_S  # how long it may be silent then
         self.parts = 0  # reads that brought some of an answer's body, while it is held
         self.begins: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
@@ -207,7 +204,6 @@
     def pass_on(self) -> None:
         """Hand on the answer that comes, though it is short: nobody can wait for its end."""
         if self.call is not None:
-            self.silent_s = OVERDUE_SILENT_S
             self._begin(self.call)
 
     def _begin(self, call: Call) -> None:
@@ -226,7 +222,7 @@
 
     def silent(self, now: float) -> bool:
         """Whether an answer that is passed on has stopped coming."""
-        return self.call is not None and self.call.begun and not self.paused and now - self.moved > self.silent_s
+        return self.call is not None and self.call.begun and not self.paused and now - self.moved > SILENT_S
 
     def pause(self) -> None:
         if not self.paused and not self.closed:
@@ -251,7 +247,7 @@
             return
         self._begins_no_more()
         self.resume()
-        self.silent_s, self.parts = SILENT_S, 0
+        self.parts = 0
         self.parser.release()
         self.holding.set(0)
         self.call = None
