A client's time counts from when it may have written its last byte

Cause: the time began when the node had read, or saw unread, the last byte. Up to 4 MiB more lie in the client's own send queue, while the node reads as slowly as the server does. PROTOCOL: a request is taken, and its time counts, from its last byte written.

Why this works: UploadClock bounds that instant from below by what can be known: not before all that had come was last read, and not before the byte that lies two full queues in front of it was read. The time of a request that becomes whole counts from there, and one that may have been written for as long as its client waits is ended: 504, or 503 where it was never forwarded. A client that is the slow one keeps its time: a queue that is found empty sets the clock anew.

--- a/cloverhold/net/exchange.py
+++ b/cloverhold/net/exchange.py
@@ -147,8 +147,10 @@
     classes: dict[str, ClassSettings]
 
     def take(self, exchange: Exchange) -> None: ...
-    def whole(self, exchange: Exchange) -> None:
-        """The last byte of a request that was taken before has come to this machine: its time begins."""
+    def whole(self, exchange: Exchange, written_at: float) -> None:
+        """The last byte of a request that was taken before has come to this machine: its time runs, from when its
+        client may have written that byte (monotonic, in seconds).
+        """
 
     def client_gone(self, exchange: Exchange) -> None: ...
     def come_back(self) -> tuple[Field, ...]:
--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -31,6 +31,7 @@
 ERRORS = {
     Wait.BUFFER: BadRequest(503, "no room for a request"),
     Wait.SERVER_READ: BadRequest(504, "no server takes the body"),
+    Wait.UPLOAD_LATE: BadRequest(504, "no server takes the body in time"),
 }
 FIRST_REQUEST_TIMEOUT_S = 0.5  # a new connection that says nothing for longer is closed without a word
 NO_ROOM = BadRequest(503, "no room for a request that does not come")
@@ -221,7 +222,12 @@
         self.reading.look(now)
         arriving = self.open is not None and self.open.request is self.reader.incoming
         if self.open is not None and arriving and self.reading.paused_since is not None and self.reading.rest_is_here:
-            self.listener.taker.whole(self.open)
+            self.listener.taker.whole(self.open, self._written_since(now))
+
+    def _written_since(self, now: float) -> float:
+        """When the client may have written the last byte of the request that comes."""
+        earliest = self.reading.earliest_end(now)
+        return now if earliest is None else earliest
 
     def _waiting(self, now: float) -> Waiting:
         """What it waits for now."""
@@ -236,6 +242,8 @@
             waiting.unread_since = self.unread_since
         if self.open is not None and self.open.request is self.reader.incoming and not self.streaming:
             waiting.held_since = self.reading.paused_since
+        if self.reader.incoming.upload is not None and not self.reader.incoming.whole and not self.streaming:
+            waiting.written_since, waiting.client_waits_s = self.reading.earliest_end(now), self._client_waits_s()
         if self.reading.starved_since is not None and self.open is None:
             # As if it had waited longer, where its client waits for less.
             less_s = BUFFER_TIMEOUT_S - STARVED_PART * self._client_waits_s()
@@ -290,9 +298,8 @@
         elif wait is Wait.FIRST_BYTE:
             self.close_if_idle()
         else:
-            lacked_room = (
-                self.reading.starved_since is not None and self.open is None
-            )  # what is open may have run: no refusal
+            # What is open may have run: no refusal.
+            lacked_room = self.open is None and (self.reading.starved_since is not None or wait is Wait.UPLOAD_LATE)
             self._end_request(ERRORS.get(Wait.BUFFER if lacked_room else wait))
 
     def is_stalled(self, now: float) -> bool:
@@ -342,14 +349,17 @@
         """So many bytes were read."""
         if self.reader.broken is not None or self.closing is not None:
             return
+        more_lies_there = nbytes == len(self.listener.receive_buffer)
+        self.reading.received(time.monotonic(), all_of_it=not more_lies_there)
         self._received(self.listener.receive_buffer[:nbytes])
-        if nbytes == len(self.listener.receive_buffer):
+        if more_lies_there:
             self.reading.yield_turn()
 
     def _received(self, data: memoryview) -> None:
         if self in self.listener.new:
             self.listener.received_first_bytes(self)
-        self.reading.progress_at = time.monotonic()
+        if not self.reader.unfinished():
+            self.reading.clock.begin(time.monotonic())
         self.reader.feed(data)
         self._next()
 
@@ -358,7 +368,9 @@
         upload = incoming.upload
         if self.open is not None and self.open.request is incoming:
             self.listener.arriving.discard(self)
-            self.listener.taker.whole(self.open)
+            now = time.monotonic()
+            self.listener.taker.whole(self.open, self._written_since(now))
+            self.reading.clock.begin(now)
             if upload is not None:
                 upload.end()
             return
--- a/cloverhold/net/fronts/listener.py
+++ b/cloverhold/net/fronts/listener.py
@@ -17,11 +17,11 @@
 from cloverhold.net.fronts.acceptor import Acceptor
 from cloverhold.net.fronts.http1 import ClientConnection
 from cloverhold.net.fronts.refusal import RefusedConnection
+from cloverhold.net.fronts.waits import LOOK_S
 from cloverhold.net.telemetry import Happening, Telemetry
 
 log = logging.getLogger(__name__)
 
-SWEEP_S = 0.2
 # Of a client, held by the kernel. With less, segments of 64 KB close its window while nearly nothing lies unread, and a
 # client that is held up looks like one that stops (`receive_queue.has_room`). Any Linux grants this much.
 RECEIVE_QUEUE_BYTES = 208 * 1024
@@ -73,7 +73,7 @@
                 self._has_room,
             )
         self._acceptor.start()
-        self._sweeper = loop.call_later(SWEEP_S, self._sweep)
+        self._sweeper = loop.call_later(LOOK_S, self._sweep)
 
     def port(self) -> int:
         """Where it listens, also where any free port was asked for; 0 until it does."""
@@ -184,7 +184,7 @@
 
     def _sweep(self) -> None:
         """One look at all connections in a while, in place of a timer for each."""
-        self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
+        self._sweeper = asyncio.get_running_loop().call_later(LOOK_S, self._sweep)
         now = time.monotonic()
         for connection in list(self.connections):
             connection.sweep(now)
--- a/cloverhold/net/fronts/read_flow.py
+++ b/cloverhold/net/fronts/read_flow.py
@@ -9,8 +9,9 @@
 
 from cloverhold.bodies.budget import Holding
 from cloverhold.bodies.upload import Upload
-from cloverhold.net.fronts.receive_queue import SocketLike, has_room, last_bytes, unread_bytes
+from cloverhold.net.fronts.receive_queue import SocketLike, has_room, is_readable, last_bytes, unread_bytes
 from cloverhold.net.fronts.request_reader import RequestReader
+from cloverhold.net.fronts.upload_clock import UploadClock
 from cloverhold.net.telemetry import Happening, Telemetry
 
 END_OF_HEAD = b"\r\n\r\n"
@@ -50,6 +51,7 @@
         self.rest_is_here = True  # whether the rest of the request that comes lies unread, as far as can be told
         self.starved_since: float | None = None  # since when memory, or a place, is what it waits for
         self.lacks_place = False  # whether it would be begun, if fewer bodies came already
+        self.clock = UploadClock(self.progress_at)
         self._unread = 0  # bytes that lay unread at the last look
         self._waits_for_memory = False  # whether the budget tells it of room
 
@@ -63,8 +65,14 @@
 
     def _read_on(self) -> None:
         if self.transport is not None and self.paused_since is None:
+            self._look_for_more(time.monotonic())
             self.transport.resume_reading()
 
+    def _look_for_more(self, now: float) -> None:
+        """Whether anything lies unread while the connection is read on."""
+        if self.transport is not None and not is_readable(self.transport.get_extra_info("socket")):
+            self.clock.caught_up(now)
+
     # ------------------------------------------------------------------------------------------------ memory
 
     def update(self, *, busy: bool) -> None:
@@ -152,6 +160,21 @@
         self.rest_is_here = unread is None or self._is_rest_here(sock, unread)
         self._unread = unread or 0
 
+    def received(self, now: float, *, all_of_it: bool) -> None:
+        """Bytes were read; all_of_it: whether none that had come is left behind."""
+        self.progress_at = now
+        if all_of_it:
+            self.clock.caught_up(now)
+
+    def earliest_end(self, now: float) -> float | None:
+        """When the client may have written the last byte of the long request that comes; None where it has not."""
+        if self.paused_since is None:
+            self._look_for_more(now)
+        position, left = self.reader.body_bytes(), self.reader.bytes_left()
+        unread = self._unread if self.paused_since is not None else 0
+        self.clock.sample(now, position)
+        return self.clock.earliest_end(position, unread, None if left is None else position + left)
+
     def _is_rest_here(self, sock: SocketLike, unread: int) -> bool:
         if self.reader.in_head:
             return not self.reader.unfinished() or END_OF_HEAD in last_bytes(sock, unread, unread)
--- a/cloverhold/net/fronts/waits.py
+++ b/cloverhold/net/fronts/waits.py
@@ -10,6 +10,7 @@
 | HEAD         | the rest of a request's head            | the head's first byte               | 408, or its own error |
 | BODY_STALL   | the next bytes of a request's body      | the client's last progress          | 408, or its own error |
 | BODY_RATE    | the whole body                          | its head's first byte, without the time in which the node did not read | 408, or its own error |
+| UPLOAD_LATE  | the rest of a body, which lies unread   | when its client may have written its end | 504, or 503      |
 | SERVER_READ  | the server takes more of the body       | when reading stopped for that       | 504                  |
 | BUFFER       | memory for the body                     | when reading stopped for lack of it | 503                  |
 | ANSWER_READ  | the client reads an answer              | when it last took bytes             | abort                |
@@ -19,6 +20,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -31,6 +33,7 @@
 ANSWER_READ_TIMEOUT_S, LAST_READ_TIMEOUT_S = 20.0, 4.0
 LINGER_TIMEOUT_S = 0.5
 IDLE_TIMEOUT_S = 2.0
+LOOK_S = 0.2  # between two looks at a connection
 
 
 class Wait(Enum):
@@ -42,6 +45,7 @@
     HEAD = "head_incomplete"
     BODY_STALL = "body_stalled"
     BODY_RATE = "body_too_slow"
+    UPLOAD_LATE = "body_read_too_slowly"  # by the server, or for lack of memory here
     SERVER_READ = "server_reads_nothing"
     BUFFER = "no_buffer"
     ANSWER_READ = "answer_unread"
@@ -61,6 +65,8 @@
     body_bytes: int = 0
     progress_at: float | None = None
     held_since: float | None = None
+    written_since: float | None = None  # when the client may have written the last byte of its body
+    client_waits_s: float = math.inf
     starved_since: float | None = None
     unread_since: float | None = None
     drains_at: float | None = None  # when a draining node may close it
@@ -76,6 +82,7 @@
             (Wait.HEAD, self.head_since, HEAD_TIMEOUT_S),
             (Wait.BODY_STALL, self.progress_at, BODY_STALL_TIMEOUT_S),
             (Wait.BODY_RATE, self.body_since, body_timeout),
+            (Wait.UPLOAD_LATE, self.written_since, self.client_waits_s - LOOK_S),
             (Wait.SERVER_READ, self.held_since, SERVER_READ_TIMEOUT_S),
             (Wait.BUFFER, self.starved_since, BUFFER_TIMEOUT_S),
             (Wait.ANSWER_READ, self.unread_since, ANSWER_READ_TIMEOUT_S),
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -233,14 +233,14 @@
         self.request_log.request_ended(exchange, ending, status)
         exchange.answer(status, headers=self._come_back(wait_ms))
 
-    def whole(self, exchange: Exchange) -> None:
+    def whole(self, exchange: Exchange, written_at: float) -> None:
         """The last byte has come of a request that was taken before: its time begins. Once, where it is said twice: as
         the byte comes to the machine, and as it is read.
         """
         opened, now = self.open.get(exchange.ref), self.clock.now()
         if opened is None or opened.deadline_timer is not None or opened.begun:
             return
-        left = exchange.asked.budget_ms - TRANSIT_MS
+        left = exchange.asked.budget_ms - TRANSIT_MS - max(0.0, now - written_at * 1000)
         opened.expires_at = now + left
         opened.deadline_timer = self.loop.call_later(
             (max(0.0, left) + DEADLINE_TIMER_DELAY_MS) / 1000, self._overdue, exchange.ref
