--- a/cloverhold/net/fronts/read_flow.py
+++ b/cloverhold/net/fronts/read_flow.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 
 from cloverhold.bodies.budget import Holding
@@ -31,6 +32,14 @@
     SERVER = "server"  # it takes the body more slowly than it comes
 
 
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """What a look at the unread bytes of a connection showed."""
+
+    unread: int
+    is_end: bool  # whether they hold the end of what comes
+
+
 class ReadFlow:
     """Pauses and resumes the reading of one connection, and keeps what it waits for meanwhile.
 
@@ -52,6 +61,7 @@
         self.starved_since: float | None = None  # since when memory, or a place, is what it waits for
         self.lacks_place = False  # whether it would be begun, if fewer bodies came already
         self.clock = UploadClock(self.progress_at)
+        self._seen: Seen | None = None  # since reading was paused
         self._unread = 0  # bytes that lay unread at the last look
         self._waits_for_memory = False  # whether the budget tells it of room
 
@@ -111,6 +121,7 @@
     def _pause(self, reason: HoldReason) -> None:
         assert self.transport is not None
         self.telemetry.count(Happening.READING_HELD, reason.value)
+        self._seen = None
         self.paused_since = time.monotonic()
         self.transport.pause_reading()
 
@@ -177,11 +188,17 @@
 
     def _is_rest_here(self, sock: SocketLike, unread: int) -> bool:
         if self.reader.in_head:
-            return not self.reader.unfinished() or END_OF_HEAD in last_bytes(sock, unread, unread)
+            return not self.reader.unfinished() or self._shows(sock, unread, END_OF_HEAD, unread)
         left = self.reader.bytes_left()
         if left is not None:
             return unread >= left
-        return unread == self._unread and last_bytes(sock, unread, len(LAST_CHUNK)) == LAST_CHUNK
+        return unread == self._unread and self._shows(sock, unread, LAST_CHUNK, len(LAST_CHUNK))
+
+    def _shows(self, sock: SocketLike, unread: int, end: bytes, within: int) -> bool:
+        """Whether the last `within` unread bytes hold this end. Looked at once: a look copies all that lies there."""
+        if self._seen is None or self._seen.unread != unread:
+            self._seen = Seen(unread, end in last_bytes(sock, unread, within))
+        return self._seen.is_end
 
     def release(self) -> None:
         """The connection has gone, and is let go of: no collection is waited for."""
--- a/tests/faults/test_loop_fairness.py
+++ b/tests/faults/test_loop_fairness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
 
 import pytest
@@ -10,8 +11,9 @@
 from cloverhold.bodies.upload import Upload
 from cloverhold.net.fronts.http1 import ClientConnection
 from cloverhold.bodies.budget import MOST_ALLOWANCE_BYTES
+from cloverhold.net.fronts import read_flow
 from cloverhold.net.upstreams.http1 import Connection
-from loopback import OK, Scripted, Server, body_of, play, read_answer, request, running
+from loopback import OK, Scripted, Server, body_of, play, read_answer, request, running, until
 
 BODY = bytes(range(256)) * 4096  # 1 MiB
 
@@ -108,3 +110,29 @@
         assert 0 < writes["chunk"] <= sum(turns.happened.values())
 
     play(test)
+
+
+def test_what_lies_unread_is_looked_at_once_and_not_at_every_sweep(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each look copies it: 300 bodies that had stopped, of 400 KB each, held the loop up at every sweep."""
+    looks = list[int]()
+
+    def look(sock: object, unread: int, count: int) -> bytes:
+        looks.append(unread)
+        return b""
+
+    monkeypatch.setattr(read_flow, "last_bytes", look)
+
+    async def test() -> None:
+        async with running(Server(lambda target, body: None), probes=False) as node:
+            _, writer = await node.connect()
+            head = request("alerta", number="2", extra="Transfer-Encoding: chunked\r\n")
+            writer.write(request("alerta", number="1") + head.replace(b"Content-Length: 0\r\n", b""))
+            writer.write((b"400\r\n" + b"x" * 1024 + b"\r\n") * 150)
+            (connection,) = node.node.listener.connections
+            await until(lambda: connection.reading.paused_since is not None)
+            for _ in range(20):
+                connection.reading.look(time.monotonic())
+            assert len(looks) <= 2
+            writer.close()
+
+    play(test)
