A request whose socket has taken nothing is turned back with its server

A request whose first write found no room (EAGAIN) was not turned back when its server began to drain, and left whenever the socket took it.

Cause: only calls that were dialled or rested counted as unsent; the rule counts a send from its first byte.

Why this works: whether a byte has left is what the call itself knows.

--- a/cloverhold/net/upstreams/http1.py
+++ b/cloverhold/net/upstreams/http1.py
@@ -80,8 +80,8 @@
         self._write()
 
     def unsent(self) -> bool:
-        """Whether it is not up yet, or still rests, and so no byte of its request has left."""
-        return not self.closed and (self.dial_timer is not None or self.rests is not None)
+        """Whether no byte of its request has left: it is not up yet, rests, or its socket has taken nothing so far."""
+        return not self.closed and self.call is not None and not self.call.leaves
 
     def fresh(self) -> bool:
         """Whether an idle connection still stands: one whose end waits to be read would reset the request."""
