--- a/tests/faults/test_drains_beside_crowds.py
+++ b/tests/faults/test_drains_beside_crowds.py
@@ -13,8 +13,8 @@
 import pytest
 
 from discovery_service import DiscoveryService
-from drain_play import DRAINED, GRACE_S, LEAST_USE, SERVERS, SLACK_S, WATCHED_S, TimedServer, send_requests
-from loopback import Peer, play, request, target
+from drain_play import DRAINED, GRACE_S, LEAST_USE, SERVERS, SLACK_S, WATCHED_S, send_requests
+from loopback import OK, Peer, Scripted, body_of, play, request, target
 from node_process import NodeProcess, node_process
 
 USUAL_CLIENTS = 8
@@ -45,20 +45,18 @@
         )
 
 
-class BusyServer(TimedServer):
-    """A server that takes its time."""
+class BusyServer(Scripted):
+    """A server that takes its time, and notes when each request's head came."""
 
     def __init__(self, answer_s: float) -> None:
-        super().__init__()
-        self.answer_s = answer_s
-
-    async def serve(self, target: str, head: bytes, body: bytes, writer: asyncio.StreamWriter) -> bool:
-        if target != "/_load":
-            self.came_at.append(time.monotonic())
-            await asyncio.sleep(self.answer_s)
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-            return True
-        return await super().serve(target, head, body, writer)
+        super().__init__(self._answer)
+        self.answer_s, self.came_at = answer_s, list[float]()
+
+    async def _answer(self, head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.came_at.append(time.monotonic())
+        await body_of(head, reader)
+        await asyncio.sleep(self.answer_s)
+        writer.write(OK)
 
 
 async def leave_again_and_again(node: NodeProcess, crowd: Crowd) -> None:
--- a/tests/faults/test_memory_at_every_limit.py
+++ b/tests/faults/test_memory_at_every_limit.py
@@ -10,9 +10,7 @@
 
 import pytest
 
-from hostile_clients import (
-    answer_at_length, half_a_body, many_short_fields, one_of_all, slow_body, slow_reader, very_many_fields,
-)  # fmt: skip
+from hostile_clients import HOSTILE, answer_at_length, one_of_all
 from loopback import Scripted, play, read_answer, request
 from memory_play import MemoryPlay, by_many, memory_play
 from node_process import node_process
@@ -54,9 +52,7 @@
 
 @pytest.mark.parametrize("sockets", [256, 1024])
 @pytest.mark.parametrize("memory_mb", [32, 48, 96, 192])
-@pytest.mark.parametrize(
-    "client", [many_short_fields, very_many_fields, half_a_body, slow_body, slow_reader, one_of_all]
-)
+@pytest.mark.parametrize("client", [*HOSTILE, one_of_all])
 def test_crowd_of_hostile_clients_costs_neither_the_process_nor_usual_clients_their_answers(
     tmp_path: Path, client: Client, memory_mb: int, sockets: int
 ) -> None:
