The time of a large request does not end the request before it on its connection

A client that sent a large request behind one that was still open had 504 for the open one, as soon as the second may have been written for as long as its client waits.

Cause: the new wait (body_read_too_slowly) looked at the request that comes, whatever was open before it.

Why this works: it counts only where nothing is before that request.

Measured: the new test fails before (504) and passes (200).

--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -242,7 +242,13 @@
             waiting.unread_since = self.unread_since
         if self.open is not None and self.open.request is self.reader.incoming and not self.streaming:
             waiting.held_since = self.reading.paused_since
-        if self.reader.incoming.upload is not None and not self.reader.incoming.whole and not self.streaming:
+        is_first = self.open is None or self.open.request is self.reader.incoming
+        if (
+            is_first
+            and self.reader.incoming.upload is not None
+            and not self.reader.incoming.whole
+            and not self.streaming
+        ):
             waiting.written_since, waiting.client_waits_s = self.reading.earliest_end(now), self._client_waits_s()
         if self.reading.starved_since is not None and self.open is None:
             # As if it had waited longer, where its client waits for less.
--- a/tests/faults/test_slow_uploads.py
+++ b/tests/faults/test_slow_uploads.py
@@ -11,7 +11,7 @@
 import pytest
 
 from cloverhold.net.fronts.upload_clock import CLIENT_QUEUE_BYTES, UploadClock
-from loopback import OK, Listening, play, request
+from loopback import OK, Listening, Scripted, body_of, play, read_answer, request, running, until
 from node_process import node_process
 
 ANSWER_SLACK_S = 0.5  # later than that behind its time a request counts as lost
@@ -150,3 +150,24 @@
             earliest = clock.earliest_end(int(read), 0, length if told else None)
             assert written_at is None or (earliest is not None and earliest <= written_at), seed
         assert written_at is not None
+
+
+def test_large_request_behind_an_open_one_does_not_end_that_one() -> None:
+    """Its time is no reason to fail the request before it, whose answer is still to come."""
+
+    async def script(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await body_of(head, reader)
+        await asyncio.sleep(1.0)
+        writer.write(OK)
+
+    async def test() -> None:
+        async with running(Scripted(script), probes=False) as node:
+            reader, writer = await node.connect()
+            raw = request("alerta", number="1") + request("alerta", "2", budget="300m", body=b"x" * 1_000_000)
+            writer.write(raw[:12_000])
+            await until(lambda: any(c.reader.body_bytes() for c in node.node.listener.connections))
+            writer.write(raw[12_000:])
+            assert (await read_answer(reader)).status == 200
+            writer.close()
+
+    play(test)
