What a client's connection waits for has a module of its own

A move: the functions that fill the rows of the table of waits.

Change: client_waits.py; nothing else changes.

--- /dev/null
+++ b/cloverhold/net/fronts/client_waits.py
@@ -0,0 +1,79 @@
+"""What one HTTP/1.1 connection of a client waits for, as rows of the table in `waits`."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from cloverhold.net.exchange import read_budget
+from cloverhold.net.fronts.waits import BUFFER_TIMEOUT_S, Waiting
+
+if TYPE_CHECKING:
+    from cloverhold.net.fronts.http1 import ClientConnection
+
+STARVED_PART = 0.7  # of a client's time, which may run already: so long it may wait for room to be read
+
+
+def waits_of(client: ClientConnection, now: float) -> Waiting:
+    """What a connection waits for now."""
+    waiting = Waiting()
+    if client.closing is not None:
+        if client.unread:
+            waiting.last_read_since = client.unread_since
+        else:
+            waiting.lingering_since = client.closing
+        return waiting
+    if client.unread:
+        waiting.unread_since = client.unread_since
+    if client.open is not None and client.open.request is client.reader.incoming and not client.streaming:
+        waiting.held_since = client.reading.paused_since
+    is_first = client.open is None or client.open.request is client.reader.incoming
+    if (
+        is_first
+        and client.reader.incoming.upload is not None
+        and not client.reader.incoming.whole
+        and not client.streaming
+    ):
+        waiting.written_since, waiting.client_waits_s = client.reading.earliest_end(now), _client_waits_s(client)
+    if client.reading.starved_since is not None and client.open is None:
+        # As if it had waited longer, where its client waits for less.
+        less_s = BUFFER_TIMEOUT_S - STARVED_PART * _client_waits_s(client)
+        waiting.starved_since = client.reading.starved_since - max(0.0, less_s)
+    if client.reading.waits_its_turn and client.reading.rest_is_here:
+        return waiting  # all is here, and the node does not read on
+    if client.unfinished() or client.reader.broken is not None:
+        if not client.streaming:
+            _wait_for_request(client, waiting)
+        elif client.unread:  # else the answer that is on the way waits for its server
+            waiting.progress_at = client.reading.progress_at
+    elif client.idle():
+        _wait_idle(client, waiting, now)
+    return waiting
+
+
+def _client_waits_s(client: ClientConnection) -> float:
+    """How long the client of the request that comes says that it will wait; infinite where it says nothing."""
+    try:
+        return read_budget(client.reader.incoming.fields.get(b"x-budget", b"")) / 1000
+    except ValueError:
+        return math.inf
+
+
+def _wait_for_request(client: ClientConnection, waiting: Waiting) -> None:
+    """A request is half here."""
+    if client.reader.in_head:
+        waiting.head_since = client.reader.begun
+        return
+    waiting.body_since, waiting.body_bytes = client.reader.begun, client.reader.body_bytes()
+    if not (client.reader.expects and not client.idle()):  # else it waits to be told to go on
+        waiting.progress_at = client.reading.progress_at
+
+
+def _wait_idle(client: ClientConnection, waiting: Waiting, now: float) -> None:
+    """Nothing is here of any request."""
+    life = client.listener.life
+    waiting.silent_since = client.reader.begun  # None behind a first request
+    if life.closing():
+        waiting.drains_at = life.rests_until(client.rested or client.reader.begun or now, client.place)
+    elif client.reader.begun is None:
+        waiting.idle_since = client.rested
--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import select
 import time
 from collections import deque
@@ -11,12 +10,13 @@
 from typing import TYPE_CHECKING, cast
 
 from cloverhold.bodies.budget import Holding
-from cloverhold.net.exchange import BadRequest, Exchange, Incoming, read_budget, read_request
+from cloverhold.net.exchange import BadRequest, Exchange, Incoming, read_request
 from cloverhold.net.fronts.answer_head import NO_BODY, answer_head, length_line
+from cloverhold.net.fronts.client_waits import waits_of
 from cloverhold.net.fronts.read_flow import ReadFlow
 from cloverhold.net.fronts.receive_queue import is_readable
 from cloverhold.net.fronts.request_reader import RequestReader
-from cloverhold.net.fronts.waits import BUFFER_TIMEOUT_S, Wait, Waiting
+from cloverhold.net.fronts.waits import Wait
 from cloverhold.net.messages import BODY_LIMIT, NO_HOST, Field
 from cloverhold.net.telemetry import Happening
 from cloverhold.permission import Denial, may_close
@@ -37,7 +37,6 @@
 NO_ROOM = BadRequest(503, "no room for a request that does not come")
 STALL_S = 1.0  # past that a request that does not come on may give way to others
 GIVES_WAY = "gives_way"
-STARVED_PART = 0.7  # of a client's time, which may run already: so long it may wait for room to be read
 FIRST_REQUEST_S = 0.1  # a new connection's request is on its way for so long
 
 
@@ -207,7 +206,7 @@
         self._note_progress(now)
         if self.reading.lacks_place:
             self._next()
-        wait = self._waiting(now).overdue(now)
+        wait = waits_of(self, now).overdue(now)
         if wait is not None:
             self._end(wait)
 
@@ -229,67 +228,6 @@
         earliest = self.reading.earliest_end(now)
         return now if earliest is None else earliest
 
-    def _waiting(self, now: float) -> Waiting:
-        """What it waits for now."""
-        waiting = Waiting()
-        if self.closing is not None:
-            if self.unread:
-                waiting.last_read_since = self.unread_since
-            else:
-                waiting.lingering_since = self.closing
-            return waiting
-        if self.unread:
-            waiting.unread_since = self.unread_since
-        if self.open is not None and self.open.request is self.reader.incoming and not self.streaming:
-            waiting.held_since = self.reading.paused_since
-        is_first = self.open is None or self.open.request is self.reader.incoming
-        if (
-            is_first
-            and self.reader.incoming.upload is not None
-            and not self.reader.incoming.whole
-            and not self.streaming
-        ):
-            waiting.written_since, waiting.client_waits_s = self.reading.earliest_end(now), self._client_waits_s()
-        if self.reading.starved_since is not None and self.open is None:
-            # As if it had waited longer, where its client waits for less.
-            less_s = BUFFER_TIMEOUT_S - STARVED_PART * self._client_waits_s()
-            waiting.starved_since = self.reading.starved_since - max(0.0, less_s)
-        if self.reading.waits_its_turn and self.reading.rest_is_here:
-            return waiting  # all is here, and the node does not read on
-        if self.unfinished() or self.reader.broken is not None:
-            if not self.streaming:
-                self._wait_for_request(waiting)
-            elif self.unread:  # else the answer that is on the way waits for its server
-                waiting.progress_at = self.reading.progress_at
-        elif self.idle():
-            self._wait_idle(waiting, now)
-        return waiting
-
-    def _client_waits_s(self) -> float:
-        """How long the client of the request that comes says that it will wait; infinite where it says nothing."""
-        try:
-            return read_budget(self.reader.incoming.fields.get(b"x-budget", b"")) / 1000
-        except ValueError:
-            return math.inf
-
-    def _wait_for_request(self, waiting: Waiting) -> None:
-        """A request is half here."""
-        if self.reader.in_head:
-            waiting.head_since = self.reader.begun
-            return
-        waiting.body_since, waiting.body_bytes = self.reader.begun, self.reader.body_bytes()
-        if not (self.reader.expects and not self.idle()):  # else it waits to be told to go on
-            waiting.progress_at = self.reading.progress_at
-
-    def _wait_idle(self, waiting: Waiting, now: float) -> None:
-        """Nothing is here of any request."""
-        life = self.listener.life
-        waiting.silent_since = self.reader.begun  # None behind a first request
-        if life.closing():
-            waiting.drains_at = life.rests_until(self.rested or self.reader.begun or now, self.place)
-        elif self.reader.begun is None:
-            waiting.idle_since = self.rested
-
     def _end(self, wait: Wait) -> None:
         """End what has lasted too long."""
         transport = self.transport
