An empty queue just behind a pause does not show that the client is the slow one

Cause: a receive queue that is found empty set the clock of the upload anew. With its window closed a moment ago, a client's 4 MiB lie in its own queue still, and follow only as the window opens.

Evidence: SIOCOUTQ of the client at its last write: 4,136,675 bytes.

Why this works: an empty queue counts once reading has gone on for 0.1 s; a server that is the slow one pauses it every 128 KiB. The pair of queues is reckoned with this machine's receive queue, too.

--- a/cloverhold/net/fronts/read_flow.py
+++ b/cloverhold/net/fronts/read_flow.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -15,6 +16,7 @@
 from cloverhold.net.fronts.upload_clock import UploadClock
 from cloverhold.net.telemetry import Happening, Telemetry
 
+OPEN_WINDOW_S = 0.1  # read on for so long, a connection has had all that its client held back
 END_OF_HEAD = b"\r\n\r\n"
 LAST_CHUNK = b"\r\n0\r\n\r\n"  # with the end of the one before
 
@@ -61,6 +63,7 @@
         self.starved_since: float | None = None  # since when memory, or a place, is what it waits for
         self.lacks_place = False  # whether it would be begun, if fewer bodies came already
         self.clock = UploadClock(self.progress_at)
+        self._resumed_at = -math.inf  # when reading was last resumed
         self._seen: Seen | None = None  # since reading was paused
         self._unread = 0  # bytes that lay unread at the last look
         self._waits_for_memory = False  # whether the budget tells it of room
@@ -81,7 +84,7 @@
     def _look_for_more(self, now: float) -> None:
         """Whether anything lies unread while the connection is read on."""
         if self.transport is not None and not is_readable(self.transport.get_extra_info("socket")):
-            self.clock.caught_up(now)
+            self._note_empty_queue(now)
 
     # ------------------------------------------------------------------------------------------------ memory
 
@@ -132,7 +135,7 @@
         now = time.monotonic()
         if self.reader.begun is not None:
             self.reader.begun += now - self.paused_since
-        self.paused_since, self.progress_at = None, now
+        self.paused_since, self.progress_at, self._resumed_at = None, now, now
         self.transport.resume_reading()
 
     def turn_has_come(self) -> None:
@@ -175,6 +178,13 @@
         """Bytes were read; all_of_it: whether none that had come is left behind."""
         self.progress_at = now
         if all_of_it:
+            self._note_empty_queue(now)
+
+    def _note_empty_queue(self, now: float) -> None:
+        """All that had come is read. Where reading was paused a moment ago that says nothing: what its client holds
+        back follows only as the window opens.
+        """
+        if now - self._resumed_at >= OPEN_WINDOW_S:
             self.clock.caught_up(now)
 
     def earliest_end(self, now: float) -> float | None:
--- a/cloverhold/net/fronts/upload_clock.py
+++ b/cloverhold/net/fronts/upload_clock.py
@@ -12,8 +12,8 @@
 
 from collections import deque
 
-# Of a client's send queue (net.ipv4.tcp_wmem, Linux's default bound) beside what lies unread here.
-CLIENT_QUEUE_BYTES = 4 * 1024 * 1024
+# A client's send queue (4 MiB: net.ipv4.tcp_wmem, Linux's default bound) and the receive queue of this machine.
+CLIENT_QUEUE_BYTES = 4 * 1024 * 1024 + 512 * 1024
 MOST_SAMPLES = 64
 
 
