--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -236,3 +236,10 @@
             assert process.returncode is None
 
     play(test)
+
+
+def test_package_holds_no_signal_up_by_loading_more_than_its_first_lines() -> None:
+    """`python -m cloverhold` loads the package before the line that holds signals: SIGHUP ended a node meanwhile."""
+    loaded = "import sys, cloverhold; print([name for name in sys.modules if name.startswith('cloverhold.')])"
+    done = subprocess.run([sys.executable, "-c", loaded], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
