A body that breaks behind its head costs only its own request

A body in chunks that broke after its request was begun left that request open for good, and its id taken.

Cause: a request that can't be read lets go of its fields; one that was begun is still held by the host, which names it by one of them (KeyError). Beside it: a client that had just been written its last answer was closed in the same turn for the sake of another, and the answer with it.

Why this works: the fields go only while the head comes; a last answer has its turn of the loop, and gives way only past the extra places.

--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -35,6 +35,7 @@
 }
 FIRST_REQUEST_TIMEOUT_S = 0.5  # a new connection that says nothing for longer is closed without a word
 NO_ROOM = BadRequest(503, "no room for a request that does not come")
+LEAST_LINGER_S = 0.002  # what is written leaves with the turn of the loop
 STALL_S = 1.0  # past that a request that does not come on may give way to others
 GIVES_WAY = "gives_way"
 FIRST_REQUEST_S = 0.1  # a new connection's request is on its way for so long
@@ -130,10 +131,12 @@
             self.listener.left_waiting(self)  # it is no longer one of those that may give way: another is the next
             self.transport.close()
 
-    def linger_no_more(self) -> None:
-        """Close at once, though its client still sends: its last answer has been written."""
-        if self.transport is not None:
-            self.transport.abort()
+    def linger_no_more(self, now: float) -> bool:
+        """Close at once, though its client still sends, once its last answer has left; whether it closes."""
+        if self.transport is None or self.closing is None or now - self.closing < LEAST_LINGER_S:
+            return False
+        self.transport.abort()
+        return True
 
     def _count_close(self, reason: str) -> None:
         """The node ends this connection, or the request that comes on it."""
--- a/cloverhold/net/fronts/listener.py
+++ b/cloverhold/net/fronts/listener.py
@@ -132,8 +132,8 @@
         for connection in (*islice(first, EVICTION_CANDIDATES), *islice(then, EVICTION_CANDIDATES)):
             if connection is not spared and connection.give_way(now):
                 return True
-        if self.lingering:
-            next(iter(self.lingering)).linger_no_more()
+        crowded = len(self.connections) >= self.most + EXTRA_CONNECTIONS
+        if crowded and any(connection.linger_no_more(now) for connection in islice(self.lingering, 1)):
             return True
         arriving = (connection for connection in self.arriving if connection.is_stalled(now))
         candidates = (*islice(self.partial, EVICTION_CANDIDATES), *islice(arriving, 1))
--- a/cloverhold/net/fronts/request_reader.py
+++ b/cloverhold/net/fronts/request_reader.py
@@ -69,7 +69,8 @@
         if self.broken is None and self.between > (HEAD_LIMIT if self.in_head else BETWEEN_LIMIT):
             self.broken = BadRequest(431 if self.in_head else 413, "request too large")
         if self.broken is not None:
-            self._shed()
+            if self.in_head:  # else it may have been begun, and is held by whoever owes its answer
+                self._shed()
             if self.begun is None:
                 self.begun = time.monotonic()
 
--- a/tests/faults/test_held_bodies.py
+++ b/tests/faults/test_held_bodies.py
@@ -178,3 +178,30 @@
             writer.close()
 
     play(test)
+
+
+def test_body_that_breaks_after_its_request_was_begun_costs_that_request_alone() -> None:
+    """What frames it was all that was kept of it, and nobody could close it any more."""
+
+    async def script(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if b"Transfer-Encoding" in head:
+            await reader.read()
+        else:
+            await body_of(head, reader)
+            writer.write(OK)
+
+    async def test() -> None:
+        async with running(Scripted(script), probes=False) as node:
+            reader, writer = await node.connect()
+            head = request("alerta", number="1", extra="Transfer-Encoding: chunked\r\n").replace(
+                b"Content-Length: 0\r\n", b""
+            )
+            writer.write(head + (b"400\r\n" + b"x" * 1024 + b"\r\n") * 200)
+            await until(lambda: node.node.host.open)
+            writer.write(b"no chunk\r\n" * 3)
+            await reader.read()
+            await until(lambda: not node.node.host.open and not node.node.host.call_ids)
+            assert (await node.ask(request("alerta", number="2"))).status == 200
+            writer.close()
+
+    play(test)
