Failing tests: a fleet that leaves by odd lists, or unheard, is sent to for ever

The play: two real nodes before twelve servers whose weights change with each version (1.4 s); the discovery of n1 alone is altered. Either it says that nobody is there (an empty whole list of a later, the same or a lower version, once, or beside a replica that stands still; a whole list whose lines are whole in none but their state), or it hears nothing for 9 s while its versions count on, and the fleet leaves meanwhile.

--- a/tests/faults/drain_play.py
+++ b/tests/faults/drain_play.py
@@ -41,7 +41,7 @@
         return await super().serve(target, head, body, writer)
 
 
-async def send_requests(node: NodeProcess, client: int) -> None:
+async def send_requests(node: NodeProcess, client: int | str) -> None:
     """Requests one after another on one connection, for ever."""
     reader, writer = await asyncio.open_connection("127.0.0.1", node.port)
     number = 0
--- /dev/null
+++ b/tests/faults/test_departure_of_the_fleet.py
@@ -0,0 +1,71 @@
+"""A whole fleet leaves, and the discovery of one node of two says so oddly, or left it out of its changes."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+
+from altered_discovery import CutOff, FleetLeaves
+from drain_play import ASK_SETTINGS, NOTIFIED_S, PUSH_SETTINGS
+from fleet_departure_play import SLOW_ANSWER_S, Departure, cut_off, leaves, play_departure
+
+# What an agent has counts at once; what a polled discovery has, 6 s later at the latest.
+MODES = pytest.mark.parametrize(
+    ("settings", "notified_s"),
+    [pytest.param(PUSH_SETTINGS, 0.0, id="streamed"), pytest.param(ASK_SETTINGS, NOTIFIED_S, id="polled")],
+)
+EMPTY_LISTS = (
+    FleetLeaves.EMPTY_LIST,
+    FleetLeaves.EMPTY_LIST_OF_THE_SAME_VERSION,
+    FleetLeaves.EMPTY_LIST_OF_A_LOWER_VERSION,
+    FleetLeaves.EMPTY_LIST_ONCE,
+    FleetLeaves.EMPTY_LIST_BESIDE_A_REPLICA,
+)
+BARE_LINES = FleetLeaves.BARE_LINES_LEAVING, FleetLeaves.BARE_LINES_LEFT, FleetLeaves.WEIGHTS_UNREADABLE
+
+
+def check(folder: Path, settings: dict[str, Any], notified_s: float, departures: dict[str, Departure]) -> None:
+    """Play them side by side; the altered node sends nothing past the grace."""
+
+    async def broken(number: int, name: str, departure: Departure) -> str:
+        found = await play_departure(folder / str(number), settings, departure, notified_s)
+        return f"{name}: {found['n1']}" if found["n1"].count else ""
+
+    async def test() -> None:
+        plays = (broken(number, name, how) for number, (name, how) in enumerate(departures.items()))
+        found = await asyncio.gather(*plays)
+        assert not any(found), [text for text in found if text]
+
+    uvloop.run(test())
+
+
+@MODES
+def test_whole_list_that_names_nobody_means_that_all_are_gone(
+    tmp_path: Path, settings: dict[str, Any], notified_s: float
+) -> None:
+    check(tmp_path, settings, notified_s, {how.value: leaves(how) for how in EMPTY_LISTS})
+
+
+@MODES
+def test_state_that_is_sure_counts_though_no_line_of_a_whole_list_is_whole(
+    tmp_path: Path, settings: dict[str, Any], notified_s: float
+) -> None:
+    check(tmp_path, settings, notified_s, {how.value: leaves(how) for how in BARE_LINES})
+
+
+@MODES
+def test_what_changes_left_out_while_versions_counted_on_is_found(
+    tmp_path: Path, settings: dict[str, Any], notified_s: float
+) -> None:
+    cuts = {f"{how.value} {replaced}": cut_off(how, replaced=replaced) for how in CutOff for replaced in (True, False)}
+    check(tmp_path, settings, notified_s, cuts)
+
+
+@pytest.mark.parametrize("settings", [PUSH_SETTINGS, ASK_SETTINGS], ids=["streamed", "polled"])
+def test_what_changes_left_out_is_found_though_a_call_is_always_open(tmp_path: Path, settings: dict[str, Any]) -> None:
+    slow = cut_off(CutOff.COUNTS_ON, replaced=True, delay_s=SLOW_ANSWER_S)
+    check(tmp_path, settings, NOTIFIED_S, {"slow answers": slow})
