A whole list that names nobody means that all servers are gone

Cause: read_answer refused such a list ("of no use"), an exception that then counted as a failed call; and what was to be handed on was "nothing" where the new list was one of none. The node overruled discovery by what it found likely.

Now every answer that has a version, a kind and lines is merged. Merged says whether there is news, apart from the lines. A node is ready once it has taken a list over, also one of nobody: it answers 503, and it comes up.

--- a/cloverhold/net/discovery/merge.py
+++ b/cloverhold/net/discovery/merge.py
@@ -31,7 +31,7 @@
 from cloverhold.decision.interface import Lifecycle
 from cloverhold.net.discovery.departures import Departure, DepartureChanges, Departures, Readmission
 from cloverhold.net.discovery.merge_results import Asked, Merged, NotTaken, Withheld, Withholding, Worth
-from cloverhold.net.discovery.server_list import ListAnswer, ServerLine
+from cloverhold.net.discovery.server_list import ListAnswer, ServerLine, UnreadableLine
 
 ADOPT_AFTER_S = 2.0  # of lower versions alone; drains among them are kept at once, so this delays only returns
 LEAST_TO_ADOPT = 3  # answers of lower versions
@@ -318,10 +318,11 @@
         self._lower_answers += 1
         if now - self._lag_shown_at < LAG_MEMORY_S:
             return merged
-        named = {line.uid for line in answer.lines if line.lifecycle is Lifecycle.READY}
-        wanting = {line.uid for line in answer.lines if line.lifecycle is not Lifecycle.READY}
-        absent = self._lines.keys() - named if answer.whole and not answer.unreadable else set[str]()
-        doubted = (wanting | absent) & self._lines.keys()
+        said: tuple[ServerLine | UnreadableLine, ...] = (*answer.lines, *answer.unreadable)
+        ready = {line.uid for line in said if line.lifecycle is Lifecycle.READY}
+        wanting = {line.uid for line in said if line.lifecycle is not Lifecycle.READY}
+        absent = self._lines.keys() - ready if answer.whole else set[str]()
+        doubted = {uid for uid in self._lines if uid in wanting or uid in absent}
         before = self._handed_on(doubted)
         for uid in doubted:
             self._lower_doubts[uid] = max(self._lower_doubts.get(uid, 0), answer.version)
@@ -375,7 +376,7 @@
         merged.withheld = [self._withholding(uid) for uid in sorted(newly_withheld)]
         let_in = [uid for uid in withheld_before - self._withheld if self._is_ready(uid)]
         merged.readmitted = {uid: merged.readmitted.get(uid, Readmission.SETTLED) for uid in let_in}
-        merged.lines = self._changed(before, touched, whole=merged.whole)
+        self._note_changed(merged, before, touched)
 
     def _is_ready(self, uid: str) -> bool:
         line = self._lines.get(uid)
@@ -389,12 +390,13 @@
             line.uid: replace(line, lifecycle=Lifecycle.DRAINING) if line.uid in withheld else line for line in lines
         }
 
-    def _changed(self, before: dict[str, ServerLine], touched: Iterable[str], *, whole: bool) -> list[ServerLine]:
-        """What is handed on: the whole list, or the lines that differ; none where nothing does."""
+    def _note_changed(self, merged: Merged, before: dict[str, ServerLine], touched: Iterable[str]) -> None:
+        """What is handed on: the whole list, or the lines that differ; nothing where none does."""
         after = self._handed_on(touched)
         changed = [line for uid, line in after.items() if before.get(uid) != line]
         gone = [replace(line, lifecycle=Lifecycle.GONE) for uid, line in before.items() if uid not in after]
-        if whole and (changed or gone or self._hand_on_whole):
+        merged.lines = changed + gone
+        merged.is_news = bool(merged.lines)
+        if merged.whole and (merged.is_news or self._hand_on_whole):
             self._hand_on_whole = False
-            return self.handed_on()
-        return changed + gone
+            merged.lines, merged.is_news = self.handed_on(), True
--- a/cloverhold/net/discovery/merge_results.py
+++ b/cloverhold/net/discovery/merge_results.py
@@ -59,7 +59,8 @@
 
     worth: Worth
     whole: bool = False  # whether `lines` are the whole list
-    lines: list[ServerLine] = field(default_factory=list)  # to hand on: none where nothing has changed
+    is_news: bool = False  # whether there is something to hand on
+    lines: list[ServerLine] = field(default_factory=list)  # to hand on: the whole list may be one of none
     not_taken: Counter[NotTaken] = field(default_factory=Counter)
     ask_whole: bool = False  # whether only a whole list can tell the rest
     withheld: list[Withholding] = field(default_factory=list)  # from now on
--- a/cloverhold/net/discovery/server_list.py
+++ b/cloverhold/net/discovery/server_list.py
@@ -58,6 +58,10 @@
     lines: tuple[ServerLine, ...]
     unreadable: tuple[UnreadableLine, ...] = ()
 
+    def names_nobody(self) -> bool:
+        """Whether it is a whole list without a line."""
+        return self.whole and not self.lines and not self.unreadable
+
 
 @dataclass(frozen=True, slots=True)
 class Members:
@@ -74,10 +78,9 @@
 
 
 def read_answer(value: object) -> ListAnswer:
-    """An answer, with the lines that can be read; ListError where nothing in it can be used.
+    """An answer, with what can be read of its lines; ListError where it is no list.
 
-    A whole list of nothing is of no use: a fleet has servers, a discovery that lost its store has none. A list whose
-    servers all drain is taken at its word.
+    It is taken at its word, however unlikely: a whole list that names nobody says that all servers are gone.
     """
     try:
         if not isinstance(value, dict):
@@ -85,16 +88,12 @@
         version, whole, targets = int(value["rev"]), bool(value["all"]), list(value["targets"])
     except _UNREADABLE as error:
         raise _list_error(error) from None
-    lines, unreadable, last_error = list[ServerLine](), list[UnreadableLine](), ValueError("names none")
+    lines, unreadable = list[ServerLine](), list[UnreadableLine]()
     for target in targets:
         try:
             lines.append(_line(target))
-        except _UNREADABLE as error:
+        except _UNREADABLE:
             unreadable.append(_what_is_left(target))
-            last_error = ValueError(f"{type(error).__name__}: {error}")
-    sure = any(line.uid is not None and line.lifecycle is not None for line in unreadable)
-    if not lines and (whole or (unreadable and not sure)):
-        raise _list_error(last_error)
     return ListAnswer(version, whole, tuple(lines), tuple(unreadable))
 
 
--- a/cloverhold/net/discovery/watcher.py
+++ b/cloverhold/net/discovery/watcher.py
@@ -106,7 +106,7 @@
     def _hand_on_unasked(self, merged: Merged) -> bool:
         """Hand on what no answer of discovery has changed."""
         self.report.servers(merged, {"held": self.held.version})
-        fault = self._hand_on(merged) if merged.lines else None
+        fault = self._hand_on(merged) if merged.is_news else None
         if fault is not None:
             log.error("a list was not taken over; the whole list is asked for anew", exc_info=fault)
             self._restart()
@@ -247,7 +247,7 @@
             "held": held, "told": answer.version, "call": call.number, "answer_age_s": now - call.begun_at,
             "connection_age_s": now - connection.begun_at_s, "discovery": "{}:{}".format(*connection.address),
         })  # fmt: skip
-        fault = self._hand_on(merged) if merged.lines else None
+        fault = self._hand_on(merged) if merged.is_news else None
         self.clock.starts.note_heard(self.clock.now())
         return fault
 
--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -185,8 +185,8 @@
     # ---------------------------------------------------------------- clients
 
     def ready(self) -> bool:
-        """Whether there is a server to send to."""
-        return bool(self.upstreams)
+        """Whether a list was taken over, also one that names nobody: requests then get their answer, a refusal."""
+        return self.lists.has_list
 
     def take(self, exchange: Exchange) -> None:
         """A request has come: from here on it is owed one answer before its time is up."""
--- a/cloverhold/net/list_updates.py
+++ b/cloverhold/net/list_updates.py
@@ -30,6 +30,7 @@
         self.upstreams, self.pool, self.router = upstreams, pool, router
         self.telemetry, self.dispatch = telemetry, dispatch
         self.address_owners = AddressOwners()
+        self.has_list = False
 
     def take(self, members: Members, *, remembered: bool = False) -> None:
         """A list, or changes of it. New addresses hold before the module hears of them."""
@@ -38,6 +39,7 @@
         kind = io.ListKind.FULL if members.full else io.ListKind.CHANGES
         if remembered:
             kind = io.ListKind.REMEMBERED
+        self.has_list = True
         self._note(kind, members.version, change)
         self.dispatch(io.ServerList(kind, members.entries, members.version))
         if self.router is not None:
--- a/tests/faults/test_departure_of_the_fleet.py
+++ b/tests/faults/test_departure_of_the_fleet.py
@@ -10,8 +10,11 @@
 import uvloop
 
 from altered_discovery import CutOff, FleetLeaves
+from discovery_service import DiscoveryService
 from drain_play import ASK_SETTINGS, NOTIFIED_S, PUSH_SETTINGS
 from fleet_departure_play import SLOW_ANSWER_S, Departure, cut_off, leaves, play_departure
+from loopback import Server, play, read_answer, request, target
+from node_process import node_process
 
 # What an agent has counts at once; what a polled discovery has, 6 s later at the latest.
 MODES = pytest.mark.parametrize(
@@ -69,3 +72,20 @@
 def test_what_changes_left_out_is_found_though_a_call_is_always_open(tmp_path: Path, settings: dict[str, Any]) -> None:
     slow = cut_off(CutOff.COUNTS_ON, replaced=True, delay_s=SLOW_ANSWER_S)
     check(tmp_path, settings, NOTIFIED_S, {"slow answers": slow})
+
+
+def test_node_whose_first_list_names_nobody_is_ready_and_serves_once_a_list_names_somebody(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = Server()
+        await server.start()
+        async with node_process(tmp_path, settings=PUSH_SETTINGS, discovery=DiscoveryService) as node:
+            reader, writer = await asyncio.open_connection("127.0.0.1", node.port)
+            writer.write(request(budget="300m"))
+            assert (await read_answer(reader)).status == 503
+            node.catalog.change([target("s0", server.port)])
+            writer.write(request(number="2"))
+            assert (await read_answer(reader)).status == 200
+            writer.close()
+        server.stop()
+
+    play(test)
