What changes left out is found by whole lists, polled too, and beside open calls

What callers saw: discovery of one node is cut off and says "no changes" while its versions count on; the fleet leaves meanwhile, discovery is well again, and the node sends to all its servers for ever (polled; streamed where answers take 0.2 s). All that was missed counts as told in one instant.

Cause: the follower trusted that changes add up. A polled one never asked for the whole list where no answer was odd; a streamed one asked only while no call was open, and with answers slower than its patience one always is. Beside that a whole list that was slower than the next answer was given up.

Now the whole list is asked for again and again, in both modes and whatever is open: streamed each quarter of a second and 8 KiB a second at most, as before; polled each 2.5 s, 2 KiB a second and six times an answer's time. A watch waits no longer than until then. Only another whole list ends a call for one; a lost one is repeated.

Bounds, by counting: 6 s hold up to 300 servers streamed and 75 polled; past that the list's bytes set the time (200 servers: 4 s and 16 s; 3,200: 62 s and 250 s). A polled service answers up to one whole list more for each watch.

--- a/cloverhold/net/discovery/calls.py
+++ b/cloverhold/net/discovery/calls.py
@@ -6,8 +6,9 @@
 answered or there are too many.
 
 An answer in time may say nothing new for ever, where its connection leads to a replica that stands still. So no
-connection is used for long (`CallTimes.connection_s`), and where lists are streamed the whole list is asked for now and
-then, as rarely as `WHOLE_BYTES_PER_S` wants it.
+connection is used for long (`CallTimes.connection_s`). And changes need not add up to the list: what was left out once
+is told by none of them. So the whole list is asked for again and again, as often as `CallTimes.whole_every_s`, its
+bytes and the time that answers take allow, whatever else is open.
 
 | what happens              | then                                                   | next call                |
 | ------------------------- | ------------------------------------------------------ | ------------------------ |
@@ -18,6 +19,7 @@
 | one that brings no news   | the same                                               | `PACE_S` after its begin |
 | one of a lower version    | the same; its connection is not used again             | the same, growing        |
 | one not taken whole       | the whole list is asked for, at growing intervals      | at once                  |
+| the whole list is due     | it is asked for; only another whole list ends that     | a watch beside it        |
 | a refusal, reset, bad list | that call is over                                     | after a growing backoff  |
 
 All times are seconds on one monotonic clock.
@@ -39,7 +41,6 @@
 STALLED_AFTER_S = 6.0  # without a byte, behind its wait: the oldest call is given up first from here on
 LEAST_HOLD_S = 0.5
 LATENCY_DECAY = 0.7  # of what is remembered of slower answers, at each answer
-WHOLE_BYTES_PER_S = 8 * 1024  # of whole lists that are asked for only to find what changes left out
 LINE_BYTES = 160  # of a whole list, for each server
 SETTLE_FIRST_S, SETTLE_MOST_S = 0.1, 8.0  # until the whole list is asked for, as an answer was not taken whole
 PERMANENT_ERRORS = frozenset(range(400, 500)) - {408, 429}  # discovery may not know the version that was named
@@ -78,7 +79,9 @@
     most_open: int
     connection_s: float = 1.0  # a connection older than this is used for no further call
     pace_most_s: float = 1.0  # between the begins of calls that are answered with lower versions
-    whole_every_s: float = math.inf  # least time between two whole lists that are asked for without need
+    whole_every_s: float = math.inf  # least time between two whole lists that are asked for to compare
+    whole_bytes_per_s: float = math.inf  # of those lists at most
+    whole_per_latency: float = 0.0  # least time between two of them, as a multiple of how long answers take
 
     @classmethod
     def of(cls, settings: io.Settings, random: Random) -> CallTimes:
@@ -100,6 +103,9 @@
             backoff_first_s=1.0,
             retry_most_s=min(2.0, must_ask_s / 2),
             most_open=3,
+            whole_every_s=2.5,
+            whole_bytes_per_s=2 * 1024,
+            whole_per_latency=6.0,
         )
 
     @classmethod
@@ -120,6 +126,7 @@
             connection_s=part_s,
             pace_most_s=PACE_S,
             whole_every_s=2 * part_s,
+            whole_bytes_per_s=8 * 1024,
         )
 
 
@@ -232,15 +239,16 @@
             self.version = heard.version
         self._plan_whole(call, heard, now)
         superseded = self._supersede(call)
-        if not self._open:
+        if not self._follows_changes():
             news = heard.taken and (heard.version != call.since or call.kind is CallKind.WHOLE)
             self.next_at = now if news else max(now, call.begun_at + self._pace_s())
         return superseded
 
     def _plan_whole(self, call: OpenCall, heard: Heard, now: float) -> None:
         """When the whole list is asked for next, though a version is held."""
-        if call.kind is CallKind.WHOLE or self._whole_at == math.inf:
-            self._whole_at = now + max(self.times().whole_every_s, heard.listed * LINE_BYTES / WHOLE_BYTES_PER_S)
+        was_compared = call.kind is CallKind.WHOLE and (heard.taken or heard.lower)
+        if was_compared or self._whole_at == math.inf:
+            self._whole_at = now + self._whole_interval_s(heard.listed)
         is_needed = heard.unsettled or heard.ask_whole
         if call.kind is CallKind.WHOLE and not is_needed:
             self._settle_at, self._settle_s = math.inf, SETTLE_FIRST_S
@@ -248,6 +256,16 @@
             self._settle_at = now + self._settle_s
             self._settle_s = min(SETTLE_MOST_S, 2 * self._settle_s)
 
+    def _whole_interval_s(self, listed: int) -> float:
+        """From one whole list of so many servers to the next."""
+        times = self.times()
+        bytes_s = listed * LINE_BYTES / times.whole_bytes_per_s
+        return max(times.whole_every_s, bytes_s, times.whole_per_latency * self.latency_s)
+
+    def _follows_changes(self) -> bool:
+        """Whether a call for changes is open."""
+        return any(call.kind is not CallKind.WHOLE for call in self._open.values())
+
     def _pace_s(self) -> float:
         """Between the begins of two calls of which the first brought nothing new."""
         times = self.times()
@@ -270,16 +288,18 @@
         """How long an answer is waited for alone."""
         return min(times.patience_most_s, max(times.patience_s, times.patience_per_latency * self.latency_s))
 
-    def hold_s(self, times: CallTimes) -> float:
-        """How long a watch may wait, so that one which is lost still leaves time for another call."""
+    def hold_s(self, times: CallTimes, now: float) -> float:
+        """How long a watch may wait, so that one which is lost still leaves time for another call, and none keeps the
+        whole list waiting.
+        """
         left_s = HEAR_WITHIN_S - MARGIN_S - self.patience_s(times) - self.latency_s
-        return min(times.hold_s, max(LEAST_HOLD_S, left_s))
+        return min(times.hold_s, max(LEAST_HOLD_S, min(left_s, self._whole_at - now)))
 
     def _begin(self, now: float) -> list[Action]:
         times = self.times()
         actions = self._evict(now, times.most_open)
         kind = self._next_kind(now)
-        hold_s = self.hold_s(times) if kind is CallKind.WATCH else 0.0
+        hold_s = self.hold_s(times, now) if kind is CallKind.WATCH else 0.0
         self._numbers += 1
         since = None if kind is CallKind.WHOLE else self.version
         call = OpenCall(self._numbers, kind, since, hold_s, now)
@@ -288,14 +308,15 @@
         self._open[call.number] = call
         if kind is CallKind.WHOLE:
             self._settle_at = math.inf
+            self._whole_at = now + max(times.whole_patience_s, 2 * self.latency_s)  # if this one is lost
         return [*actions, Begin(call)]
 
     def _next_kind(self, now: float) -> CallKind:
         if self.version is None or now >= self._settle_at:
             return CallKind.WHOLE
-        if now >= self._whole_at and not self._open and not self.failures:
+        if now >= self._whole_at and not self.failures:
             return CallKind.WHOLE
-        return CallKind.CHECK if self._open or self.failures else CallKind.WATCH
+        return CallKind.CHECK if self._follows_changes() or self.failures else CallKind.WATCH
 
     def _interval_s(self, times: CallTimes, kind: CallKind) -> float:
         """After a call's wait, how long its answer is waited for before the next call begins."""
@@ -326,7 +347,10 @@
         return evicted
 
     def _supersede(self, answered: OpenCall) -> list[Action]:
+        """Older calls are over, but for the whole list where only changes were told."""
         older = [call for call in self.open_calls() if call.number < answered.number]
+        if answered.kind is not CallKind.WHOLE:
+            older = [call for call in older if call.kind is not CallKind.WHOLE]
         for call in older:
             del self._open[call.number]
         return [Abandon(call, CallEnd.SUPERSEDED) for call in older]
