A fleet that a lost store named no more is let in by its new count, in seconds

What callers would have seen: discovery names nobody once (version 44), loses its store and counts from 1. The fleet it names then stayed out until version 45, without a node's word on it but `withheld`: 0 requests in the sixth second behind its return, streamed and polled.

Cause: absence and a said departure were one word, and a departure ends with a later version only, as a replica that lags tells old lists too.

Now an absence from a list that names nobody remembers where its count begins: the lowest version that this node heard in it, replicas that were shown to lag included. A version below that is of another count, and lets the server in; what a line said holds on, and so does absence from a list that names others. A replica that lags is above it, however long it lasts. The mark goes along with lists that are kept or passed on (an older process reads them as before). A fleet of any size that leaves at once is remembered server by server. A doubt that a lower version left is not settled by a list of that same version.

What it costs if wrong: a replica that lags behind everything this node, or the one whose list it kept, ever heard, alone for 2 s, behind an empty list.

--- a/cloverhold/net/discovery/departures.py
+++ b/cloverhold/net/discovery/departures.py
@@ -7,6 +7,8 @@
 | --------------------------------------------------------- | --------------- |
 | by a later version than its departure's                   | `LATER_VERSION` |
 | with a later start of its process than any known till then| `LATER_START`   |
+| by a version below all that were heard in the count whose | `OTHER_COUNT`   |
+| list named nobody, if no line ever said that it leaves    |                 |
 | by the departure's own version, reached from below: that  | no, and by no   |
 | version is of another count                               | version later   |
 | otherwise                                                 | no              |
@@ -25,7 +27,7 @@
 
 DEPARTURES = "departures"  # the node's own key in lists that it keeps, or tells its other processes
 LEAST_RESTART_MS = 1.0  # starts that lie closer are one: a list that was kept may tell it by way of another clock
-MOST_GONE = 1024  # servers that are listed no more and remembered one by one
+MOST_GONE = 1024  # servers that are remembered one by one, beside as many as were ever listed at once
 
 
 class Readmission(Enum):
@@ -33,6 +35,7 @@
 
     LATER_VERSION = "later_version"
     LATER_START = "later_start"
+    OTHER_COUNT = "other_count"  # discovery lost its store, named nobody, and counts from anew
     SETTLED = "settled"  # it was in doubt whether it leaves, and is no more
     OPERATOR = "operator"
 
@@ -43,16 +46,25 @@
 
     version: float  # that told it; infinity: none is later
     start_ms: float  # the latest start that may have been known then, Unix time; infinity: any
+    # Of an absence from a list that names nobody: the lowest version of its count. Minus infinity where a line or
+    # another list told it: no version is of another count.
+    count_begins: float = -math.inf
 
     def readmission(self, version: int, start_ms: float) -> Readmission | None:
         """What lets the server in where a version has it ready, with a process that started then; None: nothing."""
         if version > self.version:
             return Readmission.LATER_VERSION
-        return Readmission.LATER_START if start_ms >= self.start_ms + LEAST_RESTART_MS else None
+        if start_ms >= self.start_ms + LEAST_RESTART_MS:
+            return Readmission.LATER_START
+        return Readmission.OTHER_COUNT if version < self.count_begins else None
 
     def combined(self, other: Departure) -> Departure:
         """A departure that is as strict as either."""
-        return Departure(max(self.version, other.version), max(self.start_ms, other.start_ms))
+        return Departure(
+            max(self.version, other.version),
+            max(self.start_ms, other.start_ms),
+            min(self.count_begins, other.count_begins),
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +73,7 @@
 
     noted: Mapping[str, Departure | None] = field(default_factory=dict)  # by uid; None: let in again
     forgotten: Departure | None = None  # covers those that are remembered no more
+    count_begins: int | None = None  # the lowest version that was heard in the present count; None: as it was
 
     def without_readmissions(self) -> DepartureChanges:
         """What it says of servers that leave."""
@@ -73,10 +86,12 @@
     def __init__(self) -> None:
         self.forgotten: Departure | None = None
         self.unnamed: Departure | None = None  # covers servers that may have left before this holder began
+        self.count_begins: int | None = None  # the lowest version that was heard in the present count
         self._noted: dict[str, Departure] = {}
         self._started: set[str] = set()  # whose latest start is known
         self._changed: set[str] = set()  # since `take_changes`
         self._forgotten_changed = False
+        self._most_listed = 0  # servers at once
 
     def __contains__(self, uid: str) -> bool:
         return uid in self._noted
@@ -94,8 +109,8 @@
         """
         before = self._noted.get(uid)
         if before is not None:
-            version = departure.version if before.version == math.inf else max(before.version, departure.version)
-            departure = Departure(version, max(before.start_ms, departure.start_ms))
+            combined = before.combined(departure)
+            departure = replace(combined, version=departure.version) if before.version == math.inf else combined
             if departure != before:
                 del self._noted[uid]  # so that the latest are last
         self._put(uid, departure)
@@ -159,11 +174,13 @@
             self._started.discard(uid)
 
     def forget_oldest(self, listed: Collection[str]) -> None:
-        """Keep within the bound; those of listed servers stay."""
-        if len(self._noted) <= MOST_GONE + len(listed):
+        """Keep within the bound; those of listed servers stay. A whole list that leaves at once has room."""
+        self._most_listed = max(self._most_listed, len(listed))
+        most_gone = MOST_GONE + self._most_listed
+        if len(self._noted) <= most_gone:
             return
         gone = [uid for uid in self._noted if uid not in listed]
-        for uid in gone[: len(gone) - MOST_GONE]:
+        for uid in gone[: max(0, len(gone) - most_gone)]:
             self.forget_before(self._noted[uid])
             self.remove(uid)
 
@@ -184,10 +201,12 @@
                 self.note(uid, departure)
         if changes.forgotten is not None:
             self.forget_before(changes.forgotten)
+        if changes.count_begins is not None:
+            self.count_begins = changes.count_begins
 
     def everything(self) -> DepartureChanges:
         """All that is noted, for a holder that has nothing."""
-        return DepartureChanges(dict(self._noted), _strictest(self.forgotten, self.unnamed))
+        return DepartureChanges(dict(self._noted), _strictest(self.forgotten, self.unnamed), self.count_begins)
 
     def tell_again(self) -> None:
         """Who was told the last changes may not have noted them: all are told again."""
@@ -197,7 +216,7 @@
     def take_changes(self) -> DepartureChanges:
         """What has changed since the last call."""
         forgotten = _strictest(self.forgotten, self.unnamed) if self._forgotten_changed else None
-        changes = DepartureChanges({uid: self._noted.get(uid) for uid in self._changed}, forgotten)
+        changes = DepartureChanges({uid: self._noted.get(uid) for uid in self._changed}, forgotten, self.count_begins)
         self._changed, self._forgotten_changed = set(), False
         return changes
 
@@ -219,23 +238,31 @@
     return {
         "noted": {uid: _departure_value(departure) for uid, departure in changes.noted.items()},
         "forgotten": _departure_value(changes.forgotten),
+        "count_begins": changes.count_begins,
     }
 
 
 def read_changes(value: Any) -> DepartureChanges:
     """From JSON; ValueError, KeyError, TypeError or AttributeError for anything else."""
     noted = {str(uid): _read_departure(told) for uid, told in value["noted"].items()}
-    return DepartureChanges(noted, _read_departure(value["forgotten"]))
+    count_begins = value.get("count_begins")  # older processes of this node do not say it
+    return DepartureChanges(
+        noted, _read_departure(value["forgotten"]), int(count_begins) if count_begins is not None else None
+    )
 
 
 def _departure_value(departure: Departure | None) -> list[float | None] | None:
     if departure is None:
         return None
-    return [None if math.isinf(number) else number for number in (departure.version, departure.start_ms)]
+    numbers = [departure.version, departure.start_ms]
+    if not math.isinf(departure.count_begins):  # older processes of this node read two numbers
+        numbers.append(departure.count_begins)
+    return [None if math.isinf(number) else number for number in numbers]
 
 
 def _read_departure(value: Any) -> Departure | None:
     if value is None:
         return None
-    version, start_ms = (math.inf if number is None else float(number) for number in value)
-    return Departure(version, start_ms)
+    version, start_ms, *rest = (math.inf if number is None else float(number) for number in value)
+    (count_begins,) = rest or (-math.inf,)
+    return Departure(version, start_ms, count_begins)
--- a/cloverhold/net/discovery/merge.py
+++ b/cloverhold/net/discovery/merge.py
@@ -18,6 +18,8 @@
 |                                            | answer names it once                                                   |
 | has a line that can't be read              | the rest is taken; a state that can be read, too; else it is withheld  |
 | says that a departed server is ready again | taken only if it is newer than the departure                           |
+| names nobody                               | all are gone; a count below this one that names them again lets them   |
+|                                            | in, as such a list may be that of a discovery that lost its store      |
 
 A server that is withheld is handed on as draining. Times are seconds on one monotonic clock.
 """
@@ -55,6 +57,7 @@
         self._lower_since: float | None = None  # since when all answers are of lower versions
         self._lower_answers = 0
         self._lag_shown_at = -math.inf
+        self._lowest_lower: int | None = None  # the lowest version of those answers
 
     def __len__(self) -> int:
         return len(self._lines)
@@ -69,6 +72,7 @@
             self._departures.apply(departures)
         else:
             self._departures.unnamed = Departure(version, math.inf)
+        self._note_count(version)
         for line in self._lines.values():
             self._remember_line(line, version, departures)
         self._update_withheld(self._lines)
@@ -213,12 +217,19 @@
     def _note_current(self, version: int, now: float) -> None:
         """An answer of this version shows that those of lower ones came from a replica that lags."""
         lags = self._live and self._lower_since is not None and version >= (self.version or 0)
-        if lags:
+        self._note_count(version)
+        if lags and self._lowest_lower is not None:
             self._lag_shown_at = now
-        self._lower_since, self._lower_answers = None, 0
+            self._note_count(self._lowest_lower)
+        self._lower_since, self._lower_answers, self._lowest_lower = None, 0, None
         self._lower_doubts.clear()
         self._live, self._taken_at = True, now
 
+    def _note_count(self, version: int) -> None:
+        """A version of the present count was heard."""
+        begins = self._departures.count_begins
+        self._departures.count_begins = version if begins is None else min(begins, version)
+
     def _once(self, answer: ListAnswer, merged: Merged) -> list[ServerLine]:
         """A line for each server. Of one whose lines differ only a drain is sure; the rest stays as it is held."""
         named: dict[str, list[ServerLine]] = {}
@@ -302,7 +313,8 @@
         is_start_told = line is not None and (line.lifecycle is Lifecycle.DRAINING or line.boot_ms > 0)
         if not is_start_told and not self._follows(answer.version):
             start_ms = math.inf  # it may have started anew in a version between
-        self._departures.note(uid, Departure(answer.version, start_ms))
+        begins = self._departures.count_begins if answer.names_nobody() else None
+        self._departures.note(uid, Departure(answer.version, start_ms, -math.inf if begins is None else begins))
 
     def _follows(self, version: int) -> bool:
         """Whether no version lies between the one that is held and this one."""
@@ -316,6 +328,8 @@
         merged.not_taken[NotTaken.LOWER_VERSION] += 1
         self._lower_since = now if self._lower_since is None else self._lower_since
         self._lower_answers += 1
+        lowest = self._lowest_lower
+        self._lowest_lower = answer.version if lowest is None else min(lowest, answer.version)
         if now - self._lag_shown_at < LAG_MEMORY_S:
             return merged
         said: tuple[ServerLine | UnreadableLine, ...] = (*answer.lines, *answer.unreadable)
@@ -334,10 +348,10 @@
         """Versions count from anew, and begin with this one. Departures stay; what is in doubt becomes one, but for
         doubts of the new count that this version settles.
         """
-        self._hand_on_whole = True
+        self._hand_on_whole, self._departures.count_begins = True, None
         if self.version is not None:
             self._departures.hold_until(self.version)
-        lower_doubts = {uid: doubted for uid, doubted in self._lower_doubts.items() if doubted > version}
+        lower_doubts = {uid: doubted for uid, doubted in self._lower_doubts.items() if doubted >= version}
         for doubts in (self._doubts, lower_doubts):
             for uid, doubted in doubts.items():
                 self._departures.note(uid, Departure(doubted, math.inf))
--- a/tests/faults/altered_discovery.py
+++ b/tests/faults/altered_discovery.py
@@ -11,6 +11,7 @@
 from discovery_service import DiscoveryService
 
 Line = dict[str, Any]
+FIRST_VERSION = 40
 LEAD = 25  # versions that a discovery which is cut off counts ahead of the others, where it does
 
 
@@ -39,6 +40,7 @@
 
     def __init__(self, targets: Sequence[Line]) -> None:
         super().__init__(targets)
+        self.rev = FIRST_VERSION
         self.leaves: FleetLeaves | None = None
         self.cut: CutOff | None = None
         self._version_before = self._version_said = 0
@@ -69,6 +71,13 @@
         self.cut = None
         self._wake()
 
+    def come_back(self, *, anew: bool) -> None:
+        """Name the fleet again, by a later version, or by a count that begins at 1."""
+        self.rev = 1 if anew else self._version_said + 1
+        self.targets = {line["uid"]: (self.rev, line) for line in self._lines_before}
+        self.leaves = None
+        self._wake()
+
     def _freeze(self) -> None:
         self._version_before, self._lines_before = self.rev, self.active()
 
--- a/tests/faults/lagging_replicas.py
+++ b/tests/faults/lagging_replicas.py
@@ -27,6 +27,7 @@
     moves: bool = False  # to another discovery now and then
     restarts: bool = False  # a new process goes on from what this one held
     counts_anew: bool = False  # versions begin at 1 again, once
+    empties: bool = False  # now and then all servers are gone at once, told by whole lists alone
     answers: int = 60
 
 
@@ -56,6 +57,10 @@
         lines[uid] = replace(line, lifecycle=NEXT[line.lifecycle], boot_ms=boot_ms)
         self.versions.append(lines)
 
+    def leave(self) -> None:
+        """All servers are gone."""
+        self.versions.append({uid: replace(line, lifecycle=GONE) for uid, line in self.versions[-1].items()})
+
     def answer(self, index: int, since: int | None) -> ListAnswer:
         """By a replica that holds this version. One that does not know the version that was named tells the whole."""
         version = self.versions[index]
@@ -115,6 +120,8 @@
         now += random.uniform(0.05, play.longest_gap_s)
         for _ in range(random.choice((0, 0, 1, 1, 2))):
             truth.advance()
+        if play.empties and random.random() < 0.05:
+            truth.leave()
         if number == anew_at:
             truth.counted_from = 1 - (len(truth.versions) - 1)
         if play.lags and now >= lags_until:
--- a/tests/faults/test_departure_of_the_fleet.py
+++ b/tests/faults/test_departure_of_the_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from pathlib import Path
 from typing import Any
 
@@ -11,8 +12,8 @@
 
 from altered_discovery import CutOff, FleetLeaves
 from discovery_service import DiscoveryService
-from drain_play import ASK_SETTINGS, NOTIFIED_S, PUSH_SETTINGS
-from fleet_departure_play import SLOW_ANSWER_S, Departure, cut_off, leaves, play_departure
+from drain_play import ASK_SETTINGS, LEAST_USE, NOTIFIED_S, PUSH_SETTINGS
+from fleet_departure_play import SLOW_ANSWER_S, Departure, Play, cut_off, leaves, play_departure
 from loopback import Server, play, read_answer, request, target
 from node_process import node_process
 
@@ -21,6 +22,7 @@
     ("settings", "notified_s"),
     [pytest.param(PUSH_SETTINGS, 0.0, id="streamed"), pytest.param(ASK_SETTINGS, NOTIFIED_S, id="polled")],
 )
+RETURN_S, SERVED_S = 6.0, 1.0  # to a fleet that is named again there are requests from then on
 EMPTY_LISTS = (
     FleetLeaves.EMPTY_LIST,
     FleetLeaves.EMPTY_LIST_OF_THE_SAME_VERSION,
@@ -74,6 +76,26 @@
     check(tmp_path, settings, NOTIFIED_S, {"slow answers": slow})
 
 
+@MODES
+def test_fleet_that_is_named_again_gets_work_within_seconds_by_a_later_version_and_by_a_lost_store(
+    tmp_path: Path, settings: dict[str, Any], notified_s: float
+) -> None:
+    async def returns(anew: bool) -> int:
+        async def named_again(play: Play) -> None:
+            play.discovery.come_back(anew=anew)
+            await asyncio.sleep(RETURN_S + SERVED_S)
+            served.append(play.sent("n1", time.monotonic() - SERVED_S))
+
+        served, folder = list[int](), tmp_path / str(anew)
+        await play_departure(folder, settings, leaves(FleetLeaves.EMPTY_LIST), notified_s, then=named_again)
+        return served[0]
+
+    async def test() -> None:
+        assert min(await asyncio.gather(returns(False), returns(True))) >= LEAST_USE
+
+    uvloop.run(test())
+
+
 def test_node_whose_first_list_names_nobody_is_ready_and_serves_once_a_list_names_somebody(tmp_path: Path) -> None:
     async def test() -> None:
         server = Server()
--- a/tests/faults/test_list_merge.py
+++ b/tests/faults/test_list_merge.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 from itertools import pairwise, product
 
 import pytest
 
 from cloverhold import Lifecycle
-from cloverhold.net.discovery.departures import MOST_GONE, Readmission
+from cloverhold.net.discovery.departures import MOST_GONE, Departure, Readmission, changes_value, read_changes
 from cloverhold.net.discovery.merge import ADOPT_AFTER_S, LEAST_TO_ADOPT, HeldList
 from cloverhold.net.discovery.merge_results import Asked, Merged, NotTaken, Worth
 from cloverhold.net.discovery.server_list import ListAnswer, ServerLine, UnreadableLine
@@ -387,3 +388,87 @@
     assert behind.held.withheld() == 1
     behind.take(whole(12, HISTORY[10]), None)
     assert behind.ready() == {"a", "b"} and not behind.held.learn(told).lines
+
+
+def emptied(version: int = 14) -> Follower:
+    """A follower that heard versions from 10 on, and then a whole list that names nobody."""
+    follower = Follower(whole(10, {"a": READY, "b": READY}))
+    follower.take(whole(version, {}), None)
+    assert not follower.listed and len(follower.held) == 0
+    return follower
+
+
+def test_fleet_that_is_named_again_by_a_later_version_gets_work_at_once() -> None:
+    follower = emptied()
+    follower.take(whole(15, {"a": READY, "b": READY}), None)
+    assert follower.ready() == {"a", "b"} and follower.held.withheld() == 0
+
+
+@pytest.mark.parametrize("empty_version", [3, 10, 14])
+def test_fleet_that_a_discovery_without_its_store_named_no_more_gets_work_once_that_counts_from_anew(
+    empty_version: int,
+) -> None:
+    follower = Follower(whole(10, {"a": READY, "b": READY}))
+    follower.take(whole(empty_version, {}), None)
+    assert not follower.ready()
+    for version in range(4, 4 + LEAST_TO_ADOPT + 2):
+        follower.take(whole(version, {"a": READY, "b": READY}), None, ADOPT_AFTER_S / LEAST_TO_ADOPT)
+    assert follower.ready() == {"a", "b"} and follower.held.withheld() == 0
+
+
+def test_absence_from_an_empty_list_is_not_ended_by_a_replica_that_lags_however_long() -> None:
+    for version in (10, 11, 13, 14):
+        follower = emptied()
+        for _ in range(10 * LEAST_TO_ADOPT):
+            follower.take(whole(version, {"a": READY, "b": READY}), None, step_s=3600.0)
+            assert not follower.ready()
+        follower.take(whole(15, {"a": READY, "b": READY}), None)
+        assert follower.ready() == {"a", "b"}
+
+
+def test_version_below_those_heard_is_of_a_replica_where_one_was_shown_to_lag_so_far() -> None:
+    follower = Follower(whole(10, {"a": READY, "b": READY}))
+    follower.take(whole(8, {"a": READY, "b": READY}), None)
+    follower.take(ListAnswer(10, False, ()), 10)
+    follower.take(whole(14, {}), None)
+    for _ in range(10):
+        follower.take(whole(8, {"a": READY, "b": READY}), None, step_s=3600.0)
+    assert not follower.ready()
+
+
+def test_drain_that_a_line_told_is_not_ended_by_another_count_behind_an_empty_list() -> None:
+    for line_first in (True, False):
+        follower = Follower(whole(10, {"a": READY, "b": READY}))
+        told = whole(11, {"a": DRAINING, "b": READY}), whole(12, {})
+        for answer in told if line_first else reversed(told):
+            follower.take(answer, None)
+            follower.take(ListAnswer(answer.version, False, ()), answer.version)
+        for _ in range(10):
+            follower.take(whole(3, {"a": READY, "b": READY}), None, ADOPT_AFTER_S)
+        assert follower.ready() == ({"b"} if line_first else {"a", "b"})
+
+
+def test_no_order_of_answers_around_an_empty_list_makes_a_gone_server_ready_without_a_later_version() -> None:
+    empty = whole(TOP + 1, {})
+    for first, *rest in product(answers(), repeat=3):
+        follower = Follower(whole(10, HISTORY[10]))
+        for answer, since in (first, (empty, None), *rest, *rest, *rest):
+            if since is None or since == follower.held.version:
+                follower.take(answer, since, ADOPT_AFTER_S)
+                follower.check()
+        follower.take(whole(TOP + 2, HISTORY[TOP]), None)
+        assert follower.listed == HISTORY[TOP] and follower.held.withheld() == 0
+
+
+def test_absence_from_an_empty_list_is_passed_on_whole_and_read_where_it_has_two_numbers() -> None:
+    departures = emptied().held.departures()
+    assert read_changes(changes_value(departures)) == departures
+    assert departures.noted["a"] == Departure(14, math.inf, 10)
+    assert read_changes({"noted": {"a": [14, None]}, "forgotten": None}).noted["a"] == Departure(14, math.inf)
+
+
+def test_large_fleet_that_left_at_once_is_remembered_one_by_one() -> None:
+    fleet = {f"s{i}": READY for i in range(3 * MOST_GONE)}
+    follower = Follower(whole(10, fleet))
+    follower.take(whole(11, {}), None)
+    assert follower.held.departures().forgotten is None and follower.held.departed() == len(fleet)
--- a/tests/faults/test_list_merge_in_time.py
+++ b/tests/faults/test_list_merge_in_time.py
@@ -21,8 +21,9 @@
         Play(restarts=True),
         Play(moves=True, restarts=True),
         Play(lags=False, counts_anew=True),
+        Play(empties=True, restarts=True),
     ],
-    ids=["lag", "moves", "restarts", "moves and restarts", "counts anew"],
+    ids=["lag", "moves", "restarts", "moves and restarts", "counts anew", "empty lists and restarts"],
 )
 def test_server_that_was_told_to_leave_is_not_let_in_by_time_or_by_a_new_process(
     play: Play, longest_gap_s: float
