A node tells that its list names nobody, by which answer, and what was left out

Log and counters: list_names_nobody.begins and .ends, with the version and the discovery that told it; changes_left_out.found, with the servers that a whole list has otherwise than the changes up to its version. Gauges: discovery.listed_servers, discovery.names_nobody_ms. `GET /_list` and `cloverhold fleet list --at` say the same.

--- a/cloverhold/__main__.py
+++ b/cloverhold/__main__.py
@@ -142,6 +142,7 @@
             b"/_lameduck/on": (b"POST", lambda: self._lame_duck(on=True)),
             b"/_lameduck/off": (b"POST", lambda: self._lame_duck(on=False)),
             b"/_metrics": (b"GET", lambda: json.dumps(self._metrics()).encode()),
+            b"/_list": (b"GET", lambda: json.dumps(self.discovery.report.list_value()).encode()),
             b"/_withheld": (b"GET", lambda: json.dumps(self.discovery.withheld_value()).encode()),
             b"/_readmit": (b"POST", self.discovery.readmit_withheld),
         }
--- a/cloverhold/fleet/command.py
+++ b/cloverhold/fleet/command.py
@@ -15,6 +15,7 @@
 from cloverhold.net.discovery.server_list import parse_address
 
 PATIENCE_S = 3.0
+MEMBERS, LIST = "/_members", "/_list"
 COLUMNS = ("number", "state", "incarnation", "since", "rtt ms", "lost", "program", "why")
 
 
@@ -40,7 +41,7 @@
         raise click.ClickException(f"{at[0]}:{at[1]}: {error or type(error).__name__}") from None
     finally:
         connection.close()
-    if response.status == 404:
+    if response.status == 404 and path == MEMBERS:
         raise click.ClickException(f"{at[0]}:{at[1]}: this node runs without [membership] (docs/membership.md)")
     if response.status != 200:
         raise click.ClickException(f"{at[0]}:{at[1]}: {response.status} {response.reason}")
@@ -85,7 +86,7 @@
 
     Example: cloverhold fleet members --at 10.0.0.4:9000
     """
-    told = asked(at, "/_members")
+    told = asked(at, MEMBERS)
     if as_json:
         click.echo(json.dumps(told))
         return
@@ -103,3 +104,24 @@
     widths = [max(len(row[at]) for row in rows) for at in range(len(COLUMNS))]
     for row in rows:
         click.echo("  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip())
+
+
+@main.command(name="list")
+@click.option("--at", type=_At(), required=True, help="A node's management address, host:port.")
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def server_list(at: tuple[str, int], as_json: bool) -> None:
+    """How many servers a node's list names, and since when and by which answer it names nobody.
+
+    Example: cloverhold fleet list --at 10.0.0.4:9000
+    """
+    told = asked(at, LIST)
+    if as_json:
+        click.echo(json.dumps(told))
+        return
+    if told["version"] is None:
+        click.echo("no list yet")
+        return
+    click.echo(f"version {told['version']}: {told['servers']} servers, {told['withheld']} of them get nothing new")
+    if (empty := told["names_nobody"]) is not None:
+        by = f"version {empty['version']} of discovery at {empty['discovery']}"
+        click.echo(f"the list names nobody, for {empty['for_s']:.1f} s, by {by}")
--- a/cloverhold/net/discovery/merge.py
+++ b/cloverhold/net/discovery/merge.py
@@ -192,6 +192,7 @@
 
     def _merge(self, answer: ListAnswer, asked: Asked, worth: Worth, now: float) -> Merged:
         merged = Merged(worth, whole=answer.whole)
+        is_compared = answer.whole and self._live and answer.version == self.version
         touched = self._touched(answer)
         before = self._handed_on(touched)
         self._note_current(answer.version, now)
@@ -206,8 +207,16 @@
             self.version = answer.version
         merged.ask_whole = any(reason is not NotTaken.NOT_LATER for reason in merged.not_taken)
         self._finish(merged, before, touched)
+        if is_compared:
+            merged.left_out = self._differing(before, touched)
         return merged
 
+    def _differing(self, before: dict[str, ServerLine], touched: Iterable[str]) -> list[str]:
+        """Servers that came, went, or changed their state."""
+        after = self._handed_on(touched)
+        states = [{uid: line.lifecycle for uid, line in lines.items()} for lines in (before, after)]
+        return sorted(uid for uid in before.keys() | after.keys() if states[0].get(uid) is not states[1].get(uid))
+
     def _touched(self, answer: ListAnswer) -> set[str]:
         """The servers that an answer may change."""
         uids = {line.uid for line in answer.lines} | self._lower_doubts.keys()
--- a/cloverhold/net/discovery/merge_results.py
+++ b/cloverhold/net/discovery/merge_results.py
@@ -61,6 +61,7 @@
     whole: bool = False  # whether `lines` are the whole list
     is_news: bool = False  # whether there is something to hand on
     lines: list[ServerLine] = field(default_factory=list)  # to hand on: the whole list may be one of none
+    left_out: list[str] = field(default_factory=list)  # whom a whole list has otherwise than changes up to its version
     not_taken: Counter[NotTaken] = field(default_factory=Counter)
     ask_whole: bool = False  # whether only a whole list can tell the rest
     withheld: list[Withholding] = field(default_factory=list)  # from now on
--- a/cloverhold/net/discovery/report.py
+++ b/cloverhold/net/discovery/report.py
@@ -4,6 +4,9 @@
 
 import time
 
+from dataclasses import dataclass
+from typing import Any
+
 from cloverhold.net.discovery.calls import CallEnd, CallSchedule, OpenCall
 from cloverhold.net.discovery.merge import HeldList
 from cloverhold.net.discovery.merge_results import Merged, Worth
@@ -11,6 +14,19 @@
 from cloverhold.net.telemetry import Happening, Telemetry
 
 
+@dataclass(frozen=True, slots=True)
+class EmptyList:
+    """Since when the list names nobody, and by which answer."""
+
+    since_s: float  # on the monotonic clock
+    version: int
+    discovery: str  # its address
+
+    def age_s(self) -> float:
+        """For how long."""
+        return time.monotonic() - self.since_s
+
+
 class DiscoveryReport:
     """Counts and logs what a follower of the list meets."""
 
@@ -18,6 +34,7 @@
         self._telemetry, self._held, self._schedule = telemetry, held, schedule
         self._is_answering = True
         self._answered_at_s = self._news_at_s = time.monotonic()
+        self._empty: EmptyList | None = None
 
     def silent_s(self) -> float:
         """How long ago discovery answered last, in seconds."""
@@ -27,6 +44,8 @@
         """How it stands now, by the names that the counters' report gives; version 0: no list is held."""
         return {
             "discovery.version": self._held.version or 0,
+            "discovery.listed_servers": len(self._held),
+            "discovery.names_nobody_ms": round(1000 * self._empty.age_s()) if self._empty is not None else 0,
             "discovery.withheld_servers": self._held.withheld(),
             "discovery.departed_servers": self._held.departed(),
             "discovery.silent_ms": round(1000 * self.silent_s()),
@@ -35,6 +54,19 @@
             "discovery.open_calls": len(self._schedule.open_calls()),
         }
 
+    def list_value(self) -> dict[str, Any]:
+        """What list is held, for JSON."""
+        empty = self._empty
+        return {
+            "version": self._held.version,
+            "servers": len(self._held),
+            "withheld": self._held.withheld(),
+            "silent_s": self.silent_s(),
+            "names_nobody": None
+            if empty is None
+            else {"for_s": empty.age_s(), "version": empty.version, "discovery": empty.discovery},
+        }
+
     def begun(self, call: OpenCall) -> None:
         """A call was begun."""
         self._telemetry.count(Happening.DISCOVERY_CALL_BEGUN, call.kind.value)
@@ -84,6 +116,19 @@
                 Happening.DISCOVERY_NOT_TAKEN, reason.value, servers=servers, withheld=withheld, **details
             )
 
+    def listed(self, answer: ListAnswer, merged: Merged, discovery: str) -> None:
+        """Whether the list names anybody, when that changes, and whom changes had left out."""
+        details = {"version": answer.version, "whole": answer.whole, "discovery": discovery}
+        if merged.left_out:
+            servers = tuple(merged.left_out)
+            self._telemetry.event(Happening.CHANGES_LEFT_OUT, "found", servers=servers, **details)
+        if self._empty is None and not len(self._held):
+            self._empty = EmptyList(time.monotonic(), answer.version, discovery)
+            self._telemetry.event(Happening.LIST_NAMES_NOBODY, "begins", **details)
+        elif self._empty is not None and len(self._held):
+            self._telemetry.event(Happening.LIST_NAMES_NOBODY, "ends", for_s=self._empty.age_s(), **details)
+            self._empty = None
+
     def servers(self, merged: Merged, details: dict[str, object]) -> None:
         """Servers that get nothing new from now on, by which version, and those that do again, by whose word."""
         withheld = dict[tuple[str, float], list[str]]()
--- a/cloverhold/net/discovery/watcher.py
+++ b/cloverhold/net/discovery/watcher.py
@@ -243,9 +243,11 @@
         self._keep(connection if connection.is_open() and not heard.lower else None)
         self.report.answered(call)
         self.report.merged(call, answer, merged, held)
+        discovery = "{}:{}".format(*connection.address)
+        self.report.listed(answer, merged, discovery)
         self.report.servers(merged, {
             "held": held, "told": answer.version, "call": call.number, "answer_age_s": now - call.begun_at,
-            "connection_age_s": now - connection.begun_at_s, "discovery": "{}:{}".format(*connection.address),
+            "connection_age_s": now - connection.begun_at_s, "discovery": discovery,
         })  # fmt: skip
         fault = self._hand_on(merged) if merged.is_news else None
         self.clock.starts.note_heard(self.clock.now())
--- a/cloverhold/net/telemetry.py
+++ b/cloverhold/net/telemetry.py
@@ -43,6 +43,8 @@
     DISCOVERY_STATE = "discovery_state"  # "answering" or "not_answering", when that changes
     SERVERS_WITHHELD = "servers_withheld"  # listed as ready and sent nothing new, by why
     SERVERS_READMITTED = "servers_readmitted"  # withheld until now, by whose word
+    CHANGES_LEFT_OUT = "changes_left_out"  # what a whole list told of a version that changes had told already
+    LIST_NAMES_NOBODY = "list_names_nobody"  # "begins" or "ends"
     LIST_TAKEN = "list_taken"  # "whole", "changes" or "remembered"
     SERVERS_CHANGED = "servers_changed"  # by what a list changes: "draining", "gone", "replaced"
     PHASE_ENTERED = "phase_entered"  # of the process
--- a/tests/faults/test_discovery_telemetry.py
+++ b/tests/faults/test_discovery_telemetry.py
@@ -5,6 +5,10 @@
 import asyncio
 from pathlib import Path
 
+from click.testing import CliRunner
+
+from altered_discovery import AlteredDiscovery, CutOff, FleetLeaves
+from cloverhold.fleet.command import main
 from discovery_service import Answer, DiscoveryService
 from loopback import Server, play, target
 from misreporting_service import Misreport, MisreportingService
@@ -70,3 +74,44 @@
             assert any("version=1 held=2" in line for line in lines), node.log
 
     play(test)
+
+
+def test_list_that_names_nobody_and_what_changes_left_out_are_logged_shown_and_told_by_a_command(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        server = Server()
+        async with node_process(tmp_path, server, settings=SETTINGS, discovery=AlteredDiscovery) as node:
+            service: AlteredDiscovery = node.catalog
+
+            async def told() -> str:
+                arguments = ["list", "--at", f"127.0.0.1:{node.management_port}"]
+                return (await asyncio.to_thread(CliRunner().invoke, main, arguments)).output
+
+            await counted(node, "discovery_answer.take")
+            assert await told() == "version 40: 1 servers, 0 of them get nothing new\n"
+            service.cut_off(CutOff.COUNTS_ON)
+            service.change([target("s0", server.port, "leaving")])
+            await counted(node, "discovery.version", 41)
+            service.heal()
+            metrics = await counted(node, "changes_left_out.found")
+            assert metrics["discovery.listed_servers"] == 1 and metrics["discovery.names_nobody_ms"] == 0
+            service.leave(FleetLeaves.EMPTY_LIST)
+            metrics = await counted(node, "list_names_nobody.begins")
+            assert metrics["discovery.listed_servers"] == 0 and metrics["discovery.names_nobody_ms"] >= 0
+            first, second = (await told()).splitlines()
+            assert first == "version 42: 0 servers, 0 of them get nothing new"
+            assert "the list names nobody, for " in second
+            assert second.endswith(f"by version 42 of discovery at 127.0.0.1:{service.port}")
+            service.change([target("s1", server.port)])
+            service.leaves = None
+            metrics = await counted(node, "list_names_nobody.ends")
+            assert metrics["discovery.listed_servers"] == 2 and metrics["discovery.names_nobody_ms"] == 0
+            for text in (
+                "changes_left_out: reason=found servers=('s0',) version=41 whole=True",
+                "list_names_nobody: reason=begins version=42 whole=True",
+                "list_names_nobody: reason=ends for_s=",
+            ):
+                assert any(text in line for line in node.log), (text, node.log)
+
+    play(test)
