A list whose version can't be read counts for what it says of servers that leave

What callers would have seen: {"rev":"new","all":true,"targets":[]}, or changes without a version that tell a server to leave, were refused whole, and the node sent on to servers that were told to be gone.

Now such an answer is of version 0, lower than any: what it says to drain or does not name is withheld until an answer with a version says otherwise. A remembered list without a version is refused as before.

Tests: two cases on a real node, 200 before where 503 is owed; both pass.

--- a/cloverhold/net/discovery/server_list.py
+++ b/cloverhold/net/discovery/server_list.py
@@ -13,6 +13,7 @@
 from cloverhold.net.upstreams.calls import Address
 
 _STATES = {"active": io.Lifecycle.READY, "leaving": io.Lifecycle.DRAINING, "left": io.Lifecycle.GONE}
+NO_VERSION = 0  # of a list that does not say which it is: no version can be shown to be later
 _UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
@@ -80,21 +81,30 @@
 def read_answer(value: object) -> ListAnswer:
     """An answer, with what can be read of its lines; ListError where it is no list.
 
-    It is taken at its word, however unlikely: a whole list that names nobody says that all servers are gone.
+    It is taken at its word, however unlikely: a whole list that names nobody says that all servers are gone. One whose
+    version can't be read is of `NO_VERSION`, which is lower than any.
     """
     try:
         if not isinstance(value, dict):
             raise ValueError("not an object")
-        version, whole, targets = int(value["rev"]), bool(value["all"]), list(value["targets"])
+        whole, targets = bool(value["all"]), list(value["targets"])
     except _UNREADABLE as error:
         raise _list_error(error) from None
+    version = _read_version(value)
     lines, unreadable = list[ServerLine](), list[UnreadableLine]()
     for target in targets:
         try:
             lines.append(_line(target))
         except _UNREADABLE:
             unreadable.append(_what_is_left(target))
-    return ListAnswer(version, whole, tuple(lines), tuple(unreadable))
+    return ListAnswer(NO_VERSION if version is None else version, whole, tuple(lines), tuple(unreadable))
+
+
+def _read_version(value: dict[str, Any]) -> int | None:
+    try:
+        return int(value["rev"])
+    except _UNREADABLE:
+        return None
 
 
 def _list_error(error: Exception) -> ListError:
@@ -131,8 +141,8 @@
 def read_members(value: object, clock: Clock) -> Members:
     """A remembered list in discovery's form; ListError for one that is not whole in all its lines."""
     answer = read_answer(value)
-    if answer.unreadable:
-        raise ListError("list of servers: a line can't be read")
+    if answer.unreadable or (isinstance(value, dict) and _read_version(value) is None):
+        raise ListError("list of servers: a line or the version can't be read")
     if len({line.uid for line in answer.lines}) < len(answer.lines):
         raise ListError("list of servers: a name stands twice")
     departures = _read_departures(value)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -336,6 +336,8 @@
         b'{"rev":9,"all":true,"targets":[{"uid":"s0","pod_group":1e999,"endpoint":"x:1","state":"left"}]}',
         b'{"rev":9,"all":true,"targets":[{"uid":null}]}',
         b'{"rev":9,"all":true,"targets":[]}',
+        b'{"rev":"new","all":true,"targets":[]}',
+        b'{"all":false,"targets":[{"uid":"s0","endpoint":"x:1","state":"leaving"}]}',
     ],
 )
 def test_server_that_a_list_may_have_gone_gets_nothing_new_until_a_later_list_names_it(raw: bytes) -> None:
