A new count is known by its first versions, also once it has passed those heard

Cause: a version counted as of another count where it was below all that were heard in the old one. By the time at which lower versions are taken (2 s) the new count may have passed those: here it had 10 and 14, the old one began at 10.

Now the lowest of all versions heard decides, that of the answers which waited included; an absence remembers what it was until then. A replica that was shown to lag lowers both.

--- a/cloverhold/net/discovery/departures.py
+++ b/cloverhold/net/discovery/departures.py
@@ -7,7 +7,7 @@
 | --------------------------------------------------------- | --------------- |
 | by a later version than its departure's                   | `LATER_VERSION` |
 | with a later start of its process than any known till then| `LATER_START`   |
-| by a version below all that were heard in the count whose | `OTHER_COUNT`   |
+| by a count that begins below all versions heard until a   | `OTHER_COUNT`   |
 | list named nobody, if no line ever said that it leaves    |                 |
 | by the departure's own version, reached from below: that  | no, and by no   |
 | version is of another count                               | version later   |
@@ -46,17 +46,19 @@
 
     version: float  # that told it; infinity: none is later
     start_ms: float  # the latest start that may have been known then, Unix time; infinity: any
-    # Of an absence from a list that names nobody: the lowest version of its count. Minus infinity where a line or
-    # another list told it: no version is of another count.
+    # Of an absence from a list that names nobody: the lowest version heard until then. Minus infinity where a line or
+    # another list told it: no count begins below.
     count_begins: float = -math.inf
 
-    def readmission(self, version: int, start_ms: float) -> Readmission | None:
-        """What lets the server in where a version has it ready, with a process that started then; None: nothing."""
+    def readmission(self, version: int, start_ms: float, count_begins: float) -> Readmission | None:
+        """What lets the server in where a version has it ready, with a process that started then; None: nothing.
+        count_begins: the lowest version heard until now.
+        """
         if version > self.version:
             return Readmission.LATER_VERSION
         if start_ms >= self.start_ms + LEAST_RESTART_MS:
             return Readmission.LATER_START
-        return Readmission.OTHER_COUNT if version < self.count_begins else None
+        return Readmission.OTHER_COUNT if count_begins < self.count_begins else None
 
     def combined(self, other: Departure) -> Departure:
         """A departure that is as strict as either."""
@@ -73,7 +75,7 @@
 
     noted: Mapping[str, Departure | None] = field(default_factory=dict)  # by uid; None: let in again
     forgotten: Departure | None = None  # covers those that are remembered no more
-    count_begins: int | None = None  # the lowest version that was heard in the present count; None: as it was
+    count_begins: int | None = None  # the lowest version that was heard; None: as it was
 
     def without_readmissions(self) -> DepartureChanges:
         """What it says of servers that leave."""
@@ -86,7 +88,7 @@
     def __init__(self) -> None:
         self.forgotten: Departure | None = None
         self.unnamed: Departure | None = None  # covers servers that may have left before this holder began
-        self.count_begins: int | None = None  # the lowest version that was heard in the present count
+        self.count_begins: int | None = None  # the lowest version that was heard
         self._noted: dict[str, Departure] = {}
         self._started: set[str] = set()  # whose latest start is known
         self._changed: set[str] = set()  # since `take_changes`
@@ -115,6 +117,19 @@
                 del self._noted[uid]  # so that the latest are last
         self._put(uid, departure)
 
+    def hear_version(self, version: int, *, of_replica: bool = False) -> None:
+        """A version was heard. of_replica: of a replica that lags, and so of the count that is known."""
+        if self.count_begins is not None and version >= self.count_begins:
+            return
+        self.count_begins = version
+        if not of_replica:
+            return
+        for uid, departure in list(self._noted.items()):
+            self._put(uid, replace(departure, count_begins=min(departure.count_begins, version)))
+
+    def _count_begins(self) -> float:
+        return math.inf if self.count_begins is None else self.count_begins
+
     def _put(self, uid: str, departure: Departure) -> None:
         if departure == self._noted.get(uid):
             return
@@ -130,7 +145,7 @@
         covering = _strictest(self.forgotten, self.unnamed)
         if uid in self._noted or covering is None:
             return
-        if covering.readmission(version, start_ms) is None:
+        if covering.readmission(version, start_ms, self._count_begins()) is None:
             self.note(uid, covering)
 
     def readmit(self, uid: str, version: int, start_ms: float, held_until: float) -> Readmission | None:
@@ -140,7 +155,8 @@
         departure = self._noted.get(uid)
         if departure is None:
             return None
-        found = replace(departure, version=max(departure.version, held_until)).readmission(version, start_ms)
+        held = replace(departure, version=max(departure.version, held_until))
+        found = held.readmission(version, start_ms, self._count_begins())
         if found is not None:
             self.remove(uid)
         return found
--- a/cloverhold/net/discovery/merge.py
+++ b/cloverhold/net/discovery/merge.py
@@ -18,8 +18,8 @@
 |                                            | answer names it once                                                   |
 | has a line that can't be read              | the rest is taken; a state that can be read, too; else it is withheld  |
 | says that a departed server is ready again | taken only if it is newer than the departure                           |
-| names nobody                               | all are gone; a count below this one that names them again lets them   |
-|                                            | in, as such a list may be that of a discovery that lost its store      |
+| names nobody                               | all are gone; a count that begins below this one lets them in, as such |
+|                                            | a list may be that of a discovery that lost its store                  |
 
 A server that is withheld is handed on as draining. Times are seconds on one monotonic clock.
 """
@@ -33,11 +33,10 @@
 from cloverhold.decision.interface import Lifecycle
 from cloverhold.net.discovery.departures import Departure, DepartureChanges, Departures, Readmission
 from cloverhold.net.discovery.merge_results import Asked, Merged, NotTaken, Withheld, Withholding, Worth
-from cloverhold.net.discovery.server_list import ListAnswer, ServerLine, UnreadableLine
+from cloverhold.net.discovery.server_list import NO_VERSION, ListAnswer, ServerLine, UnreadableLine
 
 ADOPT_AFTER_S = 2.0  # of lower versions alone; drains among them are kept at once, so this delays only returns
 LEAST_TO_ADOPT = 3  # answers of lower versions
-NO_VERSION = 0  # of a remembered list that does not say which it was: no version can be shown to be later
 LAG_MEMORY_S = 3.0  # after an answer that showed a replica to lag, what lower versions say is passed over
 
 
@@ -72,7 +71,7 @@
             self._departures.apply(departures)
         else:
             self._departures.unnamed = Departure(version, math.inf)
-        self._note_count(version)
+        self._departures.hear_version(version)
         for line in self._lines.values():
             self._remember_line(line, version, departures)
         self._update_withheld(self._lines)
@@ -161,6 +160,8 @@
             case Worth.LOWER_VERSION:
                 return self._merge_lower(answer, now)
             case Worth.ADOPTED:
+                if self._lowest_lower is not None:
+                    self._departures.hear_version(self._lowest_lower)
                 self._begin_other_count(answer.version)
         return self._merge(answer, asked, worth, now)
 
@@ -226,19 +227,14 @@
     def _note_current(self, version: int, now: float) -> None:
         """An answer of this version shows that those of lower ones came from a replica that lags."""
         lags = self._live and self._lower_since is not None and version >= (self.version or 0)
-        self._note_count(version)
+        self._departures.hear_version(version)
         if lags and self._lowest_lower is not None:
             self._lag_shown_at = now
-            self._note_count(self._lowest_lower)
+            self._departures.hear_version(self._lowest_lower, of_replica=True)
         self._lower_since, self._lower_answers, self._lowest_lower = None, 0, None
         self._lower_doubts.clear()
         self._live, self._taken_at = True, now
 
-    def _note_count(self, version: int) -> None:
-        """A version of the present count was heard."""
-        begins = self._departures.count_begins
-        self._departures.count_begins = version if begins is None else min(begins, version)
-
     def _once(self, answer: ListAnswer, merged: Merged) -> list[ServerLine]:
         """A line for each server. Of one whose lines differ only a drain is sure; the rest stays as it is held."""
         named: dict[str, list[ServerLine]] = {}
@@ -357,7 +353,7 @@
         """Versions count from anew, and begin with this one. Departures stay; what is in doubt becomes one, but for
         doubts of the new count that this version settles.
         """
-        self._hand_on_whole, self._departures.count_begins = True, None
+        self._hand_on_whole = True
         if self.version is not None:
             self._departures.hold_until(self.version)
         lower_doubts = {uid: doubted for uid, doubted in self._lower_doubts.items() if doubted >= version}
--- a/tests/faults/test_list_merge.py
+++ b/tests/faults/test_list_merge.py
@@ -416,6 +416,13 @@
     assert follower.ready() == {"a", "b"} and follower.held.withheld() == 0
 
 
+def test_count_that_has_passed_the_versions_heard_by_the_time_it_is_taken_is_known_by_its_first_ones() -> None:
+    follower = emptied(20)
+    for version in (4, *range(12, 12 + LEAST_TO_ADOPT + 1)):
+        follower.take(whole(version, {"a": READY, "b": READY}), None, ADOPT_AFTER_S / LEAST_TO_ADOPT)
+    assert follower.ready() == {"a", "b"} and follower.held.withheld() == 0
+
+
 def test_absence_from_an_empty_list_is_not_ended_by_a_replica_that_lags_however_long() -> None:
     for version in (10, 11, 13, 14):
         follower = emptied()
