A slow polled discovery is asked for the whole list in time, beside its open calls

Now it is due 2.5 s behind the begin of the last one, and asked for beside a watch that is 0.2 s late; a service that turned one away is left alone for 5 s.

A first try looped without time where calls failed: a test held it, it is bounded by the pace.

--- a/cloverhold/net/discovery/calls.py
+++ b/cloverhold/net/discovery/calls.py
@@ -8,7 +8,7 @@
 An answer in time may say nothing new for ever, where its connection leads to a replica that stands still. So no
 connection is used for long (`CallTimes.connection_s`). And changes need not add up to the list: what was left out once
 is told by none of them. So the whole list is asked for again and again, as often as `CallTimes.whole_every_s`, its
-bytes and the time that answers take allow, whatever else is open.
+bytes allow, whatever else is open.
 
 | what happens              | then                                                   | next call                |
 | ------------------------- | ------------------------------------------------------ | ------------------------ |
@@ -42,6 +42,8 @@
 LEAST_HOLD_S = 0.5
 LATENCY_DECAY = 0.7  # of what is remembered of slower answers, at each answer
 LINE_BYTES = 160  # of a whole list, for each server
+WHOLE_LATE_S = 0.2  # behind the time at which the whole list is due it is asked for beside a call that is open
+WHOLE_BACKOFF = 2.0  # times the least interval between whole lists, where a service turned one away
 SETTLE_FIRST_S, SETTLE_MOST_S = 0.1, 8.0  # until the whole list is asked for, as an answer was not taken whole
 PERMANENT_ERRORS = frozenset(range(400, 500)) - {408, 429}  # discovery may not know the version that was named
 
@@ -81,7 +83,6 @@
     pace_most_s: float = 1.0  # between the begins of calls that are answered with lower versions
     whole_every_s: float = math.inf  # least time between two whole lists that are asked for to compare
     whole_bytes_per_s: float = math.inf  # of those lists at most
-    whole_per_latency: float = 0.0  # least time between two of them, as a multiple of how long answers take
 
     @classmethod
     def of(cls, settings: io.Settings, random: Random) -> CallTimes:
@@ -105,7 +106,6 @@
             most_open=3,
             whole_every_s=2.5,
             whole_bytes_per_s=2 * 1024,
-            whole_per_latency=6.0,
         )
 
     @classmethod
@@ -248,7 +248,7 @@
         """When the whole list is asked for next, though a version is held."""
         was_compared = call.kind is CallKind.WHOLE and (heard.taken or heard.lower)
         if was_compared or self._whole_at == math.inf:
-            self._whole_at = now + self._whole_interval_s(heard.listed)
+            self._whole_at = max(now + PACE_S, call.begun_at + self._whole_interval_s(heard.listed))
         is_needed = heard.unsettled or heard.ask_whole
         if call.kind is CallKind.WHOLE and not is_needed:
             self._settle_at, self._settle_s = math.inf, SETTLE_FIRST_S
@@ -260,7 +260,7 @@
         """From one whole list of so many servers to the next."""
         times = self.times()
         bytes_s = listed * LINE_BYTES / times.whole_bytes_per_s
-        return max(times.whole_every_s, bytes_s, times.whole_per_latency * self.latency_s)
+        return max(times.whole_every_s, bytes_s)
 
     def _follows_changes(self) -> bool:
         """Whether a call for changes is open."""
@@ -276,9 +276,11 @@
     def failed(self, number: int, now: float, status: int = 0) -> None:
         """A call is over without a list. status: of the answer, where there was one."""
         newest = number == max(self._open)
-        del self._open[number]
+        call = self._open.pop(number)
         self.failures += 1
         self.unanswered = max(0, self.unanswered - 1)
+        if status and call.kind is CallKind.WHOLE:
+            self._whole_at = now + WHOLE_BACKOFF * self.times().whole_every_s
         if status in PERMANENT_ERRORS:
             self.version = None
         if newest:
@@ -303,7 +305,10 @@
         self._numbers += 1
         since = None if kind is CallKind.WHOLE else self.version
         call = OpenCall(self._numbers, kind, since, hold_s, now)
-        self.next_at = now + hold_s + self._interval_s(times, kind)
+        due_s = hold_s + self._interval_s(times, kind)
+        if kind is not CallKind.WHOLE and not self.failures:
+            due_s = min(due_s, max(hold_s, PACE_S, self._whole_at + WHOLE_LATE_S - now))
+        self.next_at = now + due_s
         self.unanswered += 1
         self._open[call.number] = call
         if kind is CallKind.WHOLE:
