The kit plays lists that are not complete, and soaks draw them

Need: no fault of the kit had discovery name nobody, leave changes out behind versions that count on, tell lines without more than a state, or lose its store.

Soaks whose draw has no other odd list have it in three of ten, with a drain beside it; seeds of findings that are not mended stay as they were. The judge takes a change as written only by an answer that has it, or a later one of the same server: an answer "no changes" of a later version told nothing.

--- a/cloverhold/rehearsal/agents.py
+++ b/cloverhold/rehearsal/agents.py
@@ -15,11 +15,13 @@
 from cloverhold.rehearsal.faults import (
     DiscoveryCrowded,
     DiscoveryHalfSilent,
+    DiscoveryIncomplete,
     DiscoveryMisreports,
     DiscoverySlow,
     DiscoveryTrickle,
     Fault,
 )
+from cloverhold.rehearsal.incomplete_lists import IncompleteList
 from cloverhold.rehearsal.misreports import Misreport, StillAnswer
 from cloverhold.rehearsal.sockets import LOOPBACK, accepted, hold, listen, port_of
 from cloverhold.rehearsal.wire import answer
@@ -27,6 +29,7 @@
 
 MOST_HOLD_S = 60.0
 TRICKLE_PIECES = 20
+STEP_S = 1.4  # from one version to the next, where they count on and nothing is new
 
 
 class DiscoveryStandIn:
@@ -47,6 +50,8 @@
         self.stale: set[int] = set()
         self.ailments: dict[int, Fault] = {}  # by fault
         self.misreports: dict[int, Misreport] = {}  # by fault
+        self.incomplete: dict[int, IncompleteList] = {}  # by fault
+        self._steps: dict[int, asyncio.TimerHandle] = {}  # of those, what comes next
         self.connections = 0  # that came so far
         self.calls_lost = 0  # calls that came while some are lost
         self.free_at = 0.0  # when the calls that came are worked through, where it is crowded
@@ -110,6 +115,8 @@
         if isinstance(fault, DiscoveryMisreports):
             calls = {call.number for call in self.calls}
             self.misreports[number] = Misreport(fault, *self.agent.whole(), calls, self.world.now())
+        if isinstance(fault, DiscoveryIncomplete):
+            self._begin_incomplete(number, IncompleteList(fault, self.agent))
         if isinstance(fault, DiscoveryHalfSilent):
             for call in list(self.calls):
                 call.lose()
@@ -118,6 +125,30 @@
         """That is over."""
         self.ailments.pop(number, None)
         self.misreports.pop(number, None)
+        if (incomplete := self.incomplete.pop(number, None)) is not None:
+            if (step := self._steps.pop(number, None)) is not None:
+                step.cancel()
+            incomplete.end(self.world.now())
+            if incomplete.fault.how != "changes_left_out":
+                self.wake()
+
+    def _begin_incomplete(self, number: int, incomplete: IncompleteList) -> None:
+        self.incomplete[number] = incomplete
+        incomplete.begin(self.world.now())
+        self.wake()
+        if incomplete.fault.how == "changes_left_out":
+            self._steps[number] = self.world.loop.call_later(STEP_S, self._count_on, number)
+        elif incomplete.fault.how == "lost_store":
+            self._steps[number] = self.world.loop.call_later(incomplete.fault.after_s, self._lose_store, number)
+
+    def _count_on(self, number: int) -> None:
+        self.incomplete[number].count_on()
+        self.wake()
+        self._steps[number] = self.world.loop.call_later(STEP_S, self._count_on, number)
+
+    def _lose_store(self, number: int) -> None:
+        self.incomplete[number].lose_store(self.world.now())
+        self.wake()
 
     def still_answer(self, call: Call) -> StillAnswer | None:
         """The answer to a call that has come now, where it has come to who has heard nothing new."""
@@ -158,7 +189,8 @@
             self._release()
 
     def _release(self) -> None:
-        if not self.down and not self.stale and self.agent.release(self.world.now()):
+        is_held = any(incomplete.holds_news() for incomplete in self.incomplete.values())
+        if not self.down and not self.stale and not is_held and self.agent.release(self.world.now()):
             self.wake()
 
     def put(self, entries: Sequence[Entry]) -> None:
@@ -174,6 +206,8 @@
 
     def close(self) -> None:
         """The rehearsal is over."""
+        for step in self._steps.values():
+            step.cancel()
         for place in list(self.listening):
             self._deaf(place)
         for call in list(self.calls):
@@ -181,10 +215,18 @@
         for held in self.held:
             held.close()
 
-    def told(self, since: int | None) -> tuple[int, bytes]:
-        """The answer to a call: the whole list, or what has changed."""
-        rev, entries = self.agent.whole() if since is None else self.agent.changes(since)
-        return rev, self.text(rev, entries, whole=since is None)
+    def told(self, since: int | None) -> tuple[int, bytes, bool]:
+        """The answer to a call, with its version: the whole list, or what has changed; whether it is whole."""
+        told_whole = any(incomplete.is_told_whole() for incomplete in self.incomplete.values())
+        if since is None or since > self.agent.rev or told_whole:
+            rev, entries = self.agent.whole()
+            return rev, self.text(rev, entries, whole=True), True
+        rev, entries = self.agent.changes(since)
+        return rev, self.text(rev, entries, whole=False), False
+
+    def has_news(self, since: int | None) -> bool:
+        """Whether a call is answered at once."""
+        return since is None or since > self.agent.rev or bool(self.agent.changes(since)[1])
 
     def text(self, rev: int, entries: Sequence[Entry], *, whole: bool) -> bytes:
         """An answer in discovery's form."""
@@ -192,6 +234,8 @@
         targets = [line(e, f"{LOOPBACK}:{self.endpoint(e.uid)}", zone, unix) for e in entries]
         for misreport in self.misreports.values():
             targets = misreport.lines(targets, whole=whole)
+        for incomplete in self.incomplete.values():
+            targets = incomplete.lines(targets)
         return json.dumps({"rev": rev, "all": whole, "targets": targets}).encode()
 
 
@@ -267,7 +311,7 @@
                 0.0 if still.whole else wait, self._put, answer("200 OK", text)
             )
             return
-        if self.since is None or self.stand_in.agent.changes(self.since)[1]:
+        if self.stand_in.has_news(self.since):
             self._tell()
             return
         self.waits = True
@@ -317,19 +361,20 @@
         if self.stand_in.down:
             self.unheard = True
             return
-        rev, body = self.stand_in.told(self.since)
+        rev, body, is_whole = self.stand_in.told(self.since)
+        since = None if is_whole else self.since
         data, over_s = answer("200 OK", body), self.stand_in.trickle_s()
         count = TRICKLE_PIECES if over_s else 1
         size = -(-len(data) // count)
-        self._write_pieces([data[at : at + size] for at in range(0, len(data), size)], over_s / count, rev)
+        self._write_pieces([data[at : at + size] for at in range(0, len(data), size)], over_s / count, rev, since)
 
-    def _write_pieces(self, pieces: list[bytes], gap_s: float, rev: int) -> None:
+    def _write_pieces(self, pieces: list[bytes], gap_s: float, rev: int, since: int | None) -> None:
         """Write an answer; it counts as written with its last byte."""
         self._put(pieces[0])
         if len(pieces) > 1:
-            self._timer = self.stand_in.world.loop.call_later(gap_s, self._write_pieces, pieces[1:], gap_s, rev)
+            self._timer = self.stand_in.world.loop.call_later(gap_s, self._write_pieces, pieces[1:], gap_s, rev, since)
         elif self.transport is not None:
-            self.stand_in.agent.wrote(self.stand_in.world.now(), rev)
+            self.stand_in.agent.wrote(self.stand_in.world.now(), rev, since)
 
     def _put(self, data: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
--- a/cloverhold/rehearsal/catalog.py
+++ b/cloverhold/rehearsal/catalog.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -65,6 +65,23 @@
         held, self.held = self.held or {}, None
         return any([self.put(now, entry) for entry in held.values()])
 
+    def release_silently(self, now: float) -> None:
+        """What was held is there, and no version that is later than the present one tells it."""
+        held, self.held = self.held or {}, None
+        for entry in held.values():
+            old = self.entries.get(entry.uid)
+            self.entries[entry.uid] = (self.rev, entry)
+            if old is None or (old[1].state, old[1].boot_s) != (entry.state, entry.boot_s):
+                self._owe(now, entry)
+
+    def count_anew(self, now: float, entries: Iterable[Entry]) -> None:
+        """Versions begin at 1, which has these entries and what is there else."""
+        for entry in entries:
+            self.put(now, entry)
+        self.rev = 1
+        self.entries = {uid: (1, entry) for uid, (_, entry) in self.entries.items()}
+        self._due = [(1, row) for _, row in self._due]
+
     def born(self, now: float, life: int) -> dict[str, Entry]:
         """A process of the node starts; the list that it remembers. It is to be told of all that differs."""
         self.life = life
@@ -83,14 +100,18 @@
         """What has changed since a version."""
         return self.rev, [entry for rev, entry in self.entries.values() if rev > since]
 
-    def wrote(self, now: float, rev: int) -> None:
-        """An answer of this version has been written to the node."""
+    def wrote(self, now: float, rev: int, since: int | None = None) -> None:
+        """An answer of this version has been written to the node: changes since a version, or the whole list. A
+        server's line is its newest: what was due of it before is over with that.
+        """
+        least = 0 if since is None else since + 1
+        newest = {row.server: at for at, row in self._due if least <= at <= rev}
         for at, row in self._due:
-            if at <= rev:
+            if at <= newest.get(row.server, -1):
                 row.written_s = now
-        self._due = [(at, row) for at, row in self._due if at > rev]
+        self._due = [(at, row) for at, row in self._due if row.written_s is None]
         for uid, (at, entry) in self.entries.items():
-            if at <= rev:
+            if least <= at <= rev:
                 self.written[uid] = entry
         self.written = {uid: e for uid, e in self.written.items() if e.state != "left"}
 
--- a/cloverhold/rehearsal/faults.py
+++ b/cloverhold/rehearsal/faults.py
@@ -214,6 +214,18 @@
     after_s: float = Field(default=0.0, ge=0.0)
 
 
+class DiscoveryIncomplete(_OnNodes):
+    """Discovery's lists for these nodes are not complete. `how`: names_nobody (whole lists without a line), short_list
+    (of one server), bare_lines (each has a name and a state alone), changes_left_out (nothing is new while versions
+    count on, and what came meanwhile is told by whole lists alone then), lost_store (names_nobody, and from `after_s`
+    on versions count from 1). Behind it the servers are named again.
+    """
+
+    kind: Literal["discovery_incomplete"]
+    how: Literal["names_nobody", "short_list", "bare_lines", "changes_left_out", "lost_store"]
+    after_s: float = Field(default=1.0, ge=0.0)
+
+
 class DiscoveryStale(_OnNodes):
     """Discovery goes on answering these nodes and tells nothing new."""
 
@@ -364,6 +376,7 @@
         DiscoveryTrickle,
         DiscoveryHalfSilent,
         DiscoveryMisreports,
+        DiscoveryIncomplete,
         NodeKill,
         NodeTerm,
         SignalSeries,
--- a/cloverhold/rehearsal/plan.py
+++ b/cloverhold/rehearsal/plan.py
@@ -223,6 +223,7 @@
     f.DiscoveryTrickle: ("discovery_ails", "discovery_heals"),
     f.DiscoveryHalfSilent: ("discovery_ails", "discovery_heals"),
     f.DiscoveryMisreports: ("discovery_ails", "discovery_heals"),
+    f.DiscoveryIncomplete: ("discovery_ails", "discovery_heals"),
     f.NodeKill: ("node_kill", "node_start"),
     f.NodeTerm: ("node_term", "node_start"),
     f.NodeDrain: ("node_drain", "node_undrain"),
--- a/cloverhold/rehearsal/soak/draw.py
+++ b/cloverhold/rehearsal/soak/draw.py
@@ -78,6 +78,8 @@
 )
 MISREPORTING = 0.4  # part of the soaks in which servers drain while discovery misreports
 MISREPORTS = "open_connections", "stale_calls", "stale_connections", "unreadable", "named_twice"
+INCOMPLETE = 0.3  # part of the soaks in which discovery's lists are not complete for one node or more
+INCOMPLETE_LISTS = "names_nobody", "short_list", "bare_lines", "changes_left_out", "lost_store"
 LAGGING = 0.15  # part of the soaks that end with a replica that lags at one node, behind servers that drain
 LAGGING_FROM_S = 21.0  # the other faults are over
 LAG_HEARD_S = 7.0  # until the drain is heard
@@ -112,7 +114,8 @@
         length_s = LAGGING_FROM_S + LAG_HEARD_S + LAG_S
     else:
         faults.extend(_drains_under_ailing_discovery(seed, mode, nodes, servers))
-        faults.extend(_drains_under_misreporting_discovery(seed, nodes, servers))
+        misreporting = _drains_under_misreporting_discovery(seed, nodes, servers)
+        faults.extend(misreporting or _drains_under_incomplete_lists(seed, nodes, servers))
     for fault in faults:
         fault["at_s"] += quiet_s
     raw: Table = {
@@ -130,6 +133,7 @@
             "notice_s": random.choice([0.1, 1.0]),
             "silent_notice_s": random.choice([1.0, 4.0]),
             "mode": mode,
+            "weights": "none" if any(fault.get("how") == "changes_left_out" for fault in faults) else "live",
         },
         "nodes": {
             "count": nodes,
@@ -206,6 +210,31 @@
     ]
 
 
+def _drains_under_incomplete_lists(seed: int, nodes: int, servers: int) -> list[Table]:
+    """Discovery's lists for some nodes are not complete for a while; servers drain meanwhile, to the end."""
+    random = Random(f"soak-incomplete:{seed}")
+    if random.random() >= INCOMPLETE:
+        return []
+    begin, for_s = random.uniform(1.0, 2.5), random.uniform(2.0, 3.5)
+    chosen = sorted(random.sample(range(nodes), random.choice([1, 1, nodes])))
+    drained = sorted(random.sample(range(servers), max(1, servers // random.randint(2, 4))))
+    return [
+        {
+            "kind": "discovery_incomplete",
+            "how": random.choice(INCOMPLETE_LISTS),
+            "at_s": begin,
+            "for_s": for_s,
+            "nodes": chosen,
+        },
+        {
+            "kind": "drain",
+            "at_s": begin + random.uniform(0.2, for_s),
+            "for_s": LENGTH_S,
+            "servers": [server_name(n) for n in drained],
+        },
+    ]
+
+
 def _drains_beside_lagging_replica(seed: int, nodes: int, servers: int) -> list[Table]:
     """Servers drain, which all nodes hear; from then on to the end all calls of one reach a replica that has not. It
     may be moved, or begin anew, meanwhile. Nothing else changes in the list: that node could not hear it.
--- a/tests/faults/misled_node.py
+++ b/tests/faults/misled_node.py
@@ -71,11 +71,35 @@
     Departures.readmit = of  # type: ignore[method-assign]
 
 
+def refuse_lists_of_nobody() -> None:
+    """A whole list that has no line, or none that is whole, is no list."""
+
+    def read(value: object) -> ListAnswer:
+        answer = read_answer(value)
+        if answer.whole and not answer.lines:
+            raise ListError("names none")
+        return answer
+
+    watcher.read_answer = read
+
+
+def trust_that_changes_add_up() -> None:
+    """The whole list is asked for once."""
+    of = CallTimes.of
+
+    def trusting(settings: Settings, random: Random) -> CallTimes:
+        return replace(of(settings, random), whole_every_s=math.inf)
+
+    CallTimes.of = staticmethod(trusting)  # type: ignore[method-assign, assignment]
+
+
 MISLED: dict[str, Callable[[], None]] = {
     "voids": void_odd_lists,
     "takes_back": take_lower_versions,
     "trusts": trust_one_connection,
     "forgets": forget_drains_in_time,
+    "refuses": refuse_lists_of_nobody,
+    "adds_up": trust_that_changes_add_up,
 }
 
 if __name__ == "__main__":
--- a/tests/faults/test_list_merge.py
+++ b/tests/faults/test_list_merge.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import math
 from dataclasses import replace
 from itertools import pairwise, product
@@ -12,7 +13,17 @@
 from cloverhold.net.discovery.departures import MOST_GONE, Departure, Readmission, changes_value, read_changes
 from cloverhold.net.discovery.merge import ADOPT_AFTER_S, LEAST_TO_ADOPT, HeldList
 from cloverhold.net.discovery.merge_results import Asked, Merged, NotTaken, Worth
-from cloverhold.net.discovery.server_list import ListAnswer, ServerLine, UnreadableLine
+from cloverhold.net.clock import Clock
+from cloverhold.net.discovery.server_list import (
+    ListAnswer,
+    ServerLine,
+    UnreadableLine,
+    lines_of,
+    members_of,
+    members_value,
+    read_members,
+)
+from cloverhold.roster import Roster
 
 READY, DRAINING, GONE = Lifecycle.READY, Lifecycle.DRAINING, Lifecycle.GONE
 NOBODY = UnreadableLine(None, None)
@@ -479,3 +490,18 @@
     follower = Follower(whole(10, fleet))
     follower.take(whole(11, {}), None)
     assert follower.held.departures().forgotten is None and follower.held.departed() == len(fleet)
+
+
+@pytest.mark.parametrize(("version", "lets_in"), [(13, False), (14, False), (15, True), (3, True)])
+def test_empty_list_holds_in_the_next_process_that_a_roster_hands_it_to(version: int, lets_in: bool) -> None:
+    clock, roster = Clock(), Roster()
+    first, gone = HeldList(), HeldList()
+    for held, answer in ((first, whole(10, HISTORY[10])), (first, whole(14, {}))):
+        merged = held.merge(answer, Asked(None, answer.version), answer.version)
+        members = members_of(answer.version, merged.lines, clock, full=True, departures=held.departure_changes())
+        assert roster.take(json.loads(json.dumps(members_value(members, clock))))
+    kept = read_members(roster.value(), clock)
+    gone.remember(kept.version, lines_of(kept, clock), kept.departures)
+    assert len(gone) == 0
+    merged = gone.merge(whole(version, HISTORY[10]), Asked(None, 20.0), 21.0)
+    assert {own.uid for own in merged.lines if own.lifecycle is READY} == ({"a", "b"} if lets_in else set())
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -14,7 +14,7 @@
 
 from cloverhold.rehearsal.faults import ALL
 from cloverhold.rehearsal.ledger import Ledger, NodeLife, Stranger
-from cloverhold.rehearsal.soak.draw import LAG_S, LENGTH_S, LONG_QUIET_S, MISREPORTS, QUIET_S, draw
+from cloverhold.rehearsal.soak.draw import INCOMPLETE_LISTS, LAG_S, LENGTH_S, LONG_QUIET_S, MISREPORTS, QUIET_S, draw
 from cloverhold.rehearsal.soak.play import play
 from cloverhold.rehearsal.soak.verdict import MOST_DESCRIPTORS_AT_REST, AtRest, assess
 
@@ -24,6 +24,7 @@
 FOUND_ONCE = 124, 144, 6722  # findings that are not mended
 MISLED_NODE = Path(__file__).parent / "misled_node.py"
 MISLED_SEEDS = {"voids": (6, 8), "takes_back": (24, 46), "trusts": (53, 628)}  # lists pushed, and polled
+INCOMPLETE_SEEDS = {"refuses": (284, 44), "adds_up": (106, 353)}  # lists pushed, and polled
 LAGGING_SEEDS, FORGETFUL_SEEDS = (26, 31, 203), (203, 31)  # lists pushed, and polled
 DEAF_NODE, DEAF_SEEDS = Path(__file__).parent / "deaf_node.py", (5, 9, 12, 37)
 
@@ -117,6 +118,24 @@
             assert any("drains_kept" in finding for finding in run.result().findings), (how, seed)
 
 
+def test_nodes_that_refuse_empty_lists_or_trust_that_changes_add_up_are_found_and_the_real_one_is_not() -> None:
+    planted = [(how, seed) for how, seeds in INCOMPLETE_SEEDS.items() for seed in seeds]
+    assert all([draw(seed).discovery.mode for seed in seeds] == ["push", "ask"] for seeds in INCOMPLETE_SEEDS.values())
+    with ProcessPoolExecutor(JOBS, mp_context=get_context("spawn")) as pool:
+        kept = [pool.submit(play, seed) for _, seed in planted]
+        found = [pool.submit(play, seed, command=(sys.executable, str(MISLED_NODE), how)) for how, seed in planted]
+        assert [run.result().findings for run in kept] == [[] for _ in planted]
+        for (how, seed), run in zip(planted, found, strict=True):
+            assert any("drains_kept" in finding for finding in run.result().findings), (how, seed)
+
+
+def test_incomplete_lists_are_drawn_in_each_way_and_leave_seeds_that_were_found_once_as_they_were() -> None:
+    drawn = [fault for seed in range(400) for fault in draw(seed).faults if fault.kind == "discovery_incomplete"]
+    assert len(drawn) >= 40 and {fault.how for fault in drawn} == set(INCOMPLETE_LISTS)
+    unchanged = {fault.kind for seed in FOUND_ONCE for fault in draw(seed).faults}
+    assert "discovery_incomplete" not in unchanged
+
+
 def test_node_that_forgets_drains_in_time_is_found_beside_a_replica_that_lags_and_the_real_one_is_not() -> None:
     assert [draw(seed).discovery.mode for seed in FORGETFUL_SEEDS] == ["push", "ask"]
     command = (sys.executable, str(MISLED_NODE), "forgets")
