--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -22,6 +22,7 @@
 SEED_OF_LONG_BODIES = 7  # five clients a second send 60 MB
 JOBS = 4
 FOUND_ONCE = 124, 144, 6722, 9013  # findings that are not mended
+STOPPED_AS_IT_STARTS = (9045,)
 MISLED_NODE = Path(__file__).parent / "misled_node.py"
 MISLED_SEEDS = {"voids": (6, 8), "takes_back": (24, 46), "trusts": (53, 628)}  # lists pushed, and polled
 INCOMPLETE_SEEDS = {"refuses": (284, 44), "adds_up": (106, 353)}  # lists pushed, and polled
@@ -99,6 +100,11 @@
     assert play(seed).findings == []
 
 
+@pytest.mark.parametrize("seed", STOPPED_AS_IT_STARTS)
+def test_process_that_is_told_to_stop_before_its_first_line_ends_with_0(seed: int) -> None:
+    assert play(seed).findings == []
+
+
 def test_node_that_hears_discovery_no_more_is_found_where_lists_are_pushed_and_where_they_are_polled() -> None:
     command = (sys.executable, str(DEAF_NODE))
     assert {draw(seed).discovery.mode for seed in DEAF_SEEDS} == {"push", "ask"}
