Soak of a planted node that trusts changes: polled seed 460 in place of 353

Cause: the check, not the node. In seed 353 the servers that drain unheard (s2, s3) are those that another fault spoils, so that even a node that believes them well sends them next to nothing from 11.9 s on, where the rule binds.

The check asks the same of it as of 353: as strict, and no longer met by chance. The weak seed was chosen in after too few plays.

--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -25,7 +25,7 @@
 STOPPED_AS_IT_STARTS = (9045,)
 MISLED_NODE = Path(__file__).parent / "misled_node.py"
 MISLED_SEEDS = {"voids": (6, 8), "takes_back": (24, 46), "trusts": (53, 628)}  # lists pushed, and polled
-INCOMPLETE_SEEDS = {"refuses": (284, 44), "adds_up": (106, 353)}  # lists pushed, and polled
+INCOMPLETE_SEEDS = {"refuses": (284, 44), "adds_up": (106, 460)}  # lists pushed, and polled
 LAGGING_SEEDS, FORGETFUL_SEEDS = (26, 31, 203), (203, 31)  # lists pushed, and polled
 DEAF_NODE, DEAF_SEEDS = Path(__file__).parent / "deaf_node.py", (5, 9, 12, 37)
 
