Kit: as a list is whole again, no news come that another fault still keeps from the agent

IncompleteList.end put all held news at once, though discovery was still down or stale for that agent, and so counted as told what no node could hear: a finding against a node that kept the rule. An empty list that began while news were kept put its own removals over the servers named again.

Now end() is told whether another fault holds news, and leaves them to that one; a lost store waits until discovery can be reached; an empty list that begins under such a fault changes nothing. The comparison of what a node is to be told, which stood three times in catalog.py, is one function.

--- a/cloverhold/rehearsal/agents.py
+++ b/cloverhold/rehearsal/agents.py
@@ -128,7 +128,7 @@
         if (incomplete := self.incomplete.pop(number, None)) is not None:
             if (step := self._steps.pop(number, None)) is not None:
                 step.cancel()
-            incomplete.end(self.world.now())
+            incomplete.end(self.world.now(), is_held_on=self._is_held())
             if incomplete.fault.how != "changes_left_out":
                 self.wake()
 
@@ -147,6 +147,9 @@
         self._steps[number] = self.world.loop.call_later(STEP_S, self._count_on, number)
 
     def _lose_store(self, number: int) -> None:
+        if self.down or self.stale:
+            self._steps[number] = self.world.loop.call_later(STEP_S, self._lose_store, number)
+            return
         self.incomplete[number].lose_store(self.world.now())
         self.wake()
 
@@ -188,9 +191,12 @@
             self.stale.discard(number)
             self._release()
 
+    def _is_held(self) -> bool:
+        """Whether a fault keeps news from the agent."""
+        return bool(self.down or self.stale) or any(fault.holds_news() for fault in self.incomplete.values())
+
     def _release(self) -> None:
-        is_held = any(incomplete.holds_news() for incomplete in self.incomplete.values())
-        if not self.down and not self.stale and not is_held and self.agent.release(self.world.now()):
+        if not self._is_held() and self.agent.release(self.world.now()):
             self.wake()
 
     def put(self, entries: Sequence[Entry]) -> None:
--- a/cloverhold/rehearsal/catalog.py
+++ b/cloverhold/rehearsal/catalog.py
@@ -25,6 +25,11 @@
     boot_s: float | None = None  # on the kit's clock; None: long ago
 
 
+def _is_to_be_told(old: Entry | None, new: Entry) -> bool:
+    """Whether a node that has the one is to be told of the other: a weight alone binds nobody."""
+    return old is None or (old.state, old.boot_s) != (new.state, new.boot_s)
+
+
 class Agent:
     """Discovery as one node sees it."""
 
@@ -46,7 +51,7 @@
             return False
         self.rev += 1
         self.entries[entry.uid] = (self.rev, entry)
-        if old is None or (old[1].state, old[1].boot_s) != (entry.state, entry.boot_s):
+        if _is_to_be_told(old[1] if old is not None else None, entry):
             self._owe(now, entry)
         return True
 
@@ -71,7 +76,7 @@
         for entry in held.values():
             old = self.entries.get(entry.uid)
             self.entries[entry.uid] = (self.rev, entry)
-            if old is None or (old[1].state, old[1].boot_s) != (entry.state, entry.boot_s):
+            if _is_to_be_told(old[1] if old is not None else None, entry):
                 self._owe(now, entry)
 
     def count_anew(self, now: float, entries: Iterable[Entry]) -> None:
@@ -88,7 +93,7 @@
         self._due = []
         for uid, (_, entry) in self.entries.items():
             old = self.written.get(uid)
-            if old is None or (old.state, old.boot_s) != (entry.state, entry.boot_s):
+            if _is_to_be_told(old, entry):
                 self._owe(now, entry)
         return dict(self.written)
 
--- a/cloverhold/rehearsal/incomplete_lists.py
+++ b/cloverhold/rehearsal/incomplete_lists.py
@@ -36,6 +36,10 @@
                 self.agent.hold()
 
     def _unlist(self, now: float, kept: int) -> None:
+        """Nothing changes where another fault keeps news from the agent already."""
+        if self.agent.held is not None:
+            self._names_again = True
+            return
         listed = [entry for _, entry in self.agent.entries.values() if entry.state != "left"]
         self._unlisted = {entry.uid: entry for entry in listed[kept:]}
         for entry in self._unlisted.values():
@@ -48,21 +52,26 @@
 
     def lose_store(self, now: float) -> None:
         """Discovery counts from anew, and names the servers again."""
-        self.agent.count_anew(now, self._held_until_now())
+        entries = self._named_again()
+        self.agent.held = None
+        self.agent.count_anew(now, entries)
 
-    def end(self, now: float) -> None:
-        """The fault is over; the agent has all that came meanwhile."""
+    def end(self, now: float, *, is_held_on: bool) -> None:
+        """The fault is over. The agent has all that came meanwhile, unless another fault still keeps news from it."""
         if self.fault.how == "changes_left_out":
-            self.agent.release_silently(now)
+            if not is_held_on:
+                self.agent.release_silently(now)
         elif not self._names_again:
-            for entry in self._held_until_now():
+            entries = self._named_again()
+            if not is_held_on:
+                self.agent.held = None
+            for entry in entries:
                 self.agent.put(now, entry)
 
-    def _held_until_now(self) -> list[Entry]:
-        """The servers that are named again, and all news, which come through from now on."""
+    def _named_again(self) -> list[Entry]:
+        """The servers that are named again, as they are by the news that were held."""
         self._names_again = True
-        held, self.agent.held = self.agent.held or {}, None
-        return list((self._unlisted | held).values())
+        return list((self._unlisted | (self.agent.held or {})).values())
 
     def is_told_whole(self) -> bool:
         """Whether each answer is a whole list: absence is the only word on who has gone."""
