When the whole list is asked for stands in a module of its own

The pure modules of net/discovery are all checked as such by tests/layout.py now. No change of what is done.

--- a/cloverhold/net/discovery/calls.py
+++ b/cloverhold/net/discovery/calls.py
@@ -7,8 +7,7 @@
 
 An answer in time may say nothing new for ever, where its connection leads to a replica that stands still. So no
 connection is used for long (`CallTimes.connection_s`). And changes need not add up to the list: what was left out once
-is told by none of them. So the whole list is asked for again and again, as often as `CallTimes.whole_every_s`, its
-bytes allow, whatever else is open.
+is told by none of them. So the whole list is asked for again and again, whatever else is open (`whole_lists.py`).
 
 | what happens              | then                                                   | next call                |
 | ------------------------- | ------------------------------------------------------ | ------------------------ |
@@ -33,18 +32,15 @@
 from enum import Enum
 from random import Random
 
-from cloverhold.decision import interface as io
+from cloverhold.net.discovery.call_times import PACE_S, CallTimes
+from cloverhold.net.discovery.whole_lists import Heard, WholeListTimer
 
 HEAR_WITHIN_S = 6.0
 MARGIN_S = 0.5  # of that, for the way and a loop that is held up
-PACE_S = 0.1  # between the begins of calls that bring nothing new; the next must come within 200 ms
 STALLED_AFTER_S = 6.0  # without a byte, behind its wait: the oldest call is given up first from here on
 LEAST_HOLD_S = 0.5
 LATENCY_DECAY = 0.7  # of what is remembered of slower answers, at each answer
-LINE_BYTES = 160  # of a whole list, for each server
 WHOLE_LATE_S = 0.2  # behind the time at which the whole list is due it is asked for beside a call that is open
-WHOLE_BACKOFF = 2.0  # times the least interval between whole lists, where a service turned one away
-SETTLE_FIRST_S, SETTLE_MOST_S = 0.1, 8.0  # until the whole list is asked for, as an answer was not taken whole
 PERMANENT_ERRORS = frozenset(range(400, 500)) - {408, 429}  # discovery may not know the version that was named
 
 
@@ -67,82 +63,6 @@
     GIVEN_UP = "given_up"  # too many were open
 
 
-@dataclass(frozen=True, slots=True)
-class CallTimes:
-    """How long calls may take, in seconds."""
-
-    hold_s: float  # the longest wait of a watch
-    patience_s: float  # least time that an answer is waited for alone
-    patience_most_s: float
-    patience_per_latency: float  # patience as a multiple of how long answers take
-    whole_patience_s: float  # least time where the whole list is asked for
-    backoff_first_s: float
-    retry_most_s: float  # between the begins of two calls while none is answered
-    most_open: int
-    connection_s: float = 1.0  # a connection older than this is used for no further call
-    pace_most_s: float = 1.0  # between the begins of calls that are answered with lower versions
-    whole_every_s: float = math.inf  # least time between two whole lists that are asked for to compare
-    whole_bytes_per_s: float = math.inf  # of those lists at most
-
-    @classmethod
-    def of(cls, settings: io.Settings, random: Random) -> CallTimes:
-        """By what the settings say of discovery and drains."""
-        if settings.list_mode is io.ListMode.ASK:
-            return cls._polled(settings, random)
-        return cls._streamed(settings)
-
-    @classmethod
-    def _polled(cls, settings: io.Settings, random: Random) -> CallTimes:
-        """One service for all nodes: each call is work for it. Half of `must_ask_ms` bounds the time without a call."""
-        must_ask_s = math.inf if settings.must_ask_ms is None else settings.must_ask_ms / 1000
-        return cls(
-            hold_s=random.uniform(2.5, 3.0),  # no two nodes in step
-            patience_s=0.5,
-            patience_most_s=1.5,
-            patience_per_latency=2.0,
-            whole_patience_s=1.0,
-            backoff_first_s=1.0,
-            retry_most_s=min(2.0, must_ask_s / 2),
-            most_open=3,
-            whole_every_s=2.5,
-            whole_bytes_per_s=2 * 1024,
-        )
-
-    @classmethod
-    def _streamed(cls, settings: io.Settings) -> CallTimes:
-        """An agent on this machine: calls cost nothing, and what it has counts as notified at once. So calls overlap,
-        and the time between two of them stays within half of the grace, also through an outage.
-        """
-        part_s = min(0.5, max(0.05, settings.drain_grace_ms / 4000))
-        return cls(
-            hold_s=part_s,
-            patience_s=part_s,
-            patience_most_s=1.5,
-            patience_per_latency=0.8,  # two calls in flight: more would only queue at an agent that is crowded
-            whole_patience_s=4 * part_s,
-            backoff_first_s=part_s,
-            retry_most_s=2 * part_s,
-            most_open=5,
-            connection_s=part_s,
-            pace_most_s=PACE_S,
-            whole_every_s=2 * part_s,
-            whole_bytes_per_s=8 * 1024,
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class Heard:
-    """What an answer came to."""
-
-    version: int | None  # of the list that is held now
-    entries: int  # servers that the answer names
-    listed: int = 0  # servers that are listed now
-    taken: bool = True  # False: another one had overtaken it, or its version is lower
-    lower: bool = False  # its version is lower
-    ask_whole: bool = False  # only a whole list can tell the rest
-    unsettled: bool = False  # a whole list could tell what is in doubt
-
-
 @dataclass(slots=True)
 class OpenCall:
     """A call that has no answer yet."""
@@ -191,9 +111,10 @@
     _open: dict[int, OpenCall] = field(default_factory=dict)  # oldest first
     _numbers: int = 0
     _lower: int = 0  # answers of lower versions in a row
-    _whole_at: float = math.inf  # when the whole list is asked for, though a version is held
-    _settle_at: float = math.inf  # when it is asked for, as an answer was not taken whole
-    _settle_s: float = SETTLE_FIRST_S
+    _whole_list: WholeListTimer = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._whole_list = WholeListTimer(self.times)
 
     def open_calls(self) -> list[OpenCall]:
         """Those without an answer, the oldest first."""
@@ -237,31 +158,16 @@
         self._lower = self._lower + 1 if heard.lower else 0
         if heard.taken:
             self.version = heard.version
-        self._plan_whole(call, heard, now)
+        if call.kind is CallKind.WHOLE:
+            self._whole_list.answered(call.begun_at, heard, now)
+        else:
+            self._whole_list.changes_answered(call.begun_at, heard, now)
         superseded = self._supersede(call)
         if not self._follows_changes():
             news = heard.taken and (heard.version != call.since or call.kind is CallKind.WHOLE)
             self.next_at = now if news else max(now, call.begun_at + self._pace_s())
         return superseded
 
-    def _plan_whole(self, call: OpenCall, heard: Heard, now: float) -> None:
-        """When the whole list is asked for next, though a version is held."""
-        was_compared = call.kind is CallKind.WHOLE and (heard.taken or heard.lower)
-        if was_compared or self._whole_at == math.inf:
-            self._whole_at = max(now + PACE_S, call.begun_at + self._whole_interval_s(heard.listed))
-        is_needed = heard.unsettled or heard.ask_whole
-        if call.kind is CallKind.WHOLE and not is_needed:
-            self._settle_at, self._settle_s = math.inf, SETTLE_FIRST_S
-        elif is_needed and self._settle_at == math.inf:
-            self._settle_at = now + self._settle_s
-            self._settle_s = min(SETTLE_MOST_S, 2 * self._settle_s)
-
-    def _whole_interval_s(self, listed: int) -> float:
-        """From one whole list of so many servers to the next."""
-        times = self.times()
-        bytes_s = listed * LINE_BYTES / times.whole_bytes_per_s
-        return max(times.whole_every_s, bytes_s)
-
     def _follows_changes(self) -> bool:
         """Whether a call for changes is open."""
         return any(call.kind is not CallKind.WHOLE for call in self._open.values())
@@ -280,7 +186,7 @@
         self.failures += 1
         self.unanswered = max(0, self.unanswered - 1)
         if status and call.kind is CallKind.WHOLE:
-            self._whole_at = now + WHOLE_BACKOFF * self.times().whole_every_s
+            self._whole_list.refused(now)
         if status in PERMANENT_ERRORS:
             self.version = None
         if newest:
@@ -295,7 +201,7 @@
         whole list waiting.
         """
         left_s = HEAR_WITHIN_S - MARGIN_S - self.patience_s(times) - self.latency_s
-        return min(times.hold_s, max(LEAST_HOLD_S, min(left_s, self._whole_at - now)))
+        return min(times.hold_s, max(LEAST_HOLD_S, min(left_s, self._whole_list.compare_at - now)))
 
     def _begin(self, now: float) -> list[Action]:
         times = self.times()
@@ -307,19 +213,16 @@
         call = OpenCall(self._numbers, kind, since, hold_s, now)
         due_s = hold_s + self._interval_s(times, kind)
         if kind is not CallKind.WHOLE and not self.failures:
-            due_s = min(due_s, max(hold_s, PACE_S, self._whole_at + WHOLE_LATE_S - now))
+            due_s = min(due_s, max(hold_s, PACE_S, self._whole_list.compare_at + WHOLE_LATE_S - now))
         self.next_at = now + due_s
         self.unanswered += 1
         self._open[call.number] = call
         if kind is CallKind.WHOLE:
-            self._settle_at = math.inf
-            self._whole_at = now + max(times.whole_patience_s, 2 * self.latency_s)  # if this one is lost
+            self._whole_list.begun(now, self.latency_s)
         return [*actions, Begin(call)]
 
     def _next_kind(self, now: float) -> CallKind:
-        if self.version is None or now >= self._settle_at:
-            return CallKind.WHOLE
-        if now >= self._whole_at and not self.failures:
+        if self.version is None or self._whole_list.is_due(now, failing=bool(self.failures)):
             return CallKind.WHOLE
         return CallKind.CHECK if self._follows_changes() or self.failures else CallKind.WATCH
 
--- a/cloverhold/net/discovery/watcher.py
+++ b/cloverhold/net/discovery/watcher.py
@@ -13,23 +13,15 @@
 
 from cloverhold.decision import interface as io
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery.calls import (
-    Abandon,
-    Action,
-    Begin,
-    CallEnd,
-    CallKind,
-    CallSchedule,
-    CallTimes,
-    Heard,
-    OpenCall,
-)
+from cloverhold.net.discovery.call_times import CallTimes
+from cloverhold.net.discovery.calls import Abandon, Action, Begin, CallEnd, CallKind, CallSchedule, OpenCall
 from cloverhold.net.discovery.connection import Connection, ConnectionEnded, Refused
 from cloverhold.net.discovery.departures import DepartureChanges
 from cloverhold.net.discovery.merge import HeldList
 from cloverhold.net.discovery.merge_results import Asked, Merged, Worth
 from cloverhold.net.discovery.report import DiscoveryReport
 from cloverhold.net.discovery.server_list import ListAnswer, ListError, Members, lines_of, members_of, read_answer
+from cloverhold.net.discovery.whole_lists import Heard
 from cloverhold.net.telemetry import Telemetry
 from cloverhold.net.upstreams.calls import Address
 
--- a/tests/faults/misled_node.py
+++ b/tests/faults/misled_node.py
@@ -15,7 +15,7 @@
 from cloverhold import Settings
 from cloverhold.__main__ import main
 from cloverhold.net.discovery import watcher
-from cloverhold.net.discovery.calls import CallTimes
+from cloverhold.net.discovery.call_times import CallTimes
 from cloverhold.net.discovery.departures import Departures, Readmission
 from cloverhold.net.discovery.merge import HeldList
 from cloverhold.net.discovery.merge_results import Asked, Worth
--- a/tests/faults/simulated_discovery.py
+++ b/tests/faults/simulated_discovery.py
@@ -13,10 +13,12 @@
 
 from cloverhold import Settings
 from cloverhold import Lifecycle
-from cloverhold.net.discovery.calls import Abandon, Action, Begin, CallSchedule, CallTimes, Heard, OpenCall
+from cloverhold.net.discovery.call_times import CallTimes
+from cloverhold.net.discovery.calls import Abandon, Action, Begin, CallSchedule, OpenCall
 from cloverhold.net.discovery.merge import HeldList
 from cloverhold.net.discovery.merge_results import Asked, Worth
 from cloverhold.net.discovery.server_list import ListAnswer, ServerLine
+from cloverhold.net.discovery.whole_lists import Heard
 
 
 STATES = {"active": Lifecycle.READY, "leaving": Lifecycle.DRAINING, "left": Lifecycle.GONE}
--- a/tests/faults/test_call_schedule.py
+++ b/tests/faults/test_call_schedule.py
@@ -10,20 +10,9 @@
 import pytest
 
 from cloverhold import Settings
-from cloverhold.net.discovery.calls import (
-    HEAR_WITHIN_S,
-    LINE_BYTES,
-    PACE_S,
-    SETTLE_FIRST_S,
-    SETTLE_MOST_S,
-    Abandon,
-    Begin,
-    CallEnd,
-    CallKind,
-    CallSchedule,
-    CallTimes,
-    Heard,
-)
+from cloverhold.net.discovery.call_times import LINE_BYTES, PACE_S, CallTimes
+from cloverhold.net.discovery.calls import HEAR_WITHIN_S, Abandon, Begin, CallEnd, CallKind, CallSchedule
+from cloverhold.net.discovery.whole_lists import SETTLE_FIRST_S, SETTLE_MOST_S, Heard
 from loopback import ASKED, PUSHED
 from simulated_discovery import Fate, Follower, Service
 
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -23,7 +23,10 @@
     *(f"cloverhold/h3/{name}.py" for name in ("door", "keys", "requests", "session", "streams")),
     *("cloverhold/bodies/budget.py", "cloverhold/bodies/upload.py", "cloverhold/lifecycle.py", "cloverhold/limits.py",
       "cloverhold/permission.py", "cloverhold/net/fronts/waits.py", "cloverhold/net/start_times.py",
-      "cloverhold/net/discovery/calls.py", "cloverhold/net/discovery/departures.py", "cloverhold/sent_ids.py"),
+      "cloverhold/sent_ids.py"),
+    *(f"cloverhold/net/discovery/{name}.py" for name in (
+        "call_times", "calls", "departures", "merge", "merge_results", "whole_lists",
+    )),
     *(f"cloverhold/fleet/membership/{name}.py" for name in (
         "book", "core", "doubt", "interface", "joining", "links", "own", "rings", "rumours", "shares", "votes",
         "words",
--- a/tests/moments/test_watch.py
+++ b/tests/moments/test_watch.py
@@ -17,7 +17,8 @@
 from cloverhold import ListKind, ServerList, SetTimer, Settings, Timer
 from cloverhold.decision.decide import Balancer
 from cloverhold.net.clock import Clock
-from cloverhold.net.discovery.calls import Begin, CallSchedule, CallTimes
+from cloverhold.net.discovery.call_times import CallTimes
+from cloverhold.net.discovery.calls import Begin, CallSchedule
 from cloverhold.net.discovery.server_list import Members
 from cloverhold.net.discovery.watcher import Discovery
 from cloverhold.net.telemetry import Happening, Telemetry
