Behind versions that brought no line the whole list is asked for ahead of its time

What callers saw: past 75 servers (polled) or 300 (streamed) a change that was left out while versions counted on is found later than 6 s, as the whole list is compared as rarely as its bytes want it (16 s at 200 polled, 62 s and 250 s at 3,200): requests went on to servers that had left.

Cause: the follower knew that something was odd and did nothing about it. A version that is later and has no line is what a discovery says that is cut off and counts on.

Now such a version makes the node ask for the whole list 2 s behind the last of them, where it is compared more rarely than each 4 s; two such lists are to spare, and come back at the rate of the comparison, so that a discovery which counts like this for ever costs at most twice the bytes. Small lists are compared as before.

--- a/cloverhold/net/discovery/calls.py
+++ b/cloverhold/net/discovery/calls.py
@@ -158,14 +158,17 @@
         self._lower = self._lower + 1 if heard.lower else 0
         if heard.taken:
             self.version = heard.version
+        is_suspicious = heard.taken and not heard.entries and heard.version != call.since
         if call.kind is CallKind.WHOLE:
             self._whole_list.answered(call.begun_at, heard, now)
         else:
-            self._whole_list.changes_answered(call.begun_at, heard, now)
+            self._whole_list.changes_answered(call.begun_at, heard, now, is_suspicious=is_suspicious)
         superseded = self._supersede(call)
         if not self._follows_changes():
             news = heard.taken and (heard.version != call.since or call.kind is CallKind.WHOLE)
             self.next_at = now if news else max(now, call.begun_at + self._pace_s())
+        elif is_suspicious:
+            self.next_at = min(self.next_at, max(now, self._whole_list.compare_at + WHOLE_LATE_S))
         return superseded
 
     def _follows_changes(self) -> bool:
--- a/cloverhold/net/discovery/whole_lists.py
+++ b/cloverhold/net/discovery/whole_lists.py
@@ -4,6 +4,10 @@
 and again, as often as `CallTimes.whole_every_s` and its bytes allow. It is asked for at growing intervals, too, while
 an answer that was not taken whole leaves something in doubt.
 
+Versions that bring no line are suspicious: a discovery that was cut off counts on like that, and leaves out what it
+missed. Once they stop, a list too large to be compared soon is asked for ahead of its time. A few such lists are to
+spare; they come back at the rate at which the list is compared anyway.
+
 All times are seconds on one monotonic clock.
 """
 
@@ -16,6 +20,9 @@
 from cloverhold.net.discovery.call_times import PACE_S, CallTimes
 
 REFUSED_BACKOFF = 2.0  # times the least interval between whole lists, where a service turned one away
+MOST_SPARE = 2.0  # whole lists that may be asked for ahead of their time
+SUSPICION_S = 2.0  # behind the last version that brought no line
+RARE_S = 4.0  # a list that is compared more often than that is not asked for ahead of its time
 SETTLE_FIRST_S, SETTLE_MOST_S = 0.1, 8.0  # until the whole list is asked for, as an answer was not taken whole
 
 
@@ -41,22 +48,35 @@
     """The times of one follower's calls for the whole list."""
 
     times: Callable[[], CallTimes]
-    compare_at: float = math.inf  # when it is asked for to compare
+    _listed: int = 0  # servers of the list
+    _compare_at: float = math.inf  # when it is asked for to compare
+    _suspected_at: float = math.inf  # when it is asked for ahead of that time
+    _spare: float = MOST_SPARE
+    _spare_at: float = 0.0  # when that was reckoned
     _settle_at: float = math.inf  # when it is asked for, as an answer was not taken whole
     _settle_s: float = SETTLE_FIRST_S
 
+    @property
+    def compare_at(self) -> float:
+        """When it is asked for to compare, if no call fails before."""
+        return min(self._compare_at, self._suspected_at)
+
     def is_due(self, now: float, *, failing: bool) -> bool:
         """Whether the next call is to ask for it. failing: the last call failed, and nothing is compared meanwhile."""
         return now >= self._settle_at or (now >= self.compare_at and not failing)
 
     def begun(self, now: float, latency_s: float) -> None:
         """It is asked for. latency_s: how long answers take."""
+        if self._suspected_at <= now:
+            self._suspected_at = math.inf
+            self._spare = self._spare_now(now) - 1.0
+            self._spare_at = now
         self._settle_at = math.inf
-        self.compare_at = now + max(self.times().whole_patience_s, 2 * latency_s)  # if this call is lost
+        self._compare_at = now + max(self.times().whole_patience_s, 2 * latency_s)  # if this call is lost
 
     def refused(self, now: float) -> None:
         """A service turned the call for it away."""
-        self.compare_at = now + REFUSED_BACKOFF * self.times().whole_every_s
+        self._compare_at = now + REFUSED_BACKOFF * self.times().whole_every_s
 
     def answered(self, begun_at: float, heard: Heard, now: float) -> None:
         """It has come, by a call that began then."""
@@ -67,15 +87,28 @@
         else:
             self._settle_at, self._settle_s = math.inf, SETTLE_FIRST_S
 
-    def changes_answered(self, begun_at: float, heard: Heard, now: float) -> None:
-        """Changes have come, by a call that began then."""
-        if self.compare_at == math.inf:
+    def changes_answered(self, begun_at: float, heard: Heard, now: float, *, is_suspicious: bool) -> None:
+        """Changes have come, by a call that began then. is_suspicious: of a later version, and without a line."""
+        if is_suspicious and self._is_compared_rarely() and self._spare_now(now) >= 1.0:
+            self._suspected_at = now + SUSPICION_S
+        if self._compare_at == math.inf:
             self._compare_behind(begun_at, heard, now)
         if heard.is_in_doubt():
             self._settle_later(now)
 
     def _compare_behind(self, begun_at: float, heard: Heard, now: float) -> None:
-        self.compare_at = max(now + PACE_S, begun_at + self.times().whole_interval_s(heard.listed))
+        self._listed = heard.listed
+        self._compare_at = max(now + PACE_S, begun_at + self._interval_s())
+
+    def _interval_s(self) -> float:
+        return self.times().whole_interval_s(self._listed)
+
+    def _is_compared_rarely(self) -> bool:
+        return self._interval_s() > RARE_S
+
+    def _spare_now(self, now: float) -> float:
+        gained = (now - self._spare_at) / self._interval_s()
+        return min(MOST_SPARE, self._spare + gained)
 
     def _settle_later(self, now: float) -> None:
         if self._settle_at == math.inf:
--- a/tests/faults/misled_node.py
+++ b/tests/faults/misled_node.py
@@ -14,7 +14,7 @@
 
 from cloverhold import Settings
 from cloverhold.__main__ import main
-from cloverhold.net.discovery import watcher
+from cloverhold.net.discovery import watcher, whole_lists
 from cloverhold.net.discovery.call_times import CallTimes
 from cloverhold.net.discovery.departures import Departures, Readmission
 from cloverhold.net.discovery.merge import HeldList
@@ -56,6 +56,7 @@
         return replace(of(settings, random), connection_s=math.inf, whole_every_s=math.inf)
 
     CallTimes.of = staticmethod(trusting)  # type: ignore[method-assign, assignment]
+    whole_lists.MOST_SPARE = 0.0
 
 
 def forget_drains_in_time() -> None:
@@ -91,6 +92,7 @@
         return replace(of(settings, random), whole_every_s=math.inf)
 
     CallTimes.of = staticmethod(trusting)  # type: ignore[method-assign, assignment]
+    whole_lists.MOST_SPARE = 0.0
 
 
 MISLED: dict[str, Callable[[], None]] = {
--- a/tests/faults/simulated_discovery.py
+++ b/tests/faults/simulated_discovery.py
@@ -92,6 +92,12 @@
             self._answer_later(call)
         return service.rev
 
+    def count_on(self) -> None:
+        """Discovery has a version in which nothing is new."""
+        self.service.rev += 1
+        for call in list(self._watching.values()):
+            self._answer_later(call)
+
     def leave_out(self, uid: str, state: str) -> None:
         """Discovery has a change that no version tells which is later than the one that the follower holds."""
         assert self.schedule.version is not None
--- a/tests/faults/test_call_schedule.py
+++ b/tests/faults/test_call_schedule.py
@@ -12,7 +12,7 @@
 from cloverhold import Settings
 from cloverhold.net.discovery.call_times import LINE_BYTES, PACE_S, CallTimes
 from cloverhold.net.discovery.calls import HEAR_WITHIN_S, Abandon, Begin, CallEnd, CallKind, CallSchedule
-from cloverhold.net.discovery.whole_lists import SETTLE_FIRST_S, SETTLE_MOST_S, Heard
+from cloverhold.net.discovery.whole_lists import MOST_SPARE, SETTLE_FIRST_S, SETTLE_MOST_S, Heard
 from loopback import ASKED, PUSHED
 from simulated_discovery import Fate, Follower, Service
 
@@ -20,6 +20,7 @@
 POLLED = replace(ASKED, must_ask_ms=10_000.0, drain_grace_ms=1000 * GRACE_S)
 STREAMED = replace(PUSHED, drain_grace_ms=1000 * GRACE_S)
 POLLED_TIMES, STREAMED_TIMES = CallTimes.of(POLLED, Random(1)), CallTimes.of(STREAMED, Random(1))
+STEP_S = 1.4  # from one version to the next
 SIGHUP_S = 4.0  # after which what discovery has counts as notified
 LATENCIES_S = (0.01, 0.3, 1.0, 2.0)
 SEEDS = range(4)
@@ -295,6 +296,40 @@
         assert follower.servers["s0"] == "leaving"
 
 
+def counted_on(follower: Follower, for_s: float) -> None:
+    """Discovery's versions count on each 1.4 s without a change, for some time."""
+    end = follower.now + for_s
+    while follower.now + STEP_S < end:
+        follower.at(follower.now + STEP_S, follower.count_on)
+        follower.run(follower.now + STEP_S)
+    follower.run(end)
+
+
+@pytest.mark.parametrize("cut_s", [3.0, 10.0, 29.0])
+@pytest.mark.parametrize("listed", [12, 200, 3200])
+@pytest.mark.parametrize("settings", [POLLED, STREAMED])
+def test_change_left_out_of_a_large_list_behind_versions_that_counted_on_is_heard_in_6_s(
+    settings: Settings, listed: int, cut_s: float
+) -> None:
+    for seed in SEEDS:
+        servers = {f"s{i}": (1, "active") for i in range(listed)}
+        follower = Follower(settings, Service(lambda: 0.05, servers=servers), seed)
+        follower.run(20.0 + seed * 0.7)
+        counted_on(follower, cut_s + seed * 0.3)
+        follower.leave_out("s0", "leaving")
+        follower.run(follower.now + HEAR_WITHIN_S)
+        assert follower.servers["s0"] == "leaving"
+
+
+@pytest.mark.parametrize("settings", [POLLED, STREAMED])
+def test_whole_lists_stay_within_their_bytes_while_versions_count_on_for_ever(settings: Settings) -> None:
+    times, listed = CallTimes.of(settings, Random(1)), 3200
+    follower = Follower(settings, Service(lambda: 0.05, servers={f"s{i}": (1, "active") for i in range(listed)}), 1)
+    counted_on(follower, 1800.0)
+    interval_s = listed * LINE_BYTES / times.whole_bytes_per_s
+    assert len(follower.whole_begun) <= 1 + MOST_SPARE + 2 * 1800.0 / interval_s
+
+
 def test_whole_lists_are_rarer_while_a_polled_service_turns_calls_away() -> None:
     follower = quiet(POLLED, 0.01, 1)
     follower.service.fates = deque([Fate.REFUSED, Fate.ANSWER] * 1000)
