Answers of lower versions have a module of their own

merge.py held the list, and in five fields what answers of lower versions came to: when they began, how many, their lowest version, what they left in doubt, whether a replica was shown to lag.

--- a/cloverhold/net/discovery/merge.py
+++ b/cloverhold/net/discovery/merge.py
@@ -32,13 +32,10 @@
 
 from cloverhold.decision.interface import Lifecycle
 from cloverhold.net.discovery.departures import Departure, DepartureChanges, Departures, Readmission
+from cloverhold.net.discovery.lower_versions import LowerVersions
 from cloverhold.net.discovery.merge_results import Asked, Merged, NotTaken, Withheld, Withholding, Worth
 from cloverhold.net.discovery.server_list import NO_VERSION, ListAnswer, ServerLine, UnreadableLine
 
-ADOPT_AFTER_S = 2.0  # of lower versions alone; drains among them are kept at once, so this delays only returns
-LEAST_TO_ADOPT = 3  # answers of lower versions
-LAG_MEMORY_S = 3.0  # after an answer that showed a replica to lag, what lower versions say is passed over
-
 
 class HeldList:
     """The list as this node holds it, with what it withholds."""
@@ -48,15 +45,11 @@
         self._lines: dict[str, ServerLine] = {}
         self._departures = Departures()
         self._doubts: dict[str, int] = {}  # servers of which an answer of this version left in doubt whether they drain
-        self._lower_doubts: dict[str, int] = {}  # the same, by answers of lower versions
+        self._lower = LowerVersions()
         self._withheld: set[str] = set()  # listed as ready, handed on as draining
         self._live = False  # whether discovery itself told the list
         self._hand_on_whole = True  # the next whole list, whether or not it changes anything
         self._taken_at = -math.inf
-        self._lower_since: float | None = None  # since when all answers are of lower versions
-        self._lower_answers = 0
-        self._lag_shown_at = -math.inf
-        self._lowest_lower: int | None = None  # the lowest version of those answers
 
     def __len__(self) -> int:
         return len(self._lines)
@@ -107,7 +100,7 @@
         for uid in touched:
             self._departures.remove(uid)
             self._doubts.pop(uid, None)
-            self._lower_doubts.pop(uid, None)
+            self._lower.doubts.pop(uid, None)
             merged.readmitted[uid] = Readmission.OPERATOR
         self._finish(merged, before, touched)
         return merged
@@ -160,8 +153,8 @@
             case Worth.LOWER_VERSION:
                 return self._merge_lower(answer, now)
             case Worth.ADOPTED:
-                if self._lowest_lower is not None:
-                    self._departures.hear_version(self._lowest_lower)
+                if self._lower.lowest is not None:
+                    self._departures.hear_version(self._lower.lowest)
                 self._begin_other_count(answer.version)
         return self._merge(answer, asked, worth, now)
 
@@ -176,7 +169,7 @@
                 return Worth.TAKEN
             if asked.begun_at < self._taken_at:
                 return Worth.OVERTAKEN
-            return Worth.ADOPTED if self._is_counted_anew(now) else Worth.LOWER_VERSION
+            return Worth.ADOPTED if self._lower.is_counted_anew(now) else Worth.LOWER_VERSION
         if asked.since is not None and asked.since > held:
             return Worth.OVERTAKEN
         if answer.version < held:
@@ -184,11 +177,6 @@
             return Worth.LOWER_VERSION if is_current else Worth.OVERTAKEN
         return Worth.TAKEN
 
-    def _is_counted_anew(self, now: float) -> bool:
-        if self._lower_since is None:
-            return False
-        return now - self._lower_since >= ADOPT_AFTER_S and self._lower_answers >= LEAST_TO_ADOPT
-
     # ------------------------------------------------------------------ answers of this version or a later one
 
     def _merge(self, answer: ListAnswer, asked: Asked, worth: Worth, now: float) -> Merged:
@@ -220,19 +208,18 @@
 
     def _touched(self, answer: ListAnswer) -> set[str]:
         """The servers that an answer may change."""
-        uids = {line.uid for line in answer.lines} | self._lower_doubts.keys()
+        uids = {line.uid for line in answer.lines} | self._lower.doubts.keys()
         uids.update(line.uid for line in answer.unreadable if line.uid is not None)
         return uids | self._lines.keys() if answer.whole else uids
 
     def _note_current(self, version: int, now: float) -> None:
         """An answer of this version shows that those of lower ones came from a replica that lags."""
-        lags = self._live and self._lower_since is not None and version >= (self.version or 0)
         self._departures.hear_version(version)
-        if lags and self._lowest_lower is not None:
-            self._lag_shown_at = now
-            self._departures.hear_version(self._lowest_lower, of_replica=True)
-        self._lower_since, self._lower_answers, self._lowest_lower = None, 0, None
-        self._lower_doubts.clear()
+        lowest = self._lower.lowest
+        if self._live and lowest is not None and version >= (self.version or 0):
+            self._lower.show_lag(now)
+            self._departures.hear_version(lowest, of_replica=True)
+        self._lower.end()
         self._live, self._taken_at = True, now
 
     def _once(self, answer: ListAnswer, merged: Merged) -> list[ServerLine]:
@@ -331,11 +318,8 @@
         """Nothing is taken but doubts: if discovery counts from anew, they are drains that hold already."""
         merged = Merged(Worth.LOWER_VERSION)
         merged.not_taken[NotTaken.LOWER_VERSION] += 1
-        self._lower_since = now if self._lower_since is None else self._lower_since
-        self._lower_answers += 1
-        lowest = self._lowest_lower
-        self._lowest_lower = answer.version if lowest is None else min(lowest, answer.version)
-        if now - self._lag_shown_at < LAG_MEMORY_S:
+        self._lower.hear(answer.version, now)
+        if self._lower.is_known_to_lag(now):
             return merged
         said: tuple[ServerLine | UnreadableLine, ...] = (*answer.lines, *answer.unreadable)
         ready = {line.uid for line in said if line.lifecycle is Lifecycle.READY}
@@ -344,7 +328,7 @@
         doubted = {uid for uid in self._lines if uid in wanting or uid in absent}
         before = self._handed_on(doubted)
         for uid in doubted:
-            self._lower_doubts[uid] = max(self._lower_doubts.get(uid, 0), answer.version)
+            self._lower.doubt(uid, answer.version)
         merged.ask_whole = not answer.whole
         self._finish(merged, before, doubted)
         return merged
@@ -356,12 +340,12 @@
         self._hand_on_whole = True
         if self.version is not None:
             self._departures.hold_until(self.version)
-        lower_doubts = {uid: doubted for uid, doubted in self._lower_doubts.items() if doubted >= version}
+        lower_doubts = {uid: doubted for uid, doubted in self._lower.doubts.items() if doubted >= version}
         for doubts in (self._doubts, lower_doubts):
             for uid, doubted in doubts.items():
                 self._departures.note(uid, Departure(doubted, math.inf))
         self._doubts.clear()
-        self._lower_doubts.clear()
+        self._lower.doubts.clear()
 
     # ------------------------------------------------------------------ what is handed on
 
@@ -371,7 +355,7 @@
     def _is_withheld(self, line: ServerLine) -> bool:
         if line.lifecycle is not Lifecycle.READY:
             return False
-        return self._drains(line.uid) or line.uid in self._doubts or line.uid in self._lower_doubts
+        return self._drains(line.uid) or line.uid in self._doubts or line.uid in self._lower.doubts
 
     def _withholding(self, uid: str) -> Withholding:
         departure = self._departures.get(uid)
@@ -379,7 +363,7 @@
             return Withholding(uid, Withheld.DEPARTED, departure.version)
         if uid in self._doubts:
             return Withholding(uid, Withheld.DOUBT, self._doubts[uid])
-        return Withholding(uid, Withheld.LOWER_VERSION, self._lower_doubts.get(uid, 0))
+        return Withholding(uid, Withheld.LOWER_VERSION, self._lower.doubts.get(uid, 0))
 
     def _update_withheld(self, touched: Collection[str]) -> None:
         lines = (line for uid in touched if (line := self._lines.get(uid)) is not None)
--- a/tests/faults/test_list_merge.py
+++ b/tests/faults/test_list_merge.py
@@ -11,7 +11,8 @@
 
 from cloverhold import Lifecycle
 from cloverhold.net.discovery.departures import MOST_GONE, Departure, Readmission, changes_value, read_changes
-from cloverhold.net.discovery.merge import ADOPT_AFTER_S, LEAST_TO_ADOPT, HeldList
+from cloverhold.net.discovery.lower_versions import ADOPT_AFTER_S, LEAST_TO_ADOPT
+from cloverhold.net.discovery.merge import HeldList
 from cloverhold.net.discovery.merge_results import Asked, Merged, NotTaken, Worth
 from cloverhold.net.clock import Clock
 from cloverhold.net.discovery.server_list import (
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -25,7 +25,7 @@
       "cloverhold/permission.py", "cloverhold/net/fronts/waits.py", "cloverhold/net/start_times.py",
       "cloverhold/sent_ids.py"),
     *(f"cloverhold/net/discovery/{name}.py" for name in (
-        "call_times", "calls", "departures", "merge", "merge_results", "whole_lists",
+        "call_times", "calls", "departures", "lower_versions", "merge", "merge_results", "whole_lists",
     )),
     *(f"cloverhold/fleet/membership/{name}.py" for name in (
         "book", "core", "doubt", "interface", "joining", "links", "own", "rings", "rumours", "shares", "votes",
