--- a/cloverhold/fleet/command.py
+++ b/cloverhold/fleet/command.py
@@ -30,6 +30,10 @@
             self.fail(str(error), param, ctx)
 
 
+AT = click.option("--at", type=_At(), required=True, help="A node's management address, host:port.")
+AS_JSON = click.option("--json", "as_json", is_flag=True, help="For programs.")
+
+
 def asked(at: tuple[str, int], path: str) -> Any:
     """What a node's management address says. Raises ClickException in plain words."""
     connection = http.client.HTTPConnection(*at, timeout=PATIENCE_S)
@@ -79,8 +83,8 @@
 
 
 @main.command()
-@click.option("--at", type=_At(), required=True, help="A node's management address, host:port.")
-@click.option("--json", "as_json", is_flag=True, help="For programs.")
+@AT
+@AS_JSON
 def members(at: tuple[str, int], as_json: bool) -> None:
     """Who is there, since when and why, with round trips and loss of the links that this node watches.
 
@@ -107,8 +111,8 @@
 
 
 @main.command(name="list")
-@click.option("--at", type=_At(), required=True, help="A node's management address, host:port.")
-@click.option("--json", "as_json", is_flag=True, help="For programs.")
+@AT
+@AS_JSON
 def server_list(at: tuple[str, int], as_json: bool) -> None:
     """How many servers a node's list names, and since when and by which answer it names nobody.
 
--- a/cloverhold/rehearsal/soak/draw.py
+++ b/cloverhold/rehearsal/soak/draw.py
@@ -160,6 +160,11 @@
     return random.uniform(*LONG_QUIET_S) if random.random() < LONG_QUIET else 0.0
 
 
+def _part_of(random: Random, servers: int) -> list[str]:
+    """The names of a quarter to a half of the servers."""
+    return [server_name(n) for n in sorted(random.sample(range(servers), max(1, servers // random.randint(2, 4))))]
+
+
 def _drains_under_ailing_discovery(seed: int, mode: str, nodes: int, servers: int) -> list[Table]:
     """Discovery answers some nodes badly, or was down for them, and servers drain meanwhile or right behind it.
 
@@ -171,7 +176,7 @@
         return []
     begin, for_s = random.uniform(5.0, 6.5), random.uniform(1.0, 3.0)
     chosen = sorted(random.sample(range(nodes), random.randint(1, nodes)))
-    drained = sorted(random.sample(range(servers), max(1, servers // random.randint(2, 4))))
+    drained = _part_of(random, servers)
     ailment = random.choice(AILMENTS)(random, AILMENTS_MOST_S[mode])
     drain_at = begin + random.choice([random.uniform(0.0, for_s), for_s + random.uniform(0.0, 0.5)])
     return [
@@ -180,7 +185,7 @@
             "kind": "drain",
             "at_s": min(drain_at, LENGTH_S - 9.0),
             "for_s": LENGTH_S,
-            "servers": [server_name(n) for n in drained],
+            "servers": drained,
         },
     ]
 
@@ -192,7 +197,7 @@
         return []
     begin = random.uniform(2.0, 4.0)
     chosen = sorted(random.sample(range(nodes), random.randint(1, nodes)))
-    drained = sorted(random.sample(range(servers), max(1, servers // random.randint(2, 4))))
+    drained = _part_of(random, servers)
     return [
         {
             "kind": "discovery_misreports",
@@ -205,7 +210,7 @@
             "kind": "drain",
             "at_s": begin + random.uniform(0.5, 4.0),
             "for_s": LENGTH_S,
-            "servers": [server_name(n) for n in drained],
+            "servers": drained,
         },
     ]
 
@@ -217,7 +222,7 @@
         return []
     begin, for_s = random.uniform(1.0, 2.5), random.uniform(2.0, 3.5)
     chosen = sorted(random.sample(range(nodes), random.choice([1, 1, nodes])))
-    drained = sorted(random.sample(range(servers), max(1, servers // random.randint(2, 4))))
+    drained = _part_of(random, servers)
     return [
         {
             "kind": "discovery_incomplete",
@@ -230,7 +235,7 @@
             "kind": "drain",
             "at_s": begin + random.uniform(0.2, for_s),
             "for_s": LENGTH_S,
-            "servers": [server_name(n) for n in drained],
+            "servers": drained,
         },
     ]
 
@@ -243,11 +248,11 @@
     if random.random() >= LAGGING:
         return []
     at_s, chosen = LAGGING_FROM_S, [random.randrange(nodes)]
-    drained = sorted(random.sample(range(servers), max(1, servers // random.randint(2, 4))))
+    drained = _part_of(random, servers)
     lag: Table = {"kind": "discovery_misreports", "how": "lagging_replica", "after_s": LAG_HEARD_S}
     faults: list[Table] = [
         {**lag, "at_s": at_s - 0.1, "for_s": LAG_S + LAG_HEARD_S, "nodes": chosen},
-        {"kind": "drain", "at_s": at_s, "for_s": LAG_S + LAG_HEARD_S, "servers": [server_name(n) for n in drained]},
+        {"kind": "drain", "at_s": at_s, "for_s": LAG_S + LAG_HEARD_S, "servers": drained},
     ]
     for kind in ("node_kill", "node_term", "reload_move"):
         if random.random() < 0.4:
