A watch that ends with a version without a line does not count as slow

What callers saw: nothing by itself. A follower learns how long answers take, and waits for the next ones, and lets its watches wait, by that.

Cause: _note_latency took only lines for news. A later version is news as well.

--- a/cloverhold/net/discovery/calls.py
+++ b/cloverhold/net/discovery/calls.py
@@ -269,7 +269,8 @@
     def _note_latency(self, call: OpenCall, heard: Heard, now: float) -> None:
         """Learn how long answers take. A watch that is answered within its wait tells only if it brings no news."""
         took_s = now - call.begun_at
-        if took_s < call.hold_s and heard.entries:
+        is_news = heard.entries or heard.version != call.since
+        if took_s < call.hold_s and is_news:
             return
         latency_s = took_s - call.hold_s if took_s >= call.hold_s else took_s
         latency_s = min(latency_s, HEAR_WITHIN_S)
--- a/tests/faults/test_call_schedule.py
+++ b/tests/faults/test_call_schedule.py
@@ -296,6 +296,13 @@
         assert follower.servers["s0"] == "leaving"
 
 
+def test_watch_that_ends_with_a_version_without_a_line_does_not_count_as_slow() -> None:
+    for settings in (POLLED, STREAMED):
+        follower = quiet(settings, 0.01, 1)
+        counted_on(follower, 20.0)
+        assert follower.schedule.latency_s <= 0.05
+
+
 def counted_on(follower: Follower, for_s: float) -> None:
     """Discovery's versions count on each 1.4 s without a change, for some time."""
     end = follower.now + for_s
