Whole lists ahead of their time are spread, and a slow service is left alone

Where lists are polled, one service works through the calls of all nodes in turn: hundreds of large lists at once would delay every drain, which is what they are to prevent.

Now each node waits 2 to 4 s, by its own draw, and asks no service ahead of time whose answers take over 0.5 s: there the list is compared in its own time, as docs/design/discovery.md says. Behind 2 to 4 s there is still time for a call that is open and an answer within the 6 s (the test of 12 to 3,200 servers passes as it was).

Two new tests, 4 cases, which fail with the spread and the bound taken out, and pass as it is. Tests of the schedule and the watch: 485 passed.

--- a/cloverhold/net/discovery/calls.py
+++ b/cloverhold/net/discovery/calls.py
@@ -114,7 +114,7 @@
     _whole_list: WholeListTimer = field(init=False)
 
     def __post_init__(self) -> None:
-        self._whole_list = WholeListTimer(self.times)
+        self._whole_list = WholeListTimer(self.times, self.random)
 
     def open_calls(self) -> list[OpenCall]:
         """Those without an answer, the oldest first."""
@@ -209,6 +209,7 @@
     def _begin(self, now: float) -> list[Action]:
         times = self.times()
         actions = self._evict(now, times.most_open)
+        self._whole_list.give_way(self.latency_s)
         kind = self._next_kind(now)
         hold_s = self.hold_s(times, now) if kind is CallKind.WATCH else 0.0
         self._numbers += 1
--- a/cloverhold/net/discovery/whole_lists.py
+++ b/cloverhold/net/discovery/whole_lists.py
@@ -6,7 +6,8 @@
 
 Versions that bring no line are suspicious: a discovery that was cut off counts on like that, and leaves out what it
 missed. Once they stop, a list too large to be compared soon is asked for ahead of its time. A few such lists are to
-spare; they come back at the rate at which the list is compared anyway.
+spare; they come back at the rate at which the list is compared anyway. Nodes that see the same do not all ask at once,
+and none asks a service that is slow.
 
 All times are seconds on one monotonic clock.
 """
@@ -16,12 +17,14 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 
 from cloverhold.net.discovery.call_times import PACE_S, CallTimes
 
 REFUSED_BACKOFF = 2.0  # times the least interval between whole lists, where a service turned one away
 MOST_SPARE = 2.0  # whole lists that may be asked for ahead of their time
-SUSPICION_S = 2.0  # behind the last version that brought no line
+SUSPICION_S = 2.0, 4.0  # behind the last version that brought no line
+SLOW_S = 0.5  # answers that take longer are those of a service that has enough to do
 RARE_S = 4.0  # a list that is compared more often than that is not asked for ahead of its time
 SETTLE_FIRST_S, SETTLE_MOST_S = 0.1, 8.0  # until the whole list is asked for, as an answer was not taken whole
 
@@ -48,6 +51,7 @@
     """The times of one follower's calls for the whole list."""
 
     times: Callable[[], CallTimes]
+    random: Random
     _listed: int = 0  # servers of the list
     _compare_at: float = math.inf  # when it is asked for to compare
     _suspected_at: float = math.inf  # when it is asked for ahead of that time
@@ -65,6 +69,11 @@
         """Whether the next call is to ask for it. failing: the last call failed, and nothing is compared meanwhile."""
         return now >= self._settle_at or (now >= self.compare_at and not failing)
 
+    def give_way(self, latency_s: float) -> None:
+        """Leave a service alone that is slow: the list is compared in its time. latency_s: how long answers take."""
+        if latency_s > SLOW_S:
+            self._suspected_at = math.inf
+
     def begun(self, now: float, latency_s: float) -> None:
         """It is asked for. latency_s: how long answers take."""
         if self._suspected_at <= now:
@@ -90,7 +99,7 @@
     def changes_answered(self, begun_at: float, heard: Heard, now: float, *, is_suspicious: bool) -> None:
         """Changes have come, by a call that began then. is_suspicious: of a later version, and without a line."""
         if is_suspicious and self._is_compared_rarely() and self._spare_now(now) >= 1.0:
-            self._suspected_at = now + SUSPICION_S
+            self._suspected_at = now + self.random.uniform(*SUSPICION_S)
         if self._compare_at == math.inf:
             self._compare_behind(begun_at, heard, now)
         if heard.is_in_doubt():
--- a/tests/faults/test_call_schedule.py
+++ b/tests/faults/test_call_schedule.py
@@ -337,6 +337,29 @@
     assert len(follower.whole_begun) <= 1 + MOST_SPARE + 2 * 1800.0 / interval_s
 
 
+@pytest.mark.parametrize("latency_s", [0.6, 1.0, 2.0])
+def test_slow_polled_service_is_not_asked_for_large_lists_ahead_of_their_time(latency_s: float) -> None:
+    servers = {f"s{i}": (1, "active") for i in range(3200)}
+    follower = Follower(POLLED, Service(lambda: latency_s, servers=servers), 1)
+    follower.run(20.0)
+    for _ in range(5):
+        counted_on(follower, 10.0)
+        follower.run(follower.now + 10.0)
+    assert not [at for at in follower.whole_begun if at > 20.0]
+
+
+def test_nodes_that_see_versions_without_a_line_do_not_ask_for_the_whole_list_at_once() -> None:
+    begun = []
+    for seed in range(20):
+        servers = {f"s{i}": (1, "active") for i in range(3200)}
+        follower = Follower(POLLED, Service(lambda: 0.05, servers=servers), seed)
+        follower.run(20.0)
+        counted_on(follower, 10.0)
+        follower.run(follower.now + 10.0)
+        begun.append(follower.whole_begun[-1])
+    assert max(begun) - min(begun) >= 1.0
+
+
 def test_whole_lists_are_rarer_while_a_polled_service_turns_calls_away() -> None:
     follower = quiet(POLLED, 0.01, 1)
     follower.service.fates = deque([Fate.REFUSED, Fate.ANSWER] * 1000)
