--- a/cloverhold/net/host.py
+++ b/cloverhold/net/host.py
@@ -37,7 +37,6 @@
 log = logging.getLogger(__name__)
 
 # What a request and its answer may spend on the way and in a busy loop: the client counts from its own clock.
-# With 2 ms, timers of 1 ms made answers to silent servers arrive just past the client's time.
 TRANSIT_MS = 10.0
 # What a request that is not taken is told: status, the ending that is counted, and when it may come back (ms).
 TURNED_AWAY = {
