A watch that ends early teaches nothing of how long answers take

Cause: as it was well again, discovery ended the watches without a line and with the same version. _note_latency took the 0.79 s that such a watch had waited for the time of an answer (trace of the node: latency 0.007, then 0.791 s), so that the service counted as slow and was left alone. The same made an overdue answer be waited for longer, before.

A watch that is answered within its wait is not counted at all now: calls that do not wait, and watches whose wait runs out, tell how long answers take. A service that never waits needs no patience behind the wait.

--- a/cloverhold/net/discovery/calls.py
+++ b/cloverhold/net/discovery/calls.py
@@ -153,7 +153,7 @@
     def answered(self, number: int, heard: Heard, now: float) -> list[Action]:
         """A call has an answer that can be read."""
         call = self._open.pop(number)
-        self._note_latency(call, heard, now)
+        self._note_latency(call, now)
         self.failures = self.unanswered = 0
         self._lower = self._lower + 1 if heard.lower else 0
         if heard.taken:
@@ -267,12 +267,10 @@
             del self._open[call.number]
         return [Abandon(call, CallEnd.SUPERSEDED) for call in older]
 
-    def _note_latency(self, call: OpenCall, heard: Heard, now: float) -> None:
-        """Learn how long answers take. A watch that is answered within its wait tells only if it brings no news."""
-        took_s = now - call.begun_at
-        is_news = heard.entries or heard.version != call.since
-        if took_s < call.hold_s and is_news:
+    def _note_latency(self, call: OpenCall, now: float) -> None:
+        """Learn how long answers take. A watch that is answered within its wait tells nothing: news may end it."""
+        late_s = now - call.begun_at - call.hold_s
+        if call.hold_s and late_s < 0.0:
             return
-        latency_s = took_s - call.hold_s if took_s >= call.hold_s else took_s
-        latency_s = min(latency_s, HEAR_WITHIN_S)
+        latency_s = min(late_s, HEAR_WITHIN_S)
         self.latency_s = max(latency_s, LATENCY_DECAY * self.latency_s + (1 - LATENCY_DECAY) * latency_s)
--- a/tests/faults/simulated_discovery.py
+++ b/tests/faults/simulated_discovery.py
@@ -95,6 +95,10 @@
     def count_on(self) -> None:
         """Discovery has a version in which nothing is new."""
         self.service.rev += 1
+        self.wake()
+
+    def wake(self) -> None:
+        """The watches that wait are answered, with nothing."""
         for call in list(self._watching.values()):
             self._answer_later(call)
 
--- a/tests/faults/test_call_schedule.py
+++ b/tests/faults/test_call_schedule.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import replace
 from itertools import pairwise, product
 from random import Random
@@ -296,10 +297,16 @@
         assert follower.servers["s0"] == "leaving"
 
 
-def test_watch_that_ends_with_a_version_without_a_line_does_not_count_as_slow() -> None:
-    for settings in (POLLED, STREAMED):
-        follower = quiet(settings, 0.01, 1)
-        counted_on(follower, 20.0)
+@pytest.mark.parametrize("settings", [POLLED, STREAMED])
+@pytest.mark.parametrize("end_watches", [Follower.count_on, Follower.wake])
+def test_watch_that_ends_early_without_a_line_does_not_count_as_slow(
+    settings: Settings, end_watches: Callable[[Follower], None]
+) -> None:
+    follower = quiet(settings, 0.01, 1)
+    for _ in range(20):
+        follower.run(follower.now + 0.97)
+        end_watches(follower)
+        follower.run(follower.now + 0.05)
         assert follower.schedule.latency_s <= 0.05
 
 
