--- a/tests/faults/fleet_departure_play.py
+++ b/tests/faults/fleet_departure_play.py
@@ -135,11 +135,12 @@
     notified_s: float,
     quiet_s: float = 2.0,
     then: Callable[[Play], Awaitable[None]] | None = None,
+    servers: int = SERVERS,
 ) -> dict[str, Breaks]:
     """What each node sent past the grace, by its name. notified_s: from the departure's instant on it may be unknown so
     long; then: what happens behind it.
     """
-    fleet, spares = [NotingServer() for _ in range(SERVERS)], [NotingServer() for _ in range(SERVERS)]
+    fleet, spares = [NotingServer() for _ in range(servers)], [NotingServer() for _ in range(servers)]
     async with AsyncExitStack() as stack:
         for server in (*fleet, *spares):
             await server.start()
--- a/tests/faults/test_departure_of_the_fleet.py
+++ b/tests/faults/test_departure_of_the_fleet.py
@@ -23,6 +23,7 @@
     [pytest.param(PUSH_SETTINGS, 0.0, id="streamed"), pytest.param(ASK_SETTINGS, NOTIFIED_S, id="polled")],
 )
 RETURN_S, SERVED_S = 6.0, 1.0  # to a fleet that is named again there are requests from then on
+LARGE = 320  # servers: polled, such a list is compared each 25 s
 EMPTY_LISTS = (
     FleetLeaves.EMPTY_LIST,
     FleetLeaves.EMPTY_LIST_OF_THE_SAME_VERSION,
@@ -76,6 +77,15 @@
     check(tmp_path, settings, NOTIFIED_S, {"slow answers": slow})
 
 
+def test_what_changes_left_out_of_a_large_polled_list_is_found_in_6_s(tmp_path: Path) -> None:
+    async def test() -> None:
+        cut = cut_off(CutOff.COUNTS_ON, replaced=True)
+        found = await play_departure(tmp_path, ASK_SETTINGS, cut, NOTIFIED_S, servers=LARGE)
+        assert not found["n1"].count, str(found["n1"])
+
+    uvloop.run(test())
+
+
 @MODES
 def test_fleet_that_is_named_again_gets_work_within_seconds_by_a_later_version_and_by_a_lost_store(
     tmp_path: Path, settings: dict[str, Any], notified_s: float
