Workers of one test run never draw the same port

The number is one of free_ports, which draws at random below the system's own range, and leaves the port free until the node listens some 0.3 s later. The node binds with SO_REUSEADDR, and stand-ins listen in the system's range: so another of the seven workers had drawn the same one. Who, was not seen.

Each worker draws from ports of its own now, by pytest-xdist's variables, and no port twice within 64. Two whole runs of the tests beside one another can still meet.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import json
+import os
 import random
 import socket
+from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import ExitStack, asynccontextmanager, suppress
 from dataclasses import replace
@@ -37,6 +39,8 @@
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 Peer = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 PORTS = Path("/proc/sys/net/ipv4/ip_local_port_range")
+LEAST_PORT = 10_000
+given_ports: deque[int] = deque(maxlen=64)  # by `free_ports`, of late
 
 
 async def until(true: Callable[[], object]) -> None:
@@ -48,18 +52,30 @@
 
 def free_ports(count: int) -> list[int]:
     """So many ports on which nobody listens now, below those that the system gives to connections: one of those could
-    be taken by any test's connection before it is listened on, or between two lives of a node.
+    be taken by any test's connection before it is listened on, or between two lives of a node. No other worker of the
+    test run draws from them, and this one not again soon.
     """
-    given_from, draw, found = int(PORTS.read_text().split()[0]), random.SystemRandom(), list[int]()
+    drawn_from, draw, found = worker_ports(), random.SystemRandom(), list[int]()
     with ExitStack() as stack:
         while len(found) < count:
+            port = draw.choice(drawn_from)
+            if port in given_ports:
+                continue
             probe = stack.enter_context(socket.socket())
             with suppress(OSError):
-                probe.bind(("127.0.0.1", draw.randrange(10_000, given_from)))
-                found.append(probe.getsockname()[1])
+                probe.bind(("127.0.0.1", port))
+                found.append(port)
+                given_ports.append(port)
     return found
 
 
+def worker_ports() -> range:
+    """Those of this worker of the test run, by the variables of pytest-xdist; all where it is the only one."""
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+    workers = int(os.environ.get("PYTEST_XDIST_WORKER_COUNT", "1"))
+    return range(LEAST_PORT + worker, int(PORTS.read_text().split()[0]), workers)
+
+
 def is_free(port: int) -> bool:
     """Whether a port can be listened on. (A closed connection may linger.)"""
     with socket.socket() as probe:
