What a step hands on is made once, and serves the comparison with the whole list too

_merge made the touched lines anew, with their withheld state, to tell whom changes had left out: the same as _finish had made just before, for each whole list that is compared, and polled and streamed ones are often. _finish gives it back.

No change of what is done.

--- a/cloverhold/net/discovery/merge.py
+++ b/cloverhold/net/discovery/merge.py
@@ -195,14 +195,13 @@
         if answer.whole or asked.since is not None or self.version is None:
             self.version = answer.version
         merged.ask_whole = any(reason is not NotTaken.NOT_LATER for reason in merged.not_taken)
-        self._finish(merged, before, touched)
+        after = self._finish(merged, before, touched)
         if is_compared:
-            merged.left_out = self._differing(before, touched)
+            merged.left_out = self._differing(before, after)
         return merged
 
-    def _differing(self, before: dict[str, ServerLine], touched: Iterable[str]) -> list[str]:
+    def _differing(self, before: dict[str, ServerLine], after: dict[str, ServerLine]) -> list[str]:
         """Servers that came, went, or changed their state."""
-        after = self._handed_on(touched)
         states = [{uid: line.lifecycle for uid, line in lines.items()} for lines in (before, after)]
         return sorted(uid for uid in before.keys() | after.keys() if states[0].get(uid) is not states[1].get(uid))
 
@@ -371,15 +370,19 @@
         self._withheld.difference_update(touched)
         self._withheld |= now
 
-    def _finish(self, merged: Merged, before: dict[str, ServerLine], touched: Collection[str]) -> None:
-        """What a step changes for others: lines to hand on, and who is withheld from now on, or no more."""
+    def _finish(self, merged: Merged, before: dict[str, ServerLine], touched: Collection[str]) -> dict[str, ServerLine]:
+        """What a step changes for others: lines to hand on, and who is withheld from now on, or no more. The lines that
+        it touched, as they are handed on now.
+        """
         withheld_before = self._withheld.intersection(touched)
         self._update_withheld(touched)
         newly_withheld = self._withheld.intersection(touched) - withheld_before
         merged.withheld = [self._withholding(uid) for uid in sorted(newly_withheld)]
         let_in = [uid for uid in withheld_before - self._withheld if self._is_ready(uid)]
         merged.readmitted = {uid: merged.readmitted.get(uid, Readmission.SETTLED) for uid in let_in}
-        self._note_changed(merged, before, touched)
+        after = self._handed_on(touched)
+        self._note_changed(merged, before, after)
+        return after
 
     def _is_ready(self, uid: str) -> bool:
         line = self._lines.get(uid)
@@ -393,9 +396,8 @@
             line.uid: replace(line, lifecycle=Lifecycle.DRAINING) if line.uid in withheld else line for line in lines
         }
 
-    def _note_changed(self, merged: Merged, before: dict[str, ServerLine], touched: Iterable[str]) -> None:
+    def _note_changed(self, merged: Merged, before: dict[str, ServerLine], after: dict[str, ServerLine]) -> None:
         """What is handed on: the whole list, or the lines that differ; nothing where none does."""
-        after = self._handed_on(touched)
         changed = [line for uid, line in after.items() if before.get(uid) != line]
         gone = [replace(line, lifecycle=Lifecycle.GONE) for uid, line in before.items() if uid not in after]
         merged.lines = changed + gone
