Kit: one place puts an entry in force, and one makes a drain of a soak

Agent.release_silently repeated what put does behind its version; draw.py wrote the same drain four times.

--- a/cloverhold/rehearsal/catalog.py
+++ b/cloverhold/rehearsal/catalog.py
@@ -50,10 +50,15 @@
         if old is not None and old[1] == entry:
             return False
         self.rev += 1
+        self._set(now, entry)
+        return True
+
+    def _set(self, now: float, entry: Entry) -> None:
+        """An entry is of the present version; the node is to be told where it has to be."""
+        old = self.entries.get(entry.uid)
         self.entries[entry.uid] = (self.rev, entry)
         if _is_to_be_told(old[1] if old is not None else None, entry):
             self._owe(now, entry)
-        return True
 
     def _owe(self, now: float, entry: Entry) -> None:
         row = Told(self.node, self.life, entry.uid, entry.state, entry.boot_s, now)
@@ -74,10 +79,7 @@
         """What was held is there, and no version that is later than the present one tells it."""
         held, self.held = self.held or {}, None
         for entry in held.values():
-            old = self.entries.get(entry.uid)
-            self.entries[entry.uid] = (self.rev, entry)
-            if _is_to_be_told(old[1] if old is not None else None, entry):
-                self._owe(now, entry)
+            self._set(now, entry)
 
     def count_anew(self, now: float, entries: Iterable[Entry]) -> None:
         """Versions begin at 1, which has these entries and what is there else."""
--- a/cloverhold/rehearsal/soak/draw.py
+++ b/cloverhold/rehearsal/soak/draw.py
@@ -165,6 +165,10 @@
     return [server_name(n) for n in sorted(random.sample(range(servers), max(1, servers // random.randint(2, 4))))]
 
 
+def _drain(at_s: float, for_s: float, servers: list[str]) -> Table:
+    return {"kind": "drain", "at_s": at_s, "for_s": for_s, "servers": servers}
+
+
 def _drains_under_ailing_discovery(seed: int, mode: str, nodes: int, servers: int) -> list[Table]:
     """Discovery answers some nodes badly, or was down for them, and servers drain meanwhile or right behind it.
 
@@ -181,12 +185,7 @@
     drain_at = begin + random.choice([random.uniform(0.0, for_s), for_s + random.uniform(0.0, 0.5)])
     return [
         {"at_s": begin, "for_s": for_s, "nodes": chosen, **ailment},
-        {
-            "kind": "drain",
-            "at_s": min(drain_at, LENGTH_S - 9.0),
-            "for_s": LENGTH_S,
-            "servers": drained,
-        },
+        _drain(min(drain_at, LENGTH_S - 9.0), LENGTH_S, drained),
     ]
 
 
@@ -206,12 +205,7 @@
             "for_s": LENGTH_S,
             "nodes": chosen,
         },
-        {
-            "kind": "drain",
-            "at_s": begin + random.uniform(0.5, 4.0),
-            "for_s": LENGTH_S,
-            "servers": drained,
-        },
+        _drain(begin + random.uniform(0.5, 4.0), LENGTH_S, drained),
     ]
 
 
@@ -231,12 +225,7 @@
             "for_s": for_s,
             "nodes": chosen,
         },
-        {
-            "kind": "drain",
-            "at_s": begin + random.uniform(0.2, for_s),
-            "for_s": LENGTH_S,
-            "servers": drained,
-        },
+        _drain(begin + random.uniform(0.2, for_s), LENGTH_S, drained),
     ]
 
 
@@ -252,7 +241,7 @@
     lag: Table = {"kind": "discovery_misreports", "how": "lagging_replica", "after_s": LAG_HEARD_S}
     faults: list[Table] = [
         {**lag, "at_s": at_s - 0.1, "for_s": LAG_S + LAG_HEARD_S, "nodes": chosen},
-        {"kind": "drain", "at_s": at_s, "for_s": LAG_S + LAG_HEARD_S, "servers": drained},
+        _drain(at_s, LAG_S + LAG_HEARD_S, drained),
     ]
     for kind in ("node_kill", "node_term", "reload_move"):
         if random.random() < 0.4:
