Tests: another process takes over in one place, and planted nodes are checked in one

The plays over the store, an upgrade and workers stood twice, for drains and for empty lists, as did one request's status: Takeover plays each, with what is heard and what is waited for. The two tests of planted soak nodes, two planted nodes, and the wake of two stand-ins of discovery share theirs. All tests keep their names and what they assert.

--- a/tests/faults/altered_discovery.py
+++ b/tests/faults/altered_discovery.py
@@ -81,10 +81,6 @@
     def _freeze(self) -> None:
         self._version_before, self._lines_before = self.rev, self.active()
 
-    def _wake(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
-
     async def serve(self, target: str, head: bytes, body: bytes, writer: asyncio.StreamWriter) -> bool:
         if self.leaves is None:
             return await super().serve(target, head, body, writer)
--- a/tests/faults/discovery_service.py
+++ b/tests/faults/discovery_service.py
@@ -64,6 +64,10 @@
         """A new version in which these lines are new; one in state "left" is in no whole list."""
         self.rev += 1
         self.targets.update((target["uid"], (self.rev, target)) for target in targets)
+        self._wake()
+
+    def _wake(self) -> None:
+        """The calls that wait for news are answered."""
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/tests/faults/misled_node.py
+++ b/tests/faults/misled_node.py
@@ -48,17 +48,22 @@
     HeldList._drains = lambda self, uid: False  # type: ignore[method-assign]
 
 
-def trust_one_connection() -> None:
-    """The connection is kept as long as it answers, and the whole list is asked for once."""
+def trust(**times: float) -> None:
+    """These times of calls are others, and no whole list is asked for ahead of its time."""
     of = CallTimes.of
 
     def trusting(settings: Settings, random: Random) -> CallTimes:
-        return replace(of(settings, random), connection_s=math.inf, whole_every_s=math.inf)
+        return replace(of(settings, random), **times)
 
     CallTimes.of = staticmethod(trusting)  # type: ignore[method-assign, assignment]
     whole_lists.MOST_SPARE = 0.0
 
 
+def trust_one_connection() -> None:
+    """The connection is kept as long as it answers, and the whole list is asked for once."""
+    trust(connection_s=math.inf, whole_every_s=math.inf)
+
+
 def forget_drains_in_time() -> None:
     """A drain holds for a span of the node's own, whoever says what."""
     noted_s, readmit = dict[str, float](), Departures.readmit
@@ -86,13 +91,7 @@
 
 def trust_that_changes_add_up() -> None:
     """The whole list is asked for once."""
-    of = CallTimes.of
-
-    def trusting(settings: Settings, random: Random) -> CallTimes:
-        return replace(of(settings, random), whole_every_s=math.inf)
-
-    CallTimes.of = staticmethod(trusting)  # type: ignore[method-assign, assignment]
-    whole_lists.MOST_SPARE = 0.0
+    trust(whole_every_s=math.inf)
 
 
 MISLED: dict[str, Callable[[], None]] = {
--- a/tests/faults/simulated_discovery.py
+++ b/tests/faults/simulated_discovery.py
@@ -88,8 +88,7 @@
         service = self.service
         service.rev += 1
         service.servers[uid] = (service.rev, state)
-        for call in list(self._watching.values()):
-            self._answer_later(call)
+        self.wake()
         return service.rev
 
     def count_on(self) -> None:
@@ -98,7 +97,7 @@
         self.wake()
 
     def wake(self) -> None:
-        """The watches that wait are answered, with nothing."""
+        """The watches that wait are answered."""
         for call in list(self._watching.values()):
             self._answer_later(call)
 
--- a/tests/faults/test_drains_over_processes.py
+++ b/tests/faults/test_drains_over_processes.py
@@ -9,7 +9,7 @@
 import socket
 import sys
 import time
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -63,16 +63,20 @@
         stack.push_async_callback(end)
         return process
 
-    async def answers(self) -> bool:
-        """Whether a request is answered."""
+    async def status(self, budget: str = "2000m") -> int:
+        """Of the answer to one request, on a connection of its own; 0 where none came."""
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-            writer.write(request(budget="2000m"))
+            writer.write(request(budget=budget))
             answer = await asyncio.wait_for(read_answer(reader), 3.0)
             writer.close()
         except (OSError, AssertionError, TimeoutError):
-            return False
-        return answer.status == 200
+            return 0
+        return answer.status
+
+    async def answers(self) -> bool:
+        """Whether a request is answered."""
+        return await self.status() == 200
 
     async def serves(self) -> None:
         """Wait until the node serves."""
@@ -122,61 +126,82 @@
 MODES = pytest.mark.parametrize("settings", [PUSH_SETTINGS, ASK_SETTINGS], ids=["streamed", "polled"])
 
 
-@MODES
-def test_drain_is_kept_by_a_process_that_goes_on_from_the_store_of_a_killed_one(
-    tmp_path: Path, settings: dict[str, Any]
-) -> None:
+@dataclass
+class Takeover:
+    """One process of a node hears something and another one takes its place."""
+
+    one: Deployment
+    stack: AsyncExitStack
+    hear: Callable[[Deployment], Awaitable[float]]  # the instant from which on it holds
+    settled: Callable[[Deployment], Awaitable[None]]  # waits until a process that took over answers as it should
+
+    async def from_store(self) -> float:
+        """The first is killed, and the second goes on from its store."""
+        table = self.one.folder / "node.toml"
+        table.write_text(f'[store]\npath = "{self.one.folder / "store"}"\n')
+        first = await self.one.start(self.stack, "cloverhold", CLOVERHOLD_CONFIG=str(table))
+        await self.one.serves()
+        heard_at = await self.hear(self.one)
+        first.kill()
+        await first.wait()
+        await self.one.start(self.stack, "cloverhold", CLOVERHOLD_CONFIG=str(table))
+        await self.settled(self.one)
+        return heard_at
+
+    async def by_upgrade(self) -> float:
+        """The second is started beside the first, which then ends by order."""
+        listening = self.stack.enter_context(socket.create_server(("127.0.0.1", self.one.port), backlog=128))
+        handle = listening.fileno()
+        inherited = {"PROXY_LISTEN_FD": str(handle), "TMPDIR": str(self.one.folder)}
+        first = await self.one.start(self.stack, "cloverhold", handles=[handle], **inherited)
+        await self.one.serves()
+        heard_at = await self.hear(self.one)
+        await self.one.start(self.stack, "cloverhold", handles=[handle], **inherited)
+        await asyncio.sleep(1.0)
+        first.terminate()
+        return heard_at
+
+    async def of_workers(self) -> float:
+        """Both workers are killed, and others take their place."""
+        process = await self.one.start(self.stack, "cloverhold.cli", "run", "--workers", "2")
+        await self.one.serves()
+        heard_at = await self.hear(self.one)
+        killed = children(process.pid)
+        for pid in killed:
+            os.kill(pid, signal.SIGKILL)
+        await until(lambda: len(children(process.pid) - killed) == 2)
+        await self.settled(self.one)
+        return heard_at
+
+
+def play_drain(folder: Path, settings: dict[str, Any], take_over: Callable[[Takeover], Awaitable[float]]) -> None:
+    """Servers drain, another process takes over, and sends them nothing."""
+
     async def test() -> None:
-        table = tmp_path / "node.toml"
-        table.write_text(f'[store]\npath = "{tmp_path / "store"}"\n')
-        async with deployment(tmp_path, settings) as one, AsyncExitStack() as stack:
-            first = await one.start(stack, "cloverhold", CLOVERHOLD_CONFIG=str(table))
-            await one.serves()
-            drained_at = await one.drain()
-            first.kill()
-            await first.wait()
-            await one.start(stack, "cloverhold", CLOVERHOLD_CONFIG=str(table))
-            await one.serves()
+        async with deployment(folder, settings) as one, AsyncExitStack() as stack:
+            drained_at = await take_over(Takeover(one, stack, Deployment.drain, Deployment.serves))
             await one.check(drained_at)
 
     play(test)
 
 
 @MODES
-def test_drain_is_kept_by_the_new_process_of_an_upgrade(tmp_path: Path, settings: dict[str, Any]) -> None:
-    async def test() -> None:
-        async with deployment(tmp_path, settings) as one, AsyncExitStack() as stack:
-            listening = stack.enter_context(socket.create_server(("127.0.0.1", one.port), backlog=128))
-            handle = listening.fileno()
-            inherited = {"PROXY_LISTEN_FD": str(handle), "TMPDIR": str(tmp_path)}
-            first = await one.start(stack, "cloverhold", handles=[handle], **inherited)
-            await one.serves()
-            drained_at = await one.drain()
-            await one.start(stack, "cloverhold", handles=[handle], **inherited)
-            await asyncio.sleep(1.0)
-            first.terminate()
-            await one.check(drained_at)
+def test_drain_is_kept_by_a_process_that_goes_on_from_the_store_of_a_killed_one(
+    tmp_path: Path, settings: dict[str, Any]
+) -> None:
+    play_drain(tmp_path, settings, Takeover.from_store)
 
-    play(test)
+
+@MODES
+def test_drain_is_kept_by_the_new_process_of_an_upgrade(tmp_path: Path, settings: dict[str, Any]) -> None:
+    play_drain(tmp_path, settings, Takeover.by_upgrade)
 
 
 @MODES
 def test_drain_is_kept_by_a_worker_that_takes_the_place_of_a_killed_one(
     tmp_path: Path, settings: dict[str, Any]
 ) -> None:
-    async def test() -> None:
-        async with deployment(tmp_path, settings) as one, AsyncExitStack() as stack:
-            process = await one.start(stack, "cloverhold.cli", "run", "--workers", "2")
-            await one.serves()
-            drained_at = await one.drain()
-            killed = children(process.pid)
-            for pid in killed:
-                os.kill(pid, signal.SIGKILL)
-            await until(lambda: len(children(process.pid) - killed) == 2)
-            await one.serves()
-            await one.check(drained_at)
-
-    play(test)
+    play_drain(tmp_path, settings, Takeover.of_workers)
 
 
 @MODES
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Mapping, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
 from itertools import pairwise
@@ -113,9 +114,10 @@
     assert all(any("drains_kept" in finding for finding in result.findings) for result in results)
 
 
-def test_nodes_that_void_odd_lists_take_drains_back_or_trust_one_connection_are_found_and_the_real_one_is_not() -> None:
-    misled = [(how, seed) for how, seeds in MISLED_SEEDS.items() for seed in seeds]
-    assert all([draw(seed).discovery.mode for seed in seeds] == ["push", "ask"] for seeds in MISLED_SEEDS.values())
+def check_found(seeds_of: Mapping[str, Sequence[int]]) -> None:
+    """Each planted node is found by its seeds, of lists pushed and polled, and the real one is not."""
+    misled = [(how, seed) for how, seeds in seeds_of.items() for seed in seeds]
+    assert all([draw(seed).discovery.mode for seed in seeds] == ["push", "ask"] for seeds in seeds_of.values())
     with ProcessPoolExecutor(JOBS, mp_context=get_context("spawn")) as pool:
         kept = [pool.submit(play, seed) for _, seed in misled]
         found = [pool.submit(play, seed, command=(sys.executable, str(MISLED_NODE), how)) for how, seed in misled]
@@ -124,15 +126,12 @@
             assert any("drains_kept" in finding for finding in run.result().findings), (how, seed)
 
 
+def test_nodes_that_void_odd_lists_take_drains_back_or_trust_one_connection_are_found_and_the_real_one_is_not() -> None:
+    check_found(MISLED_SEEDS)
+
+
 def test_nodes_that_refuse_empty_lists_or_trust_that_changes_add_up_are_found_and_the_real_one_is_not() -> None:
-    planted = [(how, seed) for how, seeds in INCOMPLETE_SEEDS.items() for seed in seeds]
-    assert all([draw(seed).discovery.mode for seed in seeds] == ["push", "ask"] for seeds in INCOMPLETE_SEEDS.values())
-    with ProcessPoolExecutor(JOBS, mp_context=get_context("spawn")) as pool:
-        kept = [pool.submit(play, seed) for _, seed in planted]
-        found = [pool.submit(play, seed, command=(sys.executable, str(MISLED_NODE), how)) for how, seed in planted]
-        assert [run.result().findings for run in kept] == [[] for _ in planted]
-        for (how, seed), run in zip(planted, found, strict=True):
-            assert any("drains_kept" in finding for finding in run.result().findings), (how, seed)
+    check_found(INCOMPLETE_SEEDS)
 
 
 def test_incomplete_lists_are_drawn_in_each_way_and_leave_seeds_that_were_found_once_as_they_were() -> None:
