--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # see that they compile. Needs no network; writes nothing.
 set -eu
 cd "$(dirname "$0")"
-python3 - shared-2/*.py 6/*.py 7/*.py 8/*.py 9/*.py <<'END'
+python3 - shared-2/*.py 6/*.py 7/*.py 8/*.py 9/*.py 10/*.py <<'END'
 import sys
 
 for path in sys.argv[1:]:
