A connection that ends before its client has all of an answer is logged

The log has now answer_undelivered with the reason, the bytes in the transport's buffer and those that the kernel still holds (SIOCOUTQ).

No behaviour changes.

--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, cast
 
 from cloverhold.bodies.budget import Holding
+from cloverhold.net.delivery import unacknowledged_bytes, undelivered_bytes
 from cloverhold.net.exchange import BadRequest, Exchange, Incoming, read_request
 from cloverhold.net.fronts.answer_head import NO_BODY, answer_head, length_line
 from cloverhold.net.fronts.client_waits import waits_of
@@ -122,13 +123,14 @@
         else:
             self._next()
 
-    def close(self) -> None:
+    def close(self, reason: str = "closed") -> None:
         """Close behind what is written. Nothing may be owed any more."""
         if self.transport is not None and self.closing is None:
             if self.open is not None:
                 self.listener.telemetry.event(Happening.RULE_VIOLATED, Denial.ANSWER_DROPPED.value)
             self.closing = time.monotonic()
             self.listener.left_waiting(self)  # it is no longer one of those that may give way: another is the next
+            self._note_undelivered(reason)
             self.transport.close()
 
     def linger_no_more(self, now: float) -> bool:
@@ -155,6 +157,19 @@
             paused=self.reading.paused_since is not None,
         )
 
+    def _note_undelivered(self, reason: str) -> None:
+        """The node ends this connection: whether its client lacks bytes of an answer, and where they lie."""
+        transport = self.transport
+        if transport is None or not undelivered_bytes(transport):
+            return
+        self.listener.telemetry.event(
+            Happening.ANSWER_UNDELIVERED,
+            reason,
+            client=transport.get_extra_info("peername"),
+            in_process_bytes=transport.get_write_buffer_size(),
+            in_kernel_bytes=unacknowledged_bytes(transport.get_extra_info("socket")),
+        )
+
     def is_client_connected(self, exchange: Exchange) -> bool:
         """Whether the client still waits. Its end lies unread behind what it sent in the same burst, while nothing is
         read, and where the loop was late; it is asked for, since a request is sent on only while it is wanted.
@@ -241,6 +256,7 @@
         if wait is not Wait.LINGER:
             self._count_close(wait.value)
         if wait in (Wait.LAST_READ, Wait.LINGER, Wait.ANSWER_READ):
+            self._note_undelivered(wait.value)
             transport.abort()
         elif wait is Wait.FIRST_BYTE:
             self.close_if_idle()
--- a/cloverhold/net/fronts/listener.py
+++ b/cloverhold/net/fronts/listener.py
@@ -215,6 +215,6 @@
         if self._acceptor is not None:
             self._acceptor.close()
         for connection in list(self.connections):
-            connection.close()
+            connection.close("process_ended")
         for refused in list(self.refused):
             refused.close()
--- a/cloverhold/net/telemetry.py
+++ b/cloverhold/net/telemetry.py
@@ -25,6 +25,7 @@
     """What is counted."""
 
     CONNECTION_CLOSED = "connection_closed"  # by the node, of a client
+    ANSWER_UNDELIVERED = "answer_undelivered"  # the node ended a connection whose client had not all of it, by why
     CONNECTION_LOST = "connection_lost"  # by the client, with a request that was not answered
     SERVER_CONNECTION_ENDED = "server_connection_ended"  # by why; logged where a request was open on it
     CONNECTION_REFUSED = "connection_refused"  # answered 503, as no more are served
