A connection rests, and may close, only once its client has all of its answer

Cause: a connection counted as at rest, and its last answer as done, from when the answer was handed to the transport. The same on each path that asks whether a connection rests: answers with Connection: close, to HTTP/1.0, in chunks, before a further request, under a lame duck, in a crowd.

net/delivery.py answers it in one place now: bytes are delivered once the client's kernel has acknowledged them (SIOCOUTQ). Rest, drain and linger count from then; a client that takes nothing is ended 20 s behind the last byte that it took, as before, also where its connection closes anyway (4 s before: less than peers take). Where another needs the place at once it is enough that the kernel has sent all (SIOCOUTQNSD), which a closed window does not let it. What comes behind a last answer is read and dropped until that is delivered: closed over, it would reset the connection. An error behind answers that are not taken yet is written behind them; before, they were cut off.

One check changed: test_clients' answer that nobody reads had the 4 s for its bound, waited for up to 20 s; it sets those 4 s itself, and asks for an end within twice that.

--- a/cloverhold/net/fronts/client_waits.py
+++ b/cloverhold/net/fronts/client_waits.py
@@ -18,13 +18,13 @@
     """What a connection waits for now."""
     waiting = Waiting()
     if client.closing is not None:
-        if client.unread:
-            waiting.last_read_since = client.unread_since
+        if client.delivery.undelivered:
+            waiting.last_read_since = client.delivery.waits_since
         else:
-            waiting.lingering_since = client.closing
+            waiting.lingering_since = max(client.closing, client.delivery.taken_at)
         return waiting
-    if client.unread:
-        waiting.unread_since = client.unread_since
+    if client.delivery.undelivered:
+        waiting.unread_since = client.delivery.waits_since
     if client.open is not None and client.open.request is client.reader.incoming and not client.streaming:
         waiting.held_since = client.reading.paused_since
     is_first = client.open is None or client.open.request is client.reader.incoming
@@ -44,9 +44,9 @@
     if client.unfinished() or client.reader.broken is not None:
         if not client.streaming:
             _wait_for_request(client, waiting)
-        elif client.unread:  # else the answer that is on the way waits for its server
-            waiting.progress_at = client.reading.progress_at
-    elif client.idle():
+        elif client.delivery.undelivered:  # else the answer that is on the way waits for its server
+            waiting.progress_at = max(client.reading.progress_at, client.delivery.waits_since)
+    elif client.idle() and not client.delivery.undelivered:
         _wait_idle(client, waiting, now)
     return waiting
 
@@ -67,13 +67,15 @@
     waiting.body_since, waiting.body_bytes = client.reader.begun, client.reader.body_bytes()
     if not (client.reader.expects and not client.idle()):  # else it waits to be told to go on
         waiting.progress_at = client.reading.progress_at
+        if client.delivery.undelivered:  # it is busy with an answer, as long as it takes that
+            waiting.progress_at = max(waiting.progress_at, client.delivery.taken_at)
 
 
 def _wait_idle(client: ClientConnection, waiting: Waiting, now: float) -> None:
-    """Nothing is here of any request."""
+    """Nothing is here of any request, and its client has all answers."""
     life = client.listener.life
     waiting.silent_since = client.reader.begun  # None behind a first request
     if life.closing():
-        waiting.drains_at = life.rests_until(client.rested or client.reader.begun or now, client.place)
+        waiting.drains_at = life.rests_until(client.delivery.taken_at or client.reader.begun or now, client.place)
     elif client.reader.begun is None:
-        waiting.idle_since = client.rested
+        waiting.idle_since = client.delivery.taken_at
--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, cast
 
 from cloverhold.bodies.budget import Holding
-from cloverhold.net.delivery import unacknowledged_bytes, undelivered_bytes
+from cloverhold.net.delivery import Delivery, unacknowledged_bytes, undelivered_bytes
 from cloverhold.net.exchange import BadRequest, Exchange, Incoming, read_request
 from cloverhold.net.fronts.answer_head import NO_BODY, answer_head, length_line
 from cloverhold.net.fronts.client_waits import waits_of
@@ -54,12 +54,12 @@
         self.holding = Holding(listener.budget)
         self.reading = ReadFlow(self.reader, self.holding, listener.telemetry, self._room)
         self.stuffed = False  # whether it is sent no more until it reads
-        self.unread, self.unread_since = 0, 0.0  # bytes that a client leaves unread, and since when just so many
+        self.delivery = Delivery()
         self.streaming = False  # whether an answer is on the way in pieces
         self.chunked = False  # the answer that is on the way in pieces
         self.closes = False  # whether that is its connection's last
-        self.rested = 0.0  # when it last had nothing open
-        self.closing: float | None = None
+        self.closing: float | None = None  # since when nothing more is answered on it
+        self.lingers = False  # whether a request still came then: its client has a moment to read of the end
         self.place = 0.0  # among those that a drain ends, from 0 to 1
         self.end = select.poll()  # shows the client's end before it is read
 
@@ -67,6 +67,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = self.reading.transport = cast(asyncio.Transport, transport)
+        self.delivery.attach(self.transport)
         share = int(UNSENT_PART * self.listener.budget.total / self.listener.most)
         self.transport.set_write_buffer_limits(high=min(MOST_UNSENT, max(self.listener.budget.allowance, share)))
         self.end.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
@@ -74,6 +75,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        self.delivery.release()
         self._drop_queue()
         self.reader.incoming.drop()
         self.reading.release()
@@ -123,20 +125,47 @@
         else:
             self._next()
 
-    def close(self, reason: str = "closed") -> None:
-        """Close behind what is written. Nothing may be owed any more."""
+    def close(self) -> None:
+        """Answer nothing more, and close once the client has what is written. No answer may be owed any more.
+
+        What still comes is read and dropped until then: a close over unread bytes resets the connection, and what the
+        client has not taken goes with it (RFC 9112, section 9.6).
+        """
+        if self.transport is None or self.closing is not None:
+            return
+        if self.open is not None:
+            self.listener.telemetry.event(Happening.RULE_VIOLATED, Denial.ANSWER_DROPPED.value)
+        self.closing = time.monotonic()
+        self.lingers = self._still_comes()
+        self.listener.left_waiting(self)  # it is no longer one of those that may give way: another is the next
+        if not self.lingers and not self.delivery.look(self.closing):
+            self.transport.close()
+            return
+        self.listener.lingering[self] = None
+        self.reading.resume()
+        self.delivery.write_eof()
+
+    def close_at_once(self) -> None:
+        """Close behind what is written, whether or not the client takes it."""
         if self.transport is not None and self.closing is None:
-            if self.open is not None:
-                self.listener.telemetry.event(Happening.RULE_VIOLATED, Denial.ANSWER_DROPPED.value)
             self.closing = time.monotonic()
-            self.listener.left_waiting(self)  # it is no longer one of those that may give way: another is the next
-            self._note_undelivered(reason)
+            self.listener.left_waiting(self)
+            self.transport.close()
+
+    def end_with_process(self) -> None:
+        """The process ends: what the kernel holds is still sent, what this process holds is lost."""
+        self._note_undelivered("process_ended")
+        if self.open is not None:
+            self.listener.telemetry.event(Happening.RULE_VIOLATED, Denial.ANSWER_DROPPED.value)
+        if self.transport is not None:
             self.transport.close()
 
     def linger_no_more(self, now: float) -> bool:
-        """Close at once, though its client still sends, once its last answer has left; whether it closes."""
+        """Close at once, though its client still sends, once its last answer is sent; whether it closes."""
         if self.transport is None or self.closing is None or now - self.closing < LEAST_LINGER_S:
             return False
+        if not self.delivery.is_sent():
+            return False
         self.transport.abort()
         return True
 
@@ -190,29 +219,33 @@
         return self.reader.unfinished()
 
     def has_pending_work(self, now: float) -> bool:
-        """Whether its client is owed anything: an answer, the rest of one that is written, that a request that is half
-        here is read, or that the first one is waited for a moment.
+        """Whether its client is owed anything: an answer, the rest of one that it has not taken, that a request that is
+        half here is read, or that the first one is waited for a moment.
         """
         if self.closing is not None or not self.idle() or self.unfinished():
             return True
         return self in self.listener.new and self.reader.begun is not None and now - self.reader.begun < FIRST_REQUEST_S
 
-    def close_if_idle(self) -> bool:
+    def close_if_idle(self, *, gives_way: bool = False) -> bool:
         """Close while nothing is owed, unless something lies unread: that is served first; whether it closed. Guards
         against requests that cross the end of their connection: closed over, they would be reset unread.
+
+        gives_way: another needs its place now, so it is enough that its last answer is sent.
         """
         transport = self.transport
         if transport is None or self.closing is not None:
             return False
+        delivered = self.delivery.is_sent() if gives_way else not self.delivery.look(time.monotonic())
         denial = may_close(
             answer_owed=not self.idle(),
+            answer_undelivered=not delivered,
             request_incomplete=self.unfinished(),
             bytes_unread=is_readable(transport.get_extra_info("socket")),
         )
         if denial is not None:
             self.listener.telemetry.count(Happening.ACT_DENIED, denial.value)
             return False
-        self.close()
+        self.close_at_once()
         return True
 
     def sweep(self, now: float) -> None:
@@ -221,26 +254,30 @@
             return
         if self.reading.paused_since is not None and self.open is not None and not self.is_client_connected(self.open):
             return  # while nothing is read its end would stay unseen
-        self._note_progress(now)
+        self._look(now)
         if self.reading.lacks_place:
             self._next()
         wait = waits_of(self, now).overdue(now)
         if wait is not None:
             self._end(wait)
 
-    def _note_progress(self, now: float) -> None:
+    def _look(self, now: float) -> None:
         """What the client has done while nothing of it was read: it took bytes, sent some, or could not send."""
-        transport = self.transport
-        assert transport is not None
-        if (unread := transport.get_write_buffer_size()) != self.unread:
-            self.unread, self.unread_since = unread, now
-            self.reading.progress_at = now
+        if not self.delivery.look(now):
+            self._delivered()
         self._state_holding()
         self.reading.look(now)
         arriving = self.open is not None and self.open.request is self.reader.incoming
         if self.open is not None and arriving and self.reading.paused_since is not None and self.reading.rest_is_here:
             self.listener.taker.whole(self.open, self._written_since(now))
 
+    def _delivered(self) -> None:
+        """The client has all that was written: the connection rests from now on, or may close."""
+        if self in self.listener.delivering:
+            self.listener.became_idle(self)
+        if self.closing is not None and not self.lingers and self.transport is not None:
+            self.transport.close()
+
     def _written_since(self, now: float) -> float:
         """When the client may have written the last byte of the request that comes."""
         earliest = self.reading.earliest_end(now)
@@ -275,7 +312,7 @@
         """
         transport = self.transport
         if transport is None or self.closing is not None or self.reader.begun is None:
-            return self.close_if_idle()
+            return self.close_if_idle(gives_way=True)
         if is_readable(transport.get_extra_info("socket")):
             self.listener.telemetry.count(Happening.ACT_DENIED, Denial.BYTES_UNREAD.value)
             return False
@@ -284,10 +321,10 @@
             self._end_request(NO_ROOM)
         elif self.unfinished() or now - self.reader.begun < FIRST_REQUEST_TIMEOUT_S:
             self._drop_queue()
-            transport.write(answer_head(503, self.listener.taker.come_back(), NO_BODY, b"", close=True))
-            self.close()
+            self.delivery.write(answer_head(503, self.listener.taker.come_back(), NO_BODY, b"", close=True))
+            self.close_at_once()
         else:
-            self.close()
+            self.close_at_once()
         return True
 
     def _end_request(self, error: BadRequest | None) -> None:
@@ -297,8 +334,8 @@
         exchange = self._let_go()
         if exchange is not None:
             self.listener.taker.client_gone(exchange)
-        if (self.unread or self.streaming) and self.transport is not None:
-            self.transport.abort()  # it takes no error, or would take it for a part of its answer
+        if self.streaming and self.transport is not None:
+            self.transport.abort()  # an error would be taken for a part of the answer
             return
         self._turn_away(error or self.reader.broken or BadRequest(408, "not whole in time"), close=True)
 
@@ -366,7 +403,7 @@
         if self.reader.expects and self.transport is not None:
             self.reader.expects = False
             self.reading.progress_at = time.monotonic()
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.delivery.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         lacks_memory = self.listener.budget.spent() and self.reader.body_bytes() >= self.listener.budget.allowance // 2
         if self.reader.incoming.upload is None and lacks_memory:
             self.reader.stream_body()
@@ -432,13 +469,13 @@
         self.closes = last or (self.listener.life.closing() and not self.queue)
         self.streaming = True
         framing = length_line(length, chunked=self.chunked)
-        self.transport.write(answer_head(200, headers, framing, self.listener.announce, close=self.closes))
+        self.delivery.write(answer_head(200, headers, framing, self.listener.announce, close=self.closes))
 
     def write_chunk(self, exchange: Exchange, data: bytes) -> bool:
         if self.open is exchange and self.transport is not None and not self.transport.is_closing():
             if self.chunked:
                 data = b"%x\r\n%s\r\n" % (len(data), data)
-            self.transport.write(data)
+            self.delivery.write(data)
         return not self.stuffed
 
     def finish(self, exchange: Exchange) -> None:
@@ -448,7 +485,7 @@
         self.streaming = False
         self.reading.progress_at = time.monotonic()
         if self.chunked:
-            self.transport.write(b"0\r\n\r\n")
+            self.delivery.write(b"0\r\n\r\n")
         self._written(close=self.closes)
         self._after()
 
@@ -479,12 +516,12 @@
         framing = length_line(len(body), chunked=False) if body else NO_BODY
         head = answer_head(status, headers, framing, self.listener.announce, close=close)
         if bare or not body:
-            transport.write(head)
+            self.delivery.write(head)
         elif len(body) <= BODY_LIMIT:
-            transport.write(head + body)
+            self.delivery.write(head + body)
         else:  # a copy of a large one costs more than a second write
-            transport.write(head)
-            transport.write(body)
+            self.delivery.write(head)
+            self.delivery.write(body)
         self._written(close=close)
 
     def _written(self, *, close: bool) -> None:
@@ -492,13 +529,9 @@
             self._state_holding()
         if close:
             self._drop_queue()
-            if self.transport is not None and self._still_comes() and self.closing is None:
-                self._linger()
-            else:
-                self.close()
+            self.close()
         elif self.idle() and self.reader.incoming.whole:
-            self.rested = time.monotonic()
-            self.listener.became_idle(self)
+            self.listener.delivering[self] = None
 
     def _still_comes(self) -> bool:
         """Whether a request is half here, or something lies unread because reading is held up."""
@@ -508,18 +541,6 @@
             return False
         return is_readable(self.transport.get_extra_info("socket"))
 
-    def _linger(self) -> None:
-        """The last answer is written while a request still comes: that is read and dropped for a while, as closing
-        over it would reset the connection, and the answer with it (RFC 9112, section 9.6).
-        """
-        self.closing = time.monotonic()
-        self.listener.left_waiting(self)
-        self.listener.lingering[self] = None
-        transport = self.transport
-        if transport is not None:
-            self.reading.resume()
-            transport.write_eof()
-
 
 def origin_form(target: bytes) -> bytes:
     """The path and query of an absolute-form target (RFC 9112, section 3.2.2); any other as it is."""
--- a/cloverhold/net/fronts/listener.py
+++ b/cloverhold/net/fronts/listener.py
@@ -47,7 +47,8 @@
         self.new: dict[ClientConnection, None] = {}
         self.partial: dict[ClientConnection, None] = {}
         self.idle: dict[ClientConnection, None] = {}
-        self.lingering: dict[ClientConnection, None] = {}  # whose last answer is written, while a request still comes
+        self.delivering: dict[ClientConnection, None] = {}  # idle, once their client has taken its answer
+        self.lingering: dict[ClientConnection, None] = {}  # that close, once their client has taken its last answer
         self.arriving: set[ClientConnection] = set()  # whose request was begun and still comes
         self.came = 0
         self.receive_buffer = memoryview(bytearray(budget.allowance))
@@ -128,12 +129,14 @@
         """
         now = time.monotonic()
         few = len(self.new) <= NEW_SHARE * self.most
-        first, then = (self.idle, self.new) if few else (self.new, self.idle)
-        for connection in (*islice(first, EVICTION_CANDIDATES), *islice(then, EVICTION_CANDIDATES)):
+        idle = (*islice(self.idle, EVICTION_CANDIDATES), *islice(self.delivering, EVICTION_CANDIDATES))
+        new = tuple(islice(self.new, EVICTION_CANDIDATES))
+        for connection in (*idle, *new) if few else (*new, *idle):
             if connection is not spared and connection.give_way(now):
                 return True
         crowded = len(self.connections) >= self.most + EXTRA_CONNECTIONS
-        if crowded and any(connection.linger_no_more(now) for connection in islice(self.lingering, 1)):
+        lingering = tuple(islice(self.lingering, EVICTION_CANDIDATES))
+        if crowded and any(connection.linger_no_more(now) for connection in lingering):
             return True
         arriving = (connection for connection in self.arriving if connection.is_stalled(now))
         candidates = (*islice(self.partial, EVICTION_CANDIDATES), *islice(arriving, 1))
@@ -161,11 +164,15 @@
         self.new.pop(connection, None)
         self.partial.pop(connection, None)
         self.idle.pop(connection, None)
+        self.delivering.pop(connection, None)
 
     def became_idle(self, connection: ClientConnection) -> None:
-        """Guards against clients that ask once and keep their connection: clients as a whole may hold only so
+        """Its client has all answers, and nothing more is here of it.
+
+        Guards against clients that ask once and keep their connection: clients as a whole may hold only so
         many, and were left with none for requests while this node stood idle.
         """
+        self.delivering.pop(connection, None)
         self.idle[connection] = None
         if len(self.idle) > self.most_idle:
             next(iter(self.idle)).close_if_idle()
@@ -215,6 +222,6 @@
         if self._acceptor is not None:
             self._acceptor.close()
         for connection in list(self.connections):
-            connection.close("process_ended")
+            connection.end_with_process()
         for refused in list(self.refused):
             refused.close()
--- a/cloverhold/net/fronts/waits.py
+++ b/cloverhold/net/fronts/waits.py
@@ -1,11 +1,12 @@
 """What a client's connection waits for: each wait with its bound, and the instant from which that counts. Pure.
 
-Every wait that holds is looked at: none hides another. The first row that is overdue ends the connection.
+Every wait that holds is looked at: none hides another. The first row that is overdue ends the connection. A client has an
+answer, and takes bytes, as `cloverhold.net.delivery` says: until it has all that was written, a connection doesn't rest.
 
 | wait         | for                                     | counts from                         | then                 |
 | ------------ | --------------------------------------- | ----------------------------------- | -------------------- |
 | LAST_READ    | the client reads its last answer        | when it last took bytes             | abort                |
-| LINGER       | the client closes its side              | when its last answer was written    | abort                |
+| LINGER       | the client closes its side              | when it had its last answer         | abort                |
 | FIRST_BYTE   | the first request's first byte          | when the connection came            | close                |
 | HEAD         | the rest of a request's head            | the head's first byte               | 408, or its own error |
 | BODY_STALL   | the next bytes of a request's body      | the client's last progress          | 408, or its own error |
@@ -15,7 +16,7 @@
 | BUFFER       | memory for the body                     | when reading stopped for lack of it | 503                  |
 | ANSWER_READ  | the client reads an answer              | when it last took bytes             | abort                |
 | DRAIN        | a further request on a draining node    | see `Life.rests_until`              | close, if all is read |
-| IDLE         | a further request                       | when the last answer was written    | close, if all is read |
+| IDLE         | a further request                       | when it had its last answer         | close, if all is read |
 """  # noqa: E501
 
 from __future__ import annotations
@@ -30,7 +31,7 @@
 BODY_TIMEOUT_S, MINIMUM_BODY_RATE = 5.0, 16 * 1024  # of a whole body: so long, and as long as it takes at so many B/s
 SERVER_READ_TIMEOUT_S = 5.0
 BUFFER_TIMEOUT_S = 2.4
-ANSWER_READ_TIMEOUT_S, LAST_READ_TIMEOUT_S = 20.0, 4.0
+ANSWER_READ_TIMEOUT_S = LAST_READ_TIMEOUT_S = 20.0
 LINGER_TIMEOUT_S = 0.5
 IDLE_TIMEOUT_S = 2.0
 LOOK_S = 0.2  # between two looks at a connection
--- a/cloverhold/permission.py
+++ b/cloverhold/permission.py
@@ -8,7 +8,7 @@
 | take   | the process has ended, the client's time is over, its id is open already, it may not run twice and has been sent under this id, or cannot be recorded |
 | send   | the client has left, its time is over, its body is gone, the server is not listed, or wants nothing new |
 | repeat | another attempt is out, it may have run and is unsafe, the memory of its group is over, the server is of another group |
-| close  | an answer is owed, a request is half here, bytes lie unread                                          |
+| close  | an answer is owed, its client has not taken all of one, a request is half here, bytes lie unread     |
 | answer | more than `ANSWER_GRACE_MS` behind the client's time (counted only: the answer is given)             |
 """  # noqa: E501
 
@@ -36,6 +36,7 @@
     SERVER_DRAINING = "server_draining"
     WINDOW_PASSED = "window_passed"  # chosen within it, and too late by now
     ANSWER_OWED = "answer_owed"
+    ANSWER_UNDELIVERED = "answer_undelivered"
     REQUEST_INCOMPLETE = "request_incomplete"
     BYTES_UNREAD = "bytes_unread"
     TOO_MANY_ATTEMPTS = "too_many_attempts"  # as new settings may say of what was chosen by the old ones
@@ -128,10 +129,14 @@
     return group is Group.ALL or first.zone == second.zone
 
 
-def may_close(*, answer_owed: bool, request_incomplete: bool, bytes_unread: bool) -> Denial | None:
+def may_close(
+    *, answer_owed: bool, answer_undelivered: bool, request_incomplete: bool, bytes_unread: bool
+) -> Denial | None:
     """Whether a client's connection may be closed with no word."""
     if answer_owed:
         return Denial.ANSWER_OWED
+    if answer_undelivered:
+        return Denial.ANSWER_UNDELIVERED
     if request_incomplete:
         return Denial.REQUEST_INCOMPLETE
     return Denial.BYTES_UNREAD if bytes_unread else None
--- a/tests/faults/test_permission.py
+++ b/tests/faults/test_permission.py
@@ -58,9 +58,15 @@
     assert may_take(**{**good, "id_open": True}) is Denial.DUPLICATE_ID
     assert may_take(**{**good, "may_have_run": True}) is Denial.MAY_HAVE_RUN
     assert may_take(**{**good, "recordable": False}) is Denial.NOT_RECORDABLE
-    idle = {"answer_owed": False, "request_incomplete": False, "bytes_unread": False}
+    denials = {
+        "answer_owed": Denial.ANSWER_OWED,
+        "answer_undelivered": Denial.ANSWER_UNDELIVERED,
+        "request_incomplete": Denial.REQUEST_INCOMPLETE,
+        "bytes_unread": Denial.BYTES_UNREAD,
+    }
+    idle = dict.fromkeys(denials, False)
     assert may_close(**idle) is None
-    for name, denial in zip(idle, (Denial.ANSWER_OWED, Denial.REQUEST_INCOMPLETE, Denial.BYTES_UNREAD), strict=True):
+    for name, denial in denials.items():
         assert may_close(**{**idle, name: True}) is denial
     assert answered_in_time(-500.0) is None and answered_in_time(-500.1) is Denial.ANSWER_LATE
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 
 from cloverhold.net.fronts import http1 as client
+from cloverhold.net.fronts import waits
 from cloverhold.net.fronts.listener import EXTRA_CONNECTIONS
 from cloverhold.net.messages import FIELDS_LIMIT
 from loopback import OK, WAIT_S, Peer, Running, Server, play, read_answer, request, running, until
@@ -89,6 +91,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(client, "MOST_UNSENT", 64 * 1024 * 1024)
+    monkeypatch.setattr(waits, "LAST_READ_TIMEOUT_S", 4.0)
 
     async def test() -> None:
         body = b"x" * 60000
@@ -99,7 +102,9 @@
                 writer.write(request(number=str(number)))
                 await until(lambda: not node.node.host.open)
             writer.write(b"nonsense\r\n\r\n")
+            began = time.monotonic()
             await until(lambda: not node.node.listener.connections)
+            assert time.monotonic() - began < 2 * waits.LAST_READ_TIMEOUT_S
             assert reader is not None
             writer.close()
 
