A planned restart waits until each client has its answer

Cause: a process that stops owed nothing more to a kept connection once its answer was handed to the transport; it exited 0.8 s behind SIGTERM with 14 to 24 KB in its own buffer, and these went with it. Where the kernel held the rest, a further request met a closed socket, and the reset took the rest along.

A connection has work pending until its answer is delivered (net/delivery.py); the bound on the whole stays, the longest deadline and 0.55 s, so a client that takes nothing holds no process longer.

--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -222,7 +222,7 @@
         """Whether its client is owed anything: an answer, the rest of one that it has not taken, that a request that is
         half here is read, or that the first one is waited for a moment.
         """
-        if self.closing is not None or not self.idle() or self.unfinished():
+        if self.closing is not None or not self.idle() or self.unfinished() or self.delivery.look(now):
             return True
         return self in self.listener.new and self.reader.begun is not None and now - self.reader.begun < FIRST_REQUEST_S
 
--- a/tests/ops/test_inherited.py
+++ b/tests/ops/test_inherited.py
@@ -11,13 +11,15 @@
 import sys
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager, closing
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from cloverhold.net.inherited import NotListening, inherited_socket
-from loopback import OK, WAIT_S, Server, free_ports, play, read_answer, request, target, until
+from loopback import OK, WAIT_S, Listening, Server, free_ports, play, read_answer, request, target, until
+from pausing_reader import LongAnswers, PausingReader
 from test_process import ROOT, SETTINGS, config, environment
 
 UNSAFE = {"Name": "alerta", "AimMs": 4000.0, "DeadlineMs": 8000.0, "Repeat": "non_idempotent"}
@@ -56,7 +58,7 @@
 
 @asynccontextmanager
 async def process(
-    tmp_path: Path, held: socket.socket, server: Server, mgmt: int, *, operator: str = "", ready: bool = True,
+    tmp_path: Path, held: socket.socket, server: Listening, mgmt: int, *, operator: str = "", ready: bool = True,
     **changes: Any,
 ) -> AsyncIterator[asyncio.subprocess.Process]:  # fmt: skip
     """One of several processes of a node: they share the socket and $TMPDIR, and have a management address each.
@@ -97,6 +99,30 @@
     return int(whole.split(b" ")[1])
 
 
+@pytest.mark.parametrize("further_after_s", [None, 2.7], ids=["no_further_request", "further_request"])
+def test_upgrade_does_not_cut_off_an_answer_that_its_client_has_not_taken(
+    tmp_path: Path, further_after_s: float | None
+) -> None:
+    """The old process ended connections as at rest, though their clients still read."""
+
+    async def test() -> None:
+        server = LongAnswers()
+        await server.start()
+        with listening() as held:
+            port, (mgmt,) = held.getsockname()[1], free_ports(1)
+            async with process(tmp_path, held, server, mgmt) as old:
+                reader = PausingReader(0, 3.0, further_after_s=further_after_s)
+                sizes = range(50_000, 350_001, 25_000)
+                reading = [asyncio.create_task(replace(reader, size=size).lost_bytes(port)) for size in sizes]
+                await asyncio.sleep(0.5)
+                old.send_signal(signal.SIGTERM)
+                assert set(await asyncio.gather(*reading)) == {0}
+                assert await asyncio.wait_for(old.wait(), WAIT_S) == 0
+        server.stop()
+
+    play(test)
+
+
 def test_an_upgrade_under_load_ends_no_request_at_the_door(tmp_path: Path) -> None:
     """Hard case: two processes at one socket. Every request gets its answer, each unsafe one runs once."""
 
