An answer over HTTP/3 is owed until its client has acknowledged it

A session is idle once nothing waits to be sent and, where an answer was written, no byte is in flight. A handshake or a GOAWAY alone holds no process.

--- a/cloverhold/h3/session.py
+++ b/cloverhold/h3/session.py
@@ -34,13 +34,14 @@
 from cloverhold.h3.keys import Keys, Ticket
 from cloverhold.h3.requests import answer_head, field_section
 from cloverhold.h3.streams import EXCESSIVE_LOAD, NO_ERROR, Budget, Streams
+from cloverhold.net.fronts.waits import ANSWER_READ_TIMEOUT_S
 from cloverhold.net.messages import ANSWER_LIMIT, BODY_LIMIT, HEAD_LIMIT, Field
 
 log = logging.getLogger(__name__)
 
 Address = tuple[str, int]
 IDLE_S = 30.0  # a phone that changes its network says nothing for some seconds
-UNREAD_S = 5.0  # a client that takes none of its answers for this long is ended
+UNREAD_S = ANSWER_READ_TIMEOUT_S  # a client that takes none of its answers for this long is ended
 MOST_UNREAD = 2 * (ANSWER_LIMIT + HEAD_LIMIT)  # bytes of answers on one connection that the client has not let out
 AGAIN_S, STUCK_S = 0.02, 2.0
 _TICKET_ROOM = 4096
@@ -169,6 +170,7 @@
         self.over = self.leaving = False
         self._unread_since: float | None = None
         self._unread = 0
+        self._answered = False  # whether answers were written that the client may not have
         self._stuck_since: float | None = None  # from when on the library has had nothing to send but an error
 
     # ------------------------------------------------------------------------------------------- in and out
@@ -282,6 +284,7 @@
     def _write(self, stream: int, status: int, body: bytes, headers: Iterable[Field]) -> None:
         if self._h3 is None:
             return
+        self._answered = True
         try:
             self._h3.send_headers(stream, answer_head(status, len(body), headers), end_stream=not body)
             if body:
@@ -306,7 +309,7 @@
     def sweep(self, now: float) -> Iterator[Event]:
         """End streams that are not whole in time, and a connection whose client lets no answer out."""
         yield from self._do(self.streams.sweep(now))
-        unread: int = self._quic.get_send_buffer_size()
+        unread = self._undelivered()
         if not unread or unread < self._unread:
             self._unread_since = None
         elif self._unread_since is None:
@@ -329,8 +332,16 @@
                 pass  # it has ended: its event is on the way
 
     def idle(self) -> bool:
-        """Whether nothing is owed here and all that was said has left."""
-        return not self.streams.open() and not self._quic.get_send_buffer_size()
+        """Whether nothing is owed here and the client has all that was said."""
+        return not self.streams.open() and not self._undelivered()
+
+    def _undelivered(self) -> int:
+        """Bytes that wait to be sent, and those of answers that the client has not acknowledged."""
+        unsent: int = self._quic.get_send_buffer_size()
+        core = self._quic._core
+        in_flight: int = core.bytes_in_flight if self._answered and core is not None else 0
+        self._answered = self._answered and unsent + in_flight > 0
+        return unsent + in_flight
 
     def close(self, code: int = NO_ERROR) -> Iterator[Event]:
         """End the connection."""
