A server that takes a body steadily is not ended as one that takes nothing

Cause: a server was taken to read while its socket accepted more, which Linux lets it only once a third of the send queue is free: at a low rate that is longer than 5 s.

The wait counts from when the server last acknowledged bytes (net/delivery.py). A client's own time bounds the whole as before, from its last byte.

Measured: 6 MB at 1 MB/s with the wait set to 0.5 s: 504 before, served now. Servers that take nothing are still ended.

--- a/cloverhold/bodies/upload.py
+++ b/cloverhold/bodies/upload.py
@@ -39,6 +39,11 @@
     """Told to nobody."""
 
 
+def _never(now: float) -> float:
+    """No attempt is out."""
+    return 0.0
+
+
 class Upload:
     """One body. `length` as its head told it; None where only its end will show."""
 
@@ -50,6 +55,7 @@
         self.taken = 0  # up to here the attempt that is out has taken
         self.reading = False  # whether an attempt is out
         self.more: Callable[[], None] = _nothing  # told to the attempt: there is more to take, or the end
+        self.taken_at: Callable[[float], float] = _never  # when the attempt's server last took bytes, as seen by now
         self.room: Callable[[], None] = _nothing  # told to the client's side: more may be read
         self._held = bytearray()  # one run: a body may come a byte at a time
 
@@ -92,11 +98,14 @@
         """Whether an attempt could begin, from the first byte on."""
         return self.start == 0 and self.state is not State.ENDED
 
-    def begin(self, more: Callable[[], None]) -> None:
-        """An attempt is out, from the first byte on. ValueError where that is gone, or another is out."""
+    def begin(self, more: Callable[[], None], taken_at: Callable[[float], float] = _never) -> None:
+        """An attempt is out, from the first byte on. ValueError where that is gone, or another is out.
+
+        taken_at: asked when its server last took bytes, also such as were written before; monotonic, in seconds.
+        """
         if not self.repeatable() or self.reading:
             raise ValueError("a body that cannot be sent from its start")
-        self.reading, self.taken, self.more = True, 0, more
+        self.reading, self.taken, self.more, self.taken_at = True, 0, more, taken_at
 
     def take(self) -> bytes:
         """What the attempt has not taken yet, at most one piece; nothing where there is no more now."""
@@ -124,7 +133,7 @@
 
     def leave(self) -> None:
         """The attempt is over."""
-        self.reading, self.more = False, _nothing
+        self.reading, self.more, self.taken_at = False, _nothing, _never
 
     def drop(self) -> None:
         """Nobody needs it any more."""
--- a/cloverhold/net/delivery.py
+++ b/cloverhold/net/delivery.py
@@ -113,3 +113,20 @@
         if transport is None or not self.undelivered:
             return True
         return not transport.get_write_buffer_size() and not unsent_bytes(transport.get_extra_info("socket"))
+
+
+class QueueWatch:
+    """Follows the kernel's send queue of a socket that takes nothing more. Times are monotonic, in seconds."""
+
+    __slots__ = ("_queued", "_socket", "_taken_at")
+
+    def __init__(self, sock: HasDescriptor) -> None:
+        self._socket, self._queued, self._taken_at = sock, 0, 0.0
+
+    def taken_at(self, now: float) -> float:
+        """When the peer was last seen to have taken bytes; 0 where it never was."""
+        queued = unacknowledged_bytes(self._socket)
+        if queued < self._queued:
+            self._taken_at = now
+        self._queued = queued
+        return self._taken_at
--- a/cloverhold/net/fronts/client_waits.py
+++ b/cloverhold/net/fronts/client_waits.py
@@ -26,7 +26,7 @@
     if client.delivery.undelivered:
         waiting.unread_since = client.delivery.waits_since
     if client.open is not None and client.open.request is client.reader.incoming and not client.streaming:
-        waiting.held_since = client.reading.paused_since
+        waiting.held_since = _held_since(client, now)
     is_first = client.open is None or client.open.request is client.reader.incoming
     if (
         is_first
@@ -51,6 +51,14 @@
     return waiting
 
 
+def _held_since(client: ClientConnection, now: float) -> float | None:
+    """Since when the server has taken nothing of the body that comes; None where reading goes on."""
+    since, upload = client.reading.paused_since, client.reader.incoming.upload
+    if since is None or upload is None:
+        return since
+    return max(since, upload.taken_at(now))
+
+
 def _client_waits_s(client: ClientConnection) -> float:
     """How long the client of the request that comes says that it will wait; infinite where it says nothing."""
     try:
--- a/cloverhold/net/fronts/waits.py
+++ b/cloverhold/net/fronts/waits.py
@@ -12,7 +12,7 @@
 | BODY_STALL   | the next bytes of a request's body      | the client's last progress          | 408, or its own error |
 | BODY_RATE    | the whole body                          | its head's first byte, without the time in which the node did not read | 408, or its own error |
 | UPLOAD_LATE  | the rest of a body, which lies unread   | when its client may have written its end | 504, or 503      |
-| SERVER_READ  | the server takes more of the body       | when reading stopped for that       | 504                  |
+| SERVER_READ  | the server takes more of the body       | when reading stopped for that, or it last took bytes | 504 |
 | BUFFER       | memory for the body                     | when reading stopped for lack of it | 503                  |
 | ANSWER_READ  | the client reads an answer              | when it last took bytes             | abort                |
 | DRAIN        | a further request on a draining node    | see `Life.rests_until`              | close, if all is read |
--- a/cloverhold/net/upstreams/http1.py
+++ b/cloverhold/net/upstreams/http1.py
@@ -12,6 +12,7 @@
 
 from cloverhold.bodies.budget import Budget, Holding
 from cloverhold.decision.interface import Status
+from cloverhold.net.delivery import QueueWatch
 from cloverhold.net.http1 import BadMessage, ResponseParser
 from cloverhold.net.messages import Response
 from cloverhold.net.socket_watcher import SocketWatcher
@@ -50,6 +51,7 @@
         self.holding = Holding(pool.budget)
         call.connection = self
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.taken_at = QueueWatch(self.socket).taken_at  # when its server was last seen to have taken bytes
         self.watcher = SocketWatcher(pool.loop, self.socket, self._readable)
         self.dial_timer: asyncio.TimerHandle | None = None
         self.rests: asyncio.TimerHandle | None = None  # until its next request may leave
--- a/cloverhold/net/upstreams/http1_call.py
+++ b/cloverhold/net/upstreams/http1_call.py
@@ -14,6 +14,7 @@
     call: Call | None
 
     def more(self) -> None: ...
+    def taken_at(self, now: float) -> float: ...
     def answer_comes(self) -> bool: ...
     def pass_on(self) -> None: ...
     def pause(self) -> None: ...
@@ -57,12 +58,15 @@
         self.connection: Carrier | None = None
         self.response: Response | None = None
         if self.upload is not None:
-            self.upload.begin(self._more)
+            self.upload.begin(self._more, self._taken_at)
 
     def _more(self) -> None:
         if self.connection is not None:
             self.connection.more()
 
+    def _taken_at(self, now: float) -> float:
+        return self.connection.taken_at(now) if self.connection is not None else 0.0
+
     def sent(self) -> bool:
         """Whether the last byte of the request has been written."""
         return self.ended and self.leaves and self.written == len(self.part)
--- a/tests/faults/test_slow_uploads.py
+++ b/tests/faults/test_slow_uploads.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from cloverhold.net.fronts import waits
 from cloverhold.net.fronts.upload_clock import CLIENT_QUEUE_BYTES, UploadClock
 from loopback import OK, Listening, Scripted, body_of, play, read_answer, request, running, until
 from node_process import node_process
@@ -171,3 +172,21 @@
             writer.close()
 
     play(test)
+
+
+def test_body_that_its_server_takes_steadily_is_not_ended_between_two_steps_of_the_kernels_queue(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A socket takes more only once a third of its queue is free: at a low rate it seemed to have taken nothing."""
+    monkeypatch.setattr(waits, "SERVER_READ_TIMEOUT_S", 0.5)
+    size = 6 * MB
+
+    async def test() -> None:
+        server = SlowReader(MB)
+        async with running(server, probes=False) as node:  # type: ignore[arg-type]
+            raw = request("alerta", budget="60000m", body=b"x" * size)
+            _, _, line = await asyncio.to_thread(write_all, node.port, raw)
+            assert line == b"HTTP/1.1 200 OK", line
+            assert server.served == 1
+
+    play(test)
