--- a/tests/faults/test_delivery.py
+++ b/tests/faults/test_delivery.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from dataclasses import replace
 from pathlib import Path
@@ -15,7 +16,7 @@
 from cloverhold.net.telemetry import Happening
 from loopback import Peer, play, request, running, until
 from node_process import NodeProcess, node_process
-from pausing_reader import LongAnswers, PausingReader
+from pausing_reader import MARK, LongAnswers, PausingReader
 
 PAUSE_S = 5.0  # "peers take seconds to read"
 # What the kernel's queues hold differs between machines; what waits in the process beside them is 64 KiB at most.
@@ -118,6 +119,30 @@
     play(test)
 
 
+def test_client_that_reads_steadily_is_not_ended_between_two_steps_of_the_kernels_queue(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A transport's buffer shrinks in steps of a third of the kernel's queue: a slow client seemed to take nothing."""
+    monkeypatch.setattr(waits, "ANSWER_READ_TIMEOUT_S", 1.0)
+    size, slow_bytes, piece, piece_s = 8_000_000, 4_000_000, 51_200, 0.1
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with running(LongAnswers()) as node:
+            with socket.socket() as sock:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 256 * 1024)
+                sock.connect(("127.0.0.1", node.port))
+                sock.setblocking(False)
+                await loop.sock_sendall(sock, request(extra=f"X-Call-Info: size={size}\r\n"))
+                got = 0
+                while got < size and (data := await loop.sock_recv(sock, piece)):
+                    got += data.count(MARK)
+                    await asyncio.sleep(piece_s if got < slow_bytes else 0)
+                assert got == size
+
+    play(test)
+
+
 def test_connection_rests_from_when_its_client_has_its_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     """The time in which a client took its answer counted as rest, and its next request met the end of that."""
     monkeypatch.setattr(waits, "IDLE_TIMEOUT_S", 1.0)
