Answers as bytes, and the report of ended connections, have modules of their own

AnswerWriter holds the framing of answers and the state of one that is on its way; close_report what is counted and logged of connections that the node ends; origin_form stands beside the other rules of messages.

--- a/cloverhold/net/fronts/client_waits.py
+++ b/cloverhold/net/fronts/client_waits.py
@@ -25,14 +25,14 @@
         return waiting
     if client.delivery.undelivered:
         waiting.unread_since = client.delivery.waits_since
-    if client.open is not None and client.open.request is client.reader.incoming and not client.streaming:
+    if client.open is not None and client.open.request is client.reader.incoming and not client.writer.streaming:
         waiting.held_since = _held_since(client, now)
     is_first = client.open is None or client.open.request is client.reader.incoming
     if (
         is_first
         and client.reader.incoming.upload is not None
         and not client.reader.incoming.whole
-        and not client.streaming
+        and not client.writer.streaming
     ):
         waiting.written_since, waiting.client_waits_s = client.reading.earliest_end(now), _client_waits_s(client)
     if client.reading.starved_since is not None and client.open is None:
@@ -42,7 +42,7 @@
     if client.reading.waits_its_turn and client.reading.rest_is_here:
         return waiting  # all is here, and the node does not read on
     if client.unfinished() or client.reader.broken is not None:
-        if not client.streaming:
+        if not client.writer.streaming:
             _wait_for_request(client, waiting)
         elif client.delivery.undelivered:  # else the answer that is on the way waits for its server
             waiting.progress_at = max(client.reading.progress_at, client.delivery.waits_since)
--- a/cloverhold/net/fronts/http1.py
+++ b/cloverhold/net/fronts/http1.py
@@ -10,15 +10,17 @@
 from typing import TYPE_CHECKING, cast
 
 from cloverhold.bodies.budget import Holding
-from cloverhold.net.delivery import Delivery, unacknowledged_bytes, undelivered_bytes
+from cloverhold.net.delivery import Delivery
 from cloverhold.net.exchange import BadRequest, Exchange, Incoming, read_request
-from cloverhold.net.fronts.answer_head import NO_BODY, answer_head, length_line
+from cloverhold.net.fronts.answer_head import NO_BODY, answer_head
+from cloverhold.net.fronts.answer_writer import AnswerWriter
 from cloverhold.net.fronts.client_waits import waits_of
+from cloverhold.net.fronts.close_report import count_close, note_undelivered
 from cloverhold.net.fronts.read_flow import ReadFlow
 from cloverhold.net.fronts.receive_queue import is_readable
 from cloverhold.net.fronts.request_reader import RequestReader
 from cloverhold.net.fronts.waits import Wait
-from cloverhold.net.messages import BODY_LIMIT, NO_HOST, Field
+from cloverhold.net.messages import NO_HOST, Field, origin_form
 from cloverhold.net.telemetry import Happening
 from cloverhold.permission import Denial, may_close
 
@@ -55,9 +57,7 @@
         self.reading = ReadFlow(self.reader, self.holding, listener.telemetry, self._room)
         self.stuffed = False  # whether it is sent no more until it reads
         self.delivery = Delivery()
-        self.streaming = False  # whether an answer is on the way in pieces
-        self.chunked = False  # the answer that is on the way in pieces
-        self.closes = False  # whether that is its connection's last
+        self.writer = AnswerWriter(self.delivery)
         self.closing: float | None = None  # since when nothing more is answered on it
         self.lingers = False  # whether a request still came then: its client has a moment to read of the end
         self.place = 0.0  # among those that a drain ends, from 0 to 1
@@ -138,7 +138,7 @@
         self.closing = time.monotonic()
         self.lingers = self._still_comes()
         self.listener.left_waiting(self)  # it is no longer one of those that may give way: another is the next
-        if not self.lingers and not self.delivery.look(self.closing):
+        if self.transport.is_closing() or (not self.lingers and not self.delivery.look(self.closing)):
             self.transport.close()
             return
         self.listener.lingering[self] = None
@@ -154,7 +154,7 @@
 
     def end_with_process(self) -> None:
         """The process ends: what the kernel holds is still sent, what this process holds is lost."""
-        self._note_undelivered("process_ended")
+        note_undelivered(self, "process_ended")
         if self.open is not None:
             self.listener.telemetry.event(Happening.RULE_VIOLATED, Denial.ANSWER_DROPPED.value)
         if self.transport is not None:
@@ -169,36 +169,6 @@
         self.transport.abort()
         return True
 
-    def _count_close(self, reason: str) -> None:
-        """The node ends this connection, or the request that comes on it."""
-        request, peer = self.reader.incoming, None
-        if self.transport is not None:
-            peer = self.transport.get_extra_info("peername")
-        self.listener.telemetry.event(
-            Happening.CONNECTION_CLOSED,
-            reason,
-            client=peer,
-            id=request.fields.get(b"x-call-id", b""),
-            in_head=self.reader.in_head,
-            body_bytes=self.reader.body_bytes(),
-            silent_s=time.monotonic() - self.reading.progress_at,
-            open=self.open is not None,
-            paused=self.reading.paused_since is not None,
-        )
-
-    def _note_undelivered(self, reason: str) -> None:
-        """The node ends this connection: whether its client lacks bytes of an answer, and where they lie."""
-        transport = self.transport
-        if transport is None or not undelivered_bytes(transport):
-            return
-        self.listener.telemetry.event(
-            Happening.ANSWER_UNDELIVERED,
-            reason,
-            client=transport.get_extra_info("peername"),
-            in_process_bytes=transport.get_write_buffer_size(),
-            in_kernel_bytes=unacknowledged_bytes(transport.get_extra_info("socket")),
-        )
-
     def is_client_connected(self, exchange: Exchange) -> bool:
         """Whether the client still waits. Its end lies unread behind what it sent in the same burst, while nothing is
         read, and where the loop was late; it is asked for, since a request is sent on only while it is wanted.
@@ -291,9 +261,9 @@
             self.close_if_idle()
             return
         if wait is not Wait.LINGER:
-            self._count_close(wait.value)
+            count_close(self, wait.value)
         if wait in (Wait.LAST_READ, Wait.LINGER, Wait.ANSWER_READ):
-            self._note_undelivered(wait.value)
+            note_undelivered(self, wait.value)
             transport.abort()
         elif wait is Wait.FIRST_BYTE:
             self.close_if_idle()
@@ -316,7 +286,7 @@
         if is_readable(transport.get_extra_info("socket")):
             self.listener.telemetry.count(Happening.ACT_DENIED, Denial.BYTES_UNREAD.value)
             return False
-        self._count_close(GIVES_WAY)
+        count_close(self, GIVES_WAY)
         if self.open is not None:
             self._end_request(NO_ROOM)
         elif self.unfinished() or now - self.reader.begun < FIRST_REQUEST_TIMEOUT_S:
@@ -334,7 +304,7 @@
         exchange = self._let_go()
         if exchange is not None:
             self.listener.taker.client_gone(exchange)
-        if self.streaming and self.transport is not None:
+        if self.writer.streaming and self.transport is not None:
             self.transport.abort()  # an error would be taken for a part of the answer
             return
         self._turn_away(error or self.reader.broken or BadRequest(408, "not whole in time"), close=True)
@@ -464,29 +434,25 @@
         if self.open is not exchange or self.transport is None:
             return
         request = exchange.request
-        self.chunked = length is None and not request.http10
-        last = not request.keep_alive or not request.whole or (length is None and request.http10)
-        self.closes = last or (self.listener.life.closing() and not self.queue)
-        self.streaming = True
-        framing = length_line(length, chunked=self.chunked)
-        self.delivery.write(answer_head(200, headers, framing, self.listener.announce, close=self.closes))
+        last = not request.keep_alive or not request.whole or self._is_closing_soon()
+        self.writer.begin(headers, length, self.listener.announce, http10=request.http10, close=last)
+
+    def _is_closing_soon(self) -> bool:
+        """Whether the process drains, and no request waits for an answer on this connection."""
+        return self.listener.life.closing() and not self.queue
 
     def write_chunk(self, exchange: Exchange, data: bytes) -> bool:
         if self.open is exchange and self.transport is not None and not self.transport.is_closing():
-            if self.chunked:
-                data = b"%x\r\n%s\r\n" % (len(data), data)
-            self.delivery.write(data)
+            self.writer.write_part(data)
         return not self.stuffed
 
     def finish(self, exchange: Exchange) -> None:
         if self.open is not exchange or self.transport is None:
             return
         self._let_go()
-        self.streaming = False
         self.reading.progress_at = time.monotonic()
-        if self.chunked:
-            self.delivery.write(b"0\r\n\r\n")
-        self._written(close=self.closes)
+        self.writer.finish()
+        self._written(close=self.writer.closes)
         self._after()
 
     def abort_answer(self, exchange: Exchange) -> None:
@@ -512,16 +478,8 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return
-        close = close or (self.listener.life.closing() and not self.queue)
-        framing = length_line(len(body), chunked=False) if body else NO_BODY
-        head = answer_head(status, headers, framing, self.listener.announce, close=close)
-        if bare or not body:
-            self.delivery.write(head)
-        elif len(body) <= BODY_LIMIT:
-            self.delivery.write(head + body)
-        else:  # a copy of a large one costs more than a second write
-            self.delivery.write(head)
-            self.delivery.write(body)
+        close = close or self._is_closing_soon()
+        self.writer.write_whole(status, body, headers, self.listener.announce, close=close, bare=bare)
         self._written(close=close)
 
     def _written(self, *, close: bool) -> None:
@@ -540,12 +498,3 @@
         if self.transport is None or self.reading.paused_since is None:
             return False
         return is_readable(self.transport.get_extra_info("socket"))
-
-
-def origin_form(target: bytes) -> bytes:
-    """The path and query of an absolute-form target (RFC 9112, section 3.2.2); any other as it is."""
-    scheme, found, rest = target.partition(b"://")
-    if not found or scheme.lower() != b"http":
-        return target
-    slash = rest.find(b"/")
-    return rest[slash:] if slash >= 0 else b"/"
--- a/cloverhold/net/messages.py
+++ b/cloverhold/net/messages.py
@@ -60,3 +60,12 @@
     if not isinstance(values, dict):
         return None
     return {k: float(v) for k, v in values.items() if isinstance(v, (int, float)) and 0 <= v < 1e9}
+
+
+def origin_form(target: bytes) -> bytes:
+    """The path and query of an absolute-form target (RFC 9112, section 3.2.2); any other as it is."""
+    scheme, found, rest = target.partition(b"://")
+    if not found or scheme.lower() != b"http":
+        return target
+    slash = rest.find(b"/")
+    return rest[slash:] if slash >= 0 else b"/"
