--- a/tests/faults/test_delivery.py
+++ b/tests/faults/test_delivery.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 import time
 from dataclasses import replace
@@ -12,6 +13,7 @@
 
 import pytest
 
+from cloverhold.net import delivery
 from cloverhold.net.fronts import waits
 from cloverhold.net.telemetry import Happening
 from loopback import Peer, play, request, running, until
@@ -143,6 +145,25 @@
     play(test)
 
 
+def test_connection_rests_also_where_the_kernel_does_not_tell_what_is_delivered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What is not told counts as delivered: nothing may wait for an answer that never comes."""
+
+    def refuse(*_: object) -> int:
+        raise OSError(errno.ENOTTY, "no such call")
+
+    monkeypatch.setattr(delivery.fcntl, "ioctl", refuse)
+    monkeypatch.setattr(waits, "IDLE_TIMEOUT_S", 0.5)
+
+    async def test() -> None:
+        async with running(LongAnswers()) as node:
+            assert await PausingReader(2_000, 0.1).rest_s(node.port) < 0.5 + 5 * waits.LOOK_S
+            assert not node.node.listener.busy()
+
+    play(test)
+
+
 def test_connection_rests_from_when_its_client_has_its_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     """The time in which a client took its answer counted as rest, and its next request met the end of that."""
     monkeypatch.setattr(waits, "IDLE_TIMEOUT_S", 1.0)
